--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,7 @@
+#include <iostream>
+
+int main()
+{
+    std::cout << "monsoonledge " << MONSOONLEDGE_VERSION << '\n';
+    return 0;
+}
--- /dev/null
+++ b/src/base/base.h
@@ -0,0 +1,231 @@
+// Strong ids and units, time, findings, hashing and seeded random numbers, used by every module.
+//
+// Sections:
+//   [1] Ids
+//   [2] Time and units
+//   [3] Findings
+//   [4] Hashing
+//   [5] Random numbers
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace monsoonledge {
+
+// [1] Ids
+
+/// A string id that cannot be mixed up with an id of another kind. An empty id means "none".
+template<typename Tag> class StringId
+{
+public:
+    StringId() = default;
+    explicit StringId(std::string value) : value_(std::move(value)) { }
+
+    const std::string &str() const { return value_; }
+    bool isEmpty() const { return value_.empty(); }
+
+    friend bool operator==(const StringId &a, const StringId &b) { return a.value_ == b.value_; }
+    friend bool operator!=(const StringId &a, const StringId &b) { return a.value_ != b.value_; }
+    friend bool operator<(const StringId &a, const StringId &b) { return a.value_ < b.value_; }
+    friend std::ostream &operator<<(std::ostream &out, const StringId &id)
+    {
+        return out << id.value_;
+    }
+
+private:
+    std::string value_;
+};
+
+/// An entry process, by the name in its settings. A restarted process keeps its EntryId.
+using EntryId = StringId<struct EntryTag>;
+/// A failure domain.
+using DomainId = StringId<struct DomainTag>;
+/// A worker or entry host, as named in the host list.
+using HostId = StringId<struct HostTag>;
+/// A request, chosen by the caller or issued by the system. At most MaxRequestIdBytes long.
+using RequestId = StringId<struct RequestTag>;
+/// A batch task.
+using TaskId = StringId<struct TaskTag>;
+/// A service named in the daily sheet.
+using ServiceId = StringId<struct ServiceTag>;
+/// A class of requests of one service, written "service/class" in the daily sheet.
+using ClassId = StringId<struct ClassTag>;
+/// A caller, as named by the X-Caller header.
+using CallerId = StringId<struct CallerTag>;
+/// A team that owns batch work and quotas.
+using TeamId = StringId<struct TeamTag>;
+
+constexpr std::size_t MaxRequestIdBytes = 64;
+constexpr std::size_t MaxBodyBytes = 256 * 1024;
+
+/// A whole number that cannot be mixed up with a number of another kind.
+template<typename Tag> struct Number
+{
+    std::uint64_t value = 0;
+
+    friend bool operator==(Number a, Number b) { return a.value == b.value; }
+    friend bool operator!=(Number a, Number b) { return a.value != b.value; }
+    friend bool operator<(Number a, Number b) { return a.value < b.value; }
+    friend bool operator<=(Number a, Number b) { return a.value <= b.value; }
+    friend bool operator>(Number a, Number b) { return a.value > b.value; }
+    friend bool operator>=(Number a, Number b) { return a.value >= b.value; }
+    friend std::ostream &operator<<(std::ostream &out, Number n) { return out << n.value; }
+};
+
+/// Distinguishes two runs of the same entry process: a later start has a larger incarnation.
+using Incarnation = Number<struct IncarnationTag>;
+/// Revision of the daily sheet. 0: no sheet.
+using Revision = Number<struct RevisionTag>;
+/// Version of a value in the store. 0: the key is absent.
+using Version = Number<struct VersionTag>;
+/// Generation of a batch task; grows by one each time the task is queued again.
+using Generation = Number<struct GenerationTag>;
+
+/// One run of an entry process.
+struct EntryRun
+{
+    EntryId entry;
+    Incarnation incarnation;
+
+    /// "entry/incarnation", as sent to endpoints in the X-Entry header.
+    std::string str() const { return entry.str() + '/' + std::to_string(incarnation.value); }
+
+    friend bool operator==(const EntryRun &a, const EntryRun &b)
+    {
+        return a.entry == b.entry && a.incarnation == b.incarnation;
+    }
+    friend bool operator!=(const EntryRun &a, const EntryRun &b) { return !(a == b); }
+    friend bool operator<(const EntryRun &a, const EntryRun &b)
+    {
+        return a.entry != b.entry ? a.entry < b.entry : a.incarnation < b.incarnation;
+    }
+};
+
+/// A TCP address: an IP number and a port.
+struct Address
+{
+    std::string ip; // dotted quad or IPv6 number, never a host name
+    std::uint16_t port = 0;
+
+    std::string str() const { return ip + ':' + std::to_string(port); }
+    friend bool operator==(const Address &a, const Address &b)
+    {
+        return a.ip == b.ip && a.port == b.port;
+    }
+    friend bool operator!=(const Address &a, const Address &b) { return !(a == b); }
+    friend bool operator<(const Address &a, const Address &b)
+    {
+        return a.ip != b.ip ? a.ip < b.ip : a.port < b.port;
+    }
+};
+
+/// Parses "ip:port". Throws std::invalid_argument if the text has another form.
+Address parseAddress(const std::string &text);
+
+// [2] Time and units
+
+/// A span of time with a resolution of one microsecond.
+using Duration = std::chrono::microseconds;
+/// A point on a monotonic clock that goes on while the host is suspended. Only differences count.
+using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+/// A duration in fractional milliseconds, for logs and tables.
+inline double toMilliseconds(Duration d)
+{
+    return std::chrono::duration<double, std::milli>(d).count();
+}
+
+/// A processor share in thousandths of a core.
+using MilliCores = Number<struct MilliCoresTag>;
+/// An amount of memory in mebibytes.
+using MebiBytes = Number<struct MebiBytesTag>;
+
+// [3] Findings
+
+/// Position in a document. Line and column count from 1; 0 means unknown.
+struct Place
+{
+    std::string file;
+    int line = 0;
+    int column = 0;
+};
+
+/// One thing wrong in a document, with the advice on what to write instead.
+struct Finding
+{
+    Place place;
+    std::string message;
+
+    /// "file:line:column: message"
+    std::string str() const;
+};
+
+using Findings = std::vector<Finding>;
+
+/// All findings, one per line.
+std::string formatFindings(const Findings &findings);
+
+/// Thrown when a document cannot be used; carries everything found wrong in it.
+class FindingsError : public std::runtime_error
+{
+public:
+    explicit FindingsError(Findings findings);
+    const Findings &findings() const { return findings_; }
+
+private:
+    Findings findings_;
+};
+
+// [4] Hashing
+
+/// A 64-bit hash that is the same on every machine and in every version of the program, because
+/// processes must agree on the home of a request id (FNV-1a with a final mix).
+std::uint64_t stableHash(std::string_view text, std::uint64_t seed = 0);
+
+/// The candidate with the highest rendezvous weight for the key. Candidates must not be empty. The
+/// choice does not depend on their order, and removing one moves only the keys that it had.
+const DomainId &rendezvous(std::string_view key, const std::vector<DomainId> &candidates);
+
+// [5] Random numbers
+
+/// A small seeded generator (splitmix64): the same seed gives the same numbers everywhere.
+class Random
+{
+public:
+    explicit Random(std::uint64_t seed) : state_(seed) { }
+
+    std::uint64_t next();
+    /// A number in [0, bound). The bound must be greater than 0.
+    std::uint64_t below(std::uint64_t bound);
+    /// A number in [0, 1).
+    double unit();
+
+private:
+    std::uint64_t state_;
+};
+
+} // namespace monsoonledge
+
+namespace std {
+template<typename Tag> struct hash<monsoonledge::StringId<Tag>>
+{
+    size_t operator()(const monsoonledge::StringId<Tag> &id) const
+    {
+        return hash<string>()(id.str());
+    }
+};
+} // namespace std
