--- /dev/null
+++ b/src/adapters/adapters.h
@@ -0,0 +1,252 @@
+// Adapters: the ports on real connections, over one libevent loop on one thread.
+//
+// Sections:
+//   [1] Event loop
+//   [2] HTTP server
+//   [3] HTTP client
+//   [4] Clients of the platform
+//   [5] Peer links
+//   [6] Logger
+#pragma once
+
+#include "base/base.h"
+#include "ports/ports.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct event_base;
+
+namespace monsoonledge {
+
+// [1] Event loop
+
+class EventLoop : public TimerPort
+{
+public:
+    EventLoop();
+    ~EventLoop() override;
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /// Runs until stop() is called.
+    void run();
+    void stop();
+    /// CLOCK_BOOTTIME: it goes on while the host is suspended.
+    Time now() const;
+
+    TimerId after(Duration delay, std::function<void(Time now)> callback) override;
+    void cancel(TimerId id) override;
+    /// Calls back in the loop for each arrival of the signal.
+    void onSignal(int signalNumber, std::function<void(Time now)> callback);
+
+    event_base *base() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d_;
+};
+
+// [2] HTTP server
+
+/// Header names are in lower case.
+using HttpHeaders = std::map<std::string, std::string>;
+
+struct HttpRequest
+{
+    std::string method;
+    std::string path; // decoded, without the query
+    std::map<std::string, std::string> query; // decoded
+    HttpHeaders headers;
+    std::string body;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    HttpHeaders headers; // Content-Length is added
+    std::string body;
+};
+
+/// Sends the response of one request. May be called later, once; calling it after the client has
+/// closed its connection has no effect.
+using HttpRespond = std::function<void(const HttpResponse &)>;
+
+struct HttpServerSettings
+{
+    Address address;
+    std::size_t maxBodyBytes = MaxBodyBytes;
+    std::size_t maxHeaderBytes = 16 * 1024;
+    int maxConnections = 2000;
+    Duration idleTimeout = seconds(30); // also bounds slow senders
+};
+
+/// Refuses by itself, with a JSON error {"error", "field", "outcome": "not-run"}: bodies and
+/// headers over the limits, differing Content-Length headers, more connections than allowed.
+class HttpServer
+{
+public:
+    using Handler = std::function<void(const HttpRequest &, HttpRespond, Time now)>;
+
+    /// Throws std::runtime_error that names the address if it cannot be bound.
+    HttpServer(EventLoop &loop, HttpServerSettings settings, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// Refuses new connections; requests on open connections are still served, each answered with
+    /// "Connection: close".
+    void stopAccepting();
+    int openConnections() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d_;
+};
+
+// [3] HTTP client
+
+enum class HttpFailure {
+    None,
+    NotConnected, // no byte was sent
+    Refused, // connection refused, no byte was sent
+    Lost, // the connection ended before the whole response arrived, or the response is malformed
+    TimedOut,
+};
+
+struct HttpResult
+{
+    HttpFailure failure = HttpFailure::None;
+    HttpResponse response;
+    std::string detail;
+};
+
+struct HttpClientSettings
+{
+    int maxConnectionsPerAddress = 16;
+    Duration connectTimeout = seconds(1);
+    std::size_t maxBodyBytes = 2 * 1024 * 1024;
+};
+
+/// Keeps connections to each address open between requests, and runs one request at a time on each.
+/// Never sends a request twice, and never reuses a connection on which a request has failed.
+/// Requests over the connection limit wait within their timeout.
+class HttpClient
+{
+public:
+    HttpClient(EventLoop &loop, HttpClientSettings settings);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /// `target` is the path with the query, already encoded. Calls back exactly once.
+    void send(const Address &address, const std::string &method, const std::string &target,
+              const HttpHeaders &headers, const std::string &body, Duration timeout,
+              std::function<void(const HttpResult &, Time now)> done);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d_;
+};
+
+/// Percent-encodes everything but unreserved characters, for use in a path or query.
+std::string percentEncode(const std::string &text);
+
+// [4] Clients of the platform
+
+std::unique_ptr<StorePort> makeStoreClient(EventLoop &loop, const Address &address,
+                                           Duration timeout = seconds(2));
+std::unique_ptr<HostListPort> makeHostListClient(EventLoop &loop, const Address &address,
+                                                 Duration timeout = seconds(2));
+/// `maxConnections`: per endpoint, for requests; status samples use one more.
+std::unique_ptr<EndpointPort> makeEndpointClient(EventLoop &loop, int maxConnections = 24);
+std::unique_ptr<WorkerPort> makeWorkerClient(EventLoop &loop, Duration timeout = seconds(2));
+
+// [5] Peer links
+
+struct PeerLinkSettings
+{
+    EntryRun self;
+    DomainId domain;
+    Address listen;
+    Duration silence = seconds(5); // a link without any message for this long is closed
+    Duration connectTimeout = seconds(1);
+    Duration reconnectDelay = milliseconds(200); // between two attempts to connect
+    std::size_t maxPendingBytes = 4 * 1024 * 1024; // unsent bytes at which a link is closed
+};
+
+/// Throws std::runtime_error that names the address if it cannot be bound. The process with the
+/// smaller entry id connects and the other accepts; both may lose the link at any time. After a
+/// loss the accepting side probes the peer's address, so that a refused connection shows on both
+/// sides.
+std::unique_ptr<PeerPort> makePeerLinks(EventLoop &loop, const PeerLinkSettings &settings);
+
+/// Message codec, public for fuzzing and tests. A message is one CBOR map with a "type" field.
+struct PeerHello
+{
+    EntryRun run;
+    DomainId domain;
+    int protocol = 1;
+};
+std::string encodePeerMessage(const PeerHello &message);
+std::string encodePeerMessage(const Heartbeat &message);
+std::string encodePeerMessage(const ForwardMessage &message);
+std::string encodePeerMessage(const AnswerMessage &message);
+std::string encodePeerMessage(const ClaimMessage &message);
+std::string encodePeerMessage(const ClaimAckMessage &message);
+std::string encodePeerMessage(const SheetMessage &message);
+std::string encodePeerMessage(const SheetRequestMessage &message);
+
+/// Receives decoded messages. Unset functions ignore their message.
+struct PeerMessageHandlers
+{
+    std::function<void(const PeerHello &)> hello;
+    std::function<void(const Heartbeat &)> heartbeat;
+    std::function<void(const ForwardMessage &)> forward;
+    std::function<void(const AnswerMessage &)> answer;
+    std::function<void(const ClaimMessage &)> claim;
+    std::function<void(const ClaimAckMessage &)> claimAck;
+    std::function<void(const SheetMessage &)> sheet;
+    std::function<void(const SheetRequestMessage &)> sheetRequest;
+};
+/// Throws std::runtime_error if the bytes are no valid message.
+void decodePeerMessage(const std::string &bytes, const PeerMessageHandlers &handlers);
+
+// [6] Logger
+
+struct LoggerSettings
+{
+    std::string level = "info"; // debug, info, warning or error
+    DomainId domain;
+    EntryId entry;
+    int repeatsPerMinute = 60; // lines of one event; the rest is counted and reported
+};
+
+/// Writes log events to standard error as JSON lines with the fields time (UTC, RFC 3339), level,
+/// event, domain, entry, message and the event's own fields.
+class Logger
+{
+public:
+    explicit Logger(LoggerSettings settings);
+    void write(const LogEvent &event, Time now);
+    /// Throws std::invalid_argument if the name is no level.
+    void setLevel(const std::string &level);
+
+private:
+    struct Suppression
+    {
+        Time windowStart{};
+        int written = 0;
+        int suppressed = 0;
+    };
+
+    LoggerSettings settings_;
+    LogLevel level_ = LogLevel::Info;
+    std::map<std::string, Suppression> suppressions_;
+};
+
+} // namespace monsoonledge
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -316,7 +316,7 @@
 enum class LinkLoss {
     Refused, // the host answered that nobody listens at the address: the process is dead
     Closed, // the connection was closed or reset
-    TimedOut, // no heartbeat or no answer to a connection attempt
+    TimedOut, // nothing received for a while, or no answer to a connection attempt
 };
 
 /// Links to the other entry processes. Messages to one peer arrive in order and at most once; those
@@ -326,8 +326,8 @@
 public:
     virtual ~PeerPort() = default;
 
-    /// Keeps a link to this peer from now on, with reconnection. The link reports up only after
-    /// both sides have exchanged heartbeats.
+    /// Keeps a link to this peer from now on, with reconnection. The link is up after both sides
+    /// have exchanged hello messages, which carry their incarnations.
     virtual void addPeer(const EntryId &entry, const Address &address) = 0;
     virtual void removePeer(const EntryId &entry) = 0;
 
