--- /dev/null
+++ b/src/app/httpapi.h
@@ -0,0 +1,28 @@
+// The HTTP interface of an entry process, for callers and operators.
+#pragma once
+
+#include "adapters/adapters.h"
+#include "node/node.h"
+
+namespace monsoonledge {
+
+/// Answers HTTP requests through a node.
+class HttpApi
+{
+public:
+    HttpApi(Node &node, LogHook log);
+
+    void handle(const HttpRequest &request, HttpRespond respond, Time now);
+
+private:
+    void run(const HttpRequest &request, const HttpRespond &respond, Time now);
+    void putSheet(const HttpRequest &request, const HttpRespond &respond, Time now);
+    void removeMember(const HttpRequest &request, const HttpRespond &respond, Time now);
+    /// Responds with an error and returns false if the request's token lacks the role.
+    bool authorize(const HttpRequest &request, Role role, const HttpRespond &respond) const;
+
+    Node &node_;
+    LogHook log_;
+};
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/batch/batch.cpp
@@ -0,0 +1,400 @@
+#include "batch/batch.h"
+
+#include <nlohmann/json.hpp>
+
+namespace monsoonledge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration LoadRetryDelay = milliseconds(500);
+
+TaskState taskStateFromWord(const std::string &word)
+{
+    for (const TaskState state : {TaskState::Queued, TaskState::Claimed, TaskState::Running,
+                                  TaskState::Evicting, TaskState::Done, TaskState::Failed}) {
+        if (word == taskStateWord(state))
+            return state;
+    }
+    throw std::runtime_error("batch state: unknown task state '" + word + "'");
+}
+
+std::string batchKey(const DomainId &domain)
+{
+    return "batch/" + domain.str();
+}
+
+bool isActive(TaskState state)
+{
+    return state == TaskState::Claimed || state == TaskState::Running
+           || state == TaskState::Evicting;
+}
+
+} // namespace
+
+const char *taskStateWord(TaskState state)
+{
+    switch (state) {
+    case TaskState::Queued:
+        return "queued";
+    case TaskState::Claimed:
+        return "claimed";
+    case TaskState::Running:
+        return "running";
+    case TaskState::Evicting:
+        return "evicting";
+    case TaskState::Done:
+        return "done";
+    case TaskState::Failed:
+        return "failed";
+    }
+    return "queued";
+}
+
+std::string encodeBatchState(const BatchState &state)
+{
+    Json tasks = Json::array();
+    for (const auto &item : state.tasks) {
+        const BatchTask &task = item.second;
+        Json json{{"id", task.id.str()},
+                  {"job", task.job},
+                  {"state", taskStateWord(task.state)},
+                  {"generation", task.generation.value}};
+        if (!task.worker.isEmpty())
+            json["worker"] = task.worker.str();
+        if (!task.checkpoint.empty())
+            json["checkpoint"] = task.checkpoint;
+        if (task.evictions > 0)
+            json["evictions"] = task.evictions;
+        for (const HostId &host : task.failedOn)
+            json["failedOn"].push_back(host.str());
+        tasks.push_back(std::move(json));
+    }
+    return Json{{"writer", state.writer}, {"changes", state.changes}, {"tasks", std::move(tasks)}}
+            .dump();
+}
+
+BatchState decodeBatchState(const std::string &text)
+{
+    BatchState state;
+    try {
+        const Json json = Json::parse(text);
+        state.writer = json.at("writer").get<std::string>();
+        state.changes = json.at("changes").get<std::uint64_t>();
+        for (const Json &item : json.at("tasks")) {
+            BatchTask task;
+            task.id = TaskId(item.at("id").get<std::string>());
+            task.job = item.at("job").get<std::string>();
+            task.state = taskStateFromWord(item.at("state").get<std::string>());
+            task.generation.value = item.at("generation").get<std::uint64_t>();
+            task.worker = HostId(item.value("worker", ""));
+            task.checkpoint = item.value("checkpoint", "");
+            task.evictions = item.value("evictions", 0);
+            for (const Json &host : item.value("failedOn", Json::array()))
+                task.failedOn.insert(HostId(host.get<std::string>()));
+            state.tasks.emplace(task.id, task);
+        }
+    } catch (const Json::exception &error) {
+        throw std::runtime_error(std::string("batch state: ") + error.what());
+    }
+    return state;
+}
+
+void CapacityIndex::set(const HostId &worker, const Capacity &free)
+{
+    erase(worker);
+    free_[worker] = free;
+    byCores_.emplace(free.milliCores, worker);
+}
+
+void CapacityIndex::erase(const HostId &worker)
+{
+    const auto found = free_.find(worker);
+    if (found == free_.end())
+        return;
+    byCores_.erase({found->second.milliCores, worker});
+    free_.erase(found);
+}
+
+std::vector<HostId> CapacityIndex::candidates(const Capacity &need, std::size_t limit) const
+{
+    std::vector<HostId> result;
+    // Workers with enough cores may lack memory or accelerators; the bound keeps the cost constant.
+    std::size_t looked = 0;
+    for (auto item = byCores_.lower_bound({need.milliCores, HostId()});
+         item != byCores_.end() && result.size() < limit && looked < 4 * limit; ++item, ++looked) {
+        if (free_.at(item->second).fits(need))
+            result.push_back(item->second);
+    }
+    return result;
+}
+
+const Capacity *CapacityIndex::find(const HostId &worker) const
+{
+    const auto found = free_.find(worker);
+    return found == free_.end() ? nullptr : &found->second;
+}
+
+BatchScheduler::BatchScheduler(BatchSettings settings, StorePort &store, WorkerPort &workers,
+                               TimerPort &timers, LogHook log)
+    : settings_(std::move(settings)), store_(store), workersPort_(workers), timers_(timers),
+      log_(std::move(log))
+{ }
+
+void BatchScheduler::log(LogLevel level, const char *event, const BatchTask &task,
+                         const std::string &message) const
+{
+    if (!log_)
+        return;
+    log_({level,
+          event,
+          message,
+          {{"task", task.id.str()},
+           {"generation", std::to_string(task.generation.value)},
+           {"worker", task.worker.str()}}});
+}
+
+void BatchScheduler::lead(Time now)
+{
+    if (leading_)
+        return;
+    leading_ = true;
+    loaded_ = false;
+    ++epoch_;
+    load(now);
+}
+
+void BatchScheduler::resign(Time)
+{
+    leading_ = false;
+    loaded_ = false;
+    ++epoch_;
+}
+
+void BatchScheduler::load(Time)
+{
+    const std::uint64_t epoch = epoch_;
+    store_.get(batchKey(settings_.domain), [this, epoch](const StoreValue &value, Time now) {
+        if (epoch == epoch_)
+            loaded(value, now);
+    });
+}
+
+void BatchScheduler::loaded(const StoreValue &value, Time now)
+{
+    if (value.status != StoreStatus::Ok && value.status != StoreStatus::NotFound) {
+        const std::uint64_t epoch = epoch_;
+        timers_.after(LoadRetryDelay, [this, epoch](Time later) {
+            if (epoch == epoch_)
+                load(later);
+        });
+        return;
+    }
+    try {
+        state_ = value.status == StoreStatus::Ok ? decodeBatchState(value.value) : BatchState();
+    } catch (const std::runtime_error &error) {
+        // Starting from nothing would run finished tasks again, so the leader waits for a repair.
+        if (log_)
+            log_({LogLevel::Error, "batch-state-unreadable", error.what(), {}});
+        return;
+    }
+    version_ = value.status == StoreStatus::Ok ? value.version : Version();
+    changes_ = durableChanges_ = state_.changes;
+    changedAt_.clear();
+    toStart_.clear();
+    toEvict_.clear();
+    active_.clear();
+    queued_.clear();
+    for (auto &item : workers_)
+        item.second.tasks.clear();
+    for (auto &item : state_.tasks) {
+        BatchTask &task = item.second;
+        if (task.state == TaskState::Queued)
+            queued_.insert(task.id);
+        if (!isActive(task.state))
+            continue;
+        active_.insert(task.id);
+        workers_[task.worker].tasks.insert(task.id);
+        // The leader before may have started or renewed it a moment ago.
+        task.leaseSent = now;
+        task.nextRenew = now;
+        if (task.state == TaskState::Evicting)
+            toEvict_.insert(task.id);
+    }
+    loaded_ = true;
+    if (!sheet_.name.empty())
+        dropOldTasks();
+    createTasks();
+}
+
+void BatchScheduler::createTasks()
+{
+    if (!loaded_)
+        return;
+    for (const BatchJob &job : sheet_.jobs) {
+        for (int index = 0; index < job.count; ++index) {
+            const TaskId id(sheet_.name + '.' + job.name + '.' + std::to_string(index));
+            const bool here = rendezvous(id.str(), settings_.domains) == settings_.domain;
+            if (!here || state_.tasks.count(id) > 0)
+                continue;
+            BatchTask &task = state_.tasks[id];
+            task.id = id;
+            task.job = job.name;
+            queued_.insert(id);
+            markChanged(task);
+        }
+    }
+}
+
+void BatchScheduler::dropOldTasks()
+{
+    const std::string prefix = sheet_.name + '.';
+    for (auto item = state_.tasks.begin(); item != state_.tasks.end();) {
+        const BatchTask &task = item->second;
+        const bool ofThisSheet = task.id.str().rfind(prefix, 0) == 0;
+        const bool ended = task.state == TaskState::Done || task.state == TaskState::Failed;
+        const bool withoutJob = task.state == TaskState::Queued && !sheet_.findJob(task.job);
+        if (ofThisSheet || (!ended && !withoutJob)) {
+            ++item;
+            continue;
+        }
+        if (withoutJob)
+            log(LogLevel::Warning, "task-dropped", task, "the sheet in force has no such job");
+        queued_.erase(task.id);
+        changedAt_.erase(task.id);
+        ++changes_;
+        item = state_.tasks.erase(item);
+    }
+}
+
+void BatchScheduler::applySheet(const Sheet &sheet, Time)
+{
+    sheet_ = sheet;
+    if (!loaded_)
+        return;
+    dropOldTasks();
+    createTasks();
+}
+
+void BatchScheduler::markChanged(const BatchTask &task)
+{
+    changedAt_[task.id] = ++changes_;
+}
+
+bool BatchScheduler::isDurable(const BatchTask &task) const
+{
+    const auto found = changedAt_.find(task.id);
+    return found == changedAt_.end() || found->second <= durableChanges_;
+}
+
+void BatchScheduler::write(Time now)
+{
+    if (writing_ || changes_ == durableChanges_ || now < nextWrite_)
+        return;
+    writing_ = true;
+    nextWrite_ = now + settings_.writeInterval;
+    state_.writer = settings_.self.str();
+    state_.changes = changes_;
+    const std::uint64_t written = changes_;
+    const std::uint64_t epoch = epoch_;
+    store_.compareAndSwap(batchKey(settings_.domain), version_, encodeBatchState(state_),
+                          [this, written, epoch](const StoreValue &value, Time) {
+                              writing_ = false;
+                              if (epoch != epoch_)
+                                  return;
+                              if (value.status == StoreStatus::Ok) {
+                                  version_ = value.version;
+                                  durableChanges_ = written;
+                              } else if (value.status != StoreStatus::Refused) {
+                                  resolveWrite();
+                              }
+                          });
+}
+
+void BatchScheduler::resolveWrite()
+{
+    writing_ = true;
+    const std::uint64_t epoch = epoch_;
+    store_.get(batchKey(settings_.domain), [this, epoch](const StoreValue &value, Time now) {
+        writing_ = false;
+        if (epoch != epoch_)
+            return;
+        if (value.status == StoreStatus::NotFound) {
+            version_ = Version();
+            return;
+        }
+        if (value.status != StoreStatus::Ok || value.version == version_)
+            return; // the next write from the same version settles it
+        try {
+            const BatchState found = decodeBatchState(value.value);
+            if (found.writer == settings_.self.str()) {
+                version_ = value.version;
+                durableChanges_ = found.changes;
+                return;
+            }
+        } catch (const std::runtime_error &) {
+            version_ = value.version;
+        }
+        if (log_)
+            log_({LogLevel::Error,
+                  "batch-leader-replaced",
+                  "another process wrote the batch state",
+                  {}});
+        resign(now);
+    });
+}
+
+void BatchScheduler::detach(BatchTask &task)
+{
+    const auto worker = workers_.find(task.worker);
+    if (worker != workers_.end())
+        worker->second.tasks.erase(task.id);
+    active_.erase(task.id);
+    toStart_.erase(task.id);
+    toEvict_.erase(task.id);
+}
+
+void BatchScheduler::requeue(BatchTask &task, const char *cause)
+{
+    log(LogLevel::Info, "task-requeued", task, cause);
+    detach(task);
+    task.state = TaskState::Queued;
+    ++task.generation.value;
+    task.worker = HostId();
+    task.throttled = false;
+    task.progress = Duration::zero();
+    task.progressAtCheckpoint = Duration::zero();
+    queued_.insert(task.id);
+    markChanged(task);
+}
+
+BatchTask *BatchScheduler::findTask(const TaskId &id, Generation generation)
+{
+    const auto found = state_.tasks.find(id);
+    const bool same = found != state_.tasks.end() && found->second.generation == generation;
+    return same ? &found->second : nullptr;
+}
+
+void BatchScheduler::tick(Time now)
+{
+    if (!leading_ || !loaded_)
+        return;
+    requestReports(now);
+    expireLeases(now);
+    place(now);
+    write(now);
+    sendStarts(now);
+    sendEvictions(now);
+    renew(now);
+}
+
+std::map<TaskState, int> BatchScheduler::counts() const
+{
+    std::map<TaskState, int> counts;
+    for (const auto &item : state_.tasks)
+        ++counts[item.second.state];
+    return counts;
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/batch/workers.cpp
@@ -0,0 +1,356 @@
+// Orders to workers, their reports, and eviction.
+
+#include "batch/batch.h"
+
+#include <algorithm>
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr int ThrottledPercent = 50;
+constexpr int MaxRenewFailures = 2;
+// Use must fall this far below the throttling guard before a task runs at full speed again.
+constexpr double ThrottleHysteresis = 0.1;
+constexpr Duration EvictionPeriod = minutes(1);
+
+} // namespace
+
+void BatchScheduler::order(
+        const BatchTask &task, const TaskOrder &order,
+        std::function<void(BatchTask &, OrderStatus, const std::string &, Time)> done)
+{
+    const HostInfo &host = workers_.at(task.worker).host;
+    if (host.id.isEmpty())
+        return; // not in the host list; the end of the lease decides
+    const TaskId id = task.id;
+    const Generation generation = task.generation;
+    const std::uint64_t epoch = epoch_;
+    ++ordersInFlight_;
+    workersPort_.order(host.address, order,
+                       [this, id, generation, epoch, done = std::move(done)](
+                               OrderStatus status, const std::string &checkpoint, Time now) {
+                           --ordersInFlight_;
+                           BatchTask *found = findTask(id, generation);
+                           if (epoch == epoch_ && found)
+                               done(*found, status, checkpoint, now);
+                       });
+}
+
+void BatchScheduler::sendStarts(Time now)
+{
+    for (auto item = toStart_.begin(); item != toStart_.end();) {
+        BatchTask &task = state_.tasks.at(*item);
+        if (!isDurable(task)) {
+            ++item;
+            continue;
+        }
+        item = toStart_.erase(item);
+        if (const BatchJob *job = sheet_.findJob(task.job))
+            start(task, *job, now);
+        else
+            requeue(task, "the job left the sheet before the task started");
+    }
+}
+
+void BatchScheduler::start(BatchTask &task, const BatchJob &job, Time now)
+{
+    TaskOrder message;
+    message.task = task.id;
+    message.generation = task.generation;
+    message.command = TaskCommand::Start;
+    message.lease = settings_.lease;
+    message.cores = job.cores;
+    message.memory = job.memory;
+    message.accelerators = job.accelerators;
+    message.runTime = job.runTime;
+    message.checkpoint = task.checkpoint;
+    task.leaseSent = now;
+    order(task, message,
+          [this](BatchTask &found, OrderStatus status, const std::string &, Time at) {
+              if (found.state != TaskState::Claimed)
+                  return;
+              if (status == OrderStatus::Ok) {
+                  found.state = TaskState::Running;
+                  found.runningSince = at;
+                  found.nextRenew = found.leaseSent + settings_.lease / 3;
+                  markChanged(found);
+                  log(LogLevel::Info, "task-started", found, "the worker runs the task");
+              } else if (status == OrderStatus::Refused) {
+                  requeue(found, "the worker refused the start");
+              }
+              // Without an answer, the worker's report or the end of the lease decides.
+          });
+}
+
+void BatchScheduler::renew(Time now)
+{
+    for (const TaskId &id : active_) {
+        BatchTask &task = state_.tasks.at(id);
+        // A worker that does not answer may still get the renewals. To let the lease run out, the
+        // leader must stop sending them until a report shows the task.
+        const bool silent = task.renewFailures >= MaxRenewFailures;
+        if (task.state != TaskState::Running || now < task.nextRenew || silent)
+            continue;
+        task.nextRenew = now + settings_.lease / 3;
+        task.leaseSent = now;
+        TaskOrder message;
+        message.task = task.id;
+        message.generation = task.generation;
+        message.command = TaskCommand::Renew;
+        message.lease = settings_.lease;
+        order(task, message, [](BatchTask &found, OrderStatus status, const std::string &, Time) {
+            found.renewFailures = status == OrderStatus::Ok ? 0 : found.renewFailures + 1;
+        });
+    }
+}
+
+void BatchScheduler::requestReports(Time now)
+{
+    for (auto &item : workers_) {
+        Worker &worker = item.second;
+        if (worker.reporting || now < worker.nextReport || worker.host.id.isEmpty())
+            continue;
+        worker.reporting = true;
+        worker.requestedAt = now;
+        worker.nextReport = now + settings_.reportInterval;
+        const HostId id = item.first;
+        workersPort_.report(worker.host.address,
+                            [this, id](const WorkerReport &report, Time later) {
+                                reported(id, report, later);
+                            });
+    }
+}
+
+void BatchScheduler::reported(const HostId &id, const WorkerReport &report, Time now)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end())
+        return;
+    Worker &worker = found->second;
+    worker.reporting = false;
+    if (!report.ok || !leading_ || !loaded_)
+        return;
+    worker.report = report;
+    worker.reportedAt = now;
+    worker.startsSinceReport = 0;
+    std::set<TaskId> seen;
+    for (const WorkerTask &task : report.tasks) {
+        if (findTask(task.task, task.generation))
+            seen.insert(task.task);
+        taskReported(worker, task, now);
+    }
+    const std::set<TaskId> tasks = worker.tasks;
+    for (const TaskId &taskId : tasks) {
+        BatchTask &task = state_.tasks.at(taskId);
+        // A report that was requested before the start was confirmed may not show the task yet.
+        const bool expected = task.state == TaskState::Running
+                              && worker.requestedAt > task.runningSince
+                              && task.runningSince > Time();
+        if (expected && seen.count(taskId) == 0)
+            requeue(task, "the worker no longer knows the task");
+    }
+    relieve(worker, now);
+    updateCapacity(worker, now);
+}
+
+void BatchScheduler::taskReported(Worker &worker, const WorkerTask &seen, Time now)
+{
+    BatchTask *task = findTask(seen.task, seen.generation);
+    const bool ours = task && task->worker == worker.host.id
+                      && (task->state == TaskState::Claimed || task->state == TaskState::Running
+                          || task->state == TaskState::Evicting);
+    if (!ours) {
+        if (seen.state == WorkerTaskState::Running) {
+            // A former leader's start, or one whose lease was given up: it must not run on.
+            BatchTask stale;
+            stale.id = seen.task;
+            stale.generation = seen.generation;
+            stale.worker = worker.host.id;
+            stop(stale);
+        }
+        return;
+    }
+    if (!seen.checkpoint.empty() && seen.checkpoint != task->checkpoint) {
+        task->checkpoint = seen.checkpoint;
+        task->progressAtCheckpoint = seen.progress;
+        markChanged(*task);
+    }
+    task->progress = seen.progress;
+    switch (seen.state) {
+    case WorkerTaskState::Running:
+        task->renewFailures = 0;
+        if (task->state == TaskState::Claimed) {
+            task->state = TaskState::Running;
+            task->nextRenew = now;
+            markChanged(*task);
+        }
+        if (task->runningSince == Time())
+            task->runningSince = now;
+        return;
+    case WorkerTaskState::Done:
+        log(LogLevel::Info, "task-done", *task, "the task has finished");
+        detach(*task);
+        task->state = TaskState::Done;
+        worker.failures.clear();
+        worker.ejected = false;
+        markChanged(*task);
+        return;
+    case WorkerTaskState::Failed:
+        taskFailed(*task, worker, now);
+        return;
+    case WorkerTaskState::Stopped:
+        if (task->state != TaskState::Evicting)
+            requeue(*task, "the worker stopped the task");
+        return;
+    }
+}
+
+void BatchScheduler::taskFailed(BatchTask &task, Worker &worker, Time now)
+{
+    task.failedOn.insert(worker.host.id);
+    countFailure(task.id, worker, now);
+    if (static_cast<int>(task.failedOn.size()) >= MaxTaskFailures) {
+        log(LogLevel::Warning, "task-failed", task, "the task failed on several workers");
+        detach(task);
+        task.state = TaskState::Failed;
+        markChanged(task);
+    } else {
+        requeue(task, "the task failed on the worker");
+    }
+}
+
+void BatchScheduler::countFailure(const TaskId &task, Worker &worker, Time now)
+{
+    worker.failures.insert(task);
+    const auto ejected = std::count_if(workers_.begin(), workers_.end(),
+                                       [](const auto &item) { return item.second.ejected; });
+    const double limit = settings_.maxEjected * static_cast<double>(workers_.size());
+    const bool bad = static_cast<int>(worker.failures.size()) >= settings_.failuresToEject;
+    if (bad && !worker.ejected && static_cast<double>(ejected + 1) <= limit) {
+        worker.ejected = true;
+        worker.probeAt = now + settings_.probeInterval;
+        if (log_)
+            log_({LogLevel::Warning,
+                  "worker-ejected",
+                  "different tasks failed on the worker in a row",
+                  {{"worker", worker.host.id.str()}}});
+    }
+}
+
+void BatchScheduler::expireLeases(Time now)
+{
+    const std::set<TaskId> active = active_;
+    for (const TaskId &id : active) {
+        BatchTask &task = state_.tasks.at(id);
+        // A start that has not been sent yet has no lease.
+        const bool sent = toStart_.count(id) == 0;
+        if (sent && now >= task.leaseSent + settings_.lease + settings_.leaseMargin)
+            requeue(task, "the task's lease on the worker ran out");
+    }
+}
+
+BatchTask *BatchScheduler::firstToYield(const Worker &worker, bool skipThrottled)
+{
+    BatchTask *first = nullptr;
+    for (const TaskId &id : worker.tasks) {
+        BatchTask &task = state_.tasks.at(id);
+        if (task.state != TaskState::Running || (skipThrottled && task.throttled))
+            continue;
+        const auto key = [this](const BatchTask &item) {
+            return std::make_pair(yieldRank(item.job), item.progress - item.progressAtCheckpoint);
+        };
+        if (!first || key(task) < key(*first))
+            first = &task;
+    }
+    return first;
+}
+
+void BatchScheduler::relieve(Worker &worker, Time now)
+{
+    const auto part = [](std::uint64_t used, std::uint64_t total) {
+        return total == 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(total);
+    };
+    const double use = std::max(part(worker.report.usedCores.value, worker.host.cores.value),
+                                part(worker.report.usedMemory.value, worker.host.memory.value));
+    if (use >= sheet_.guards.evictAt) {
+        if (BatchTask *task = firstToYield(worker, false))
+            evict(*task, now);
+    } else if (use >= sheet_.guards.throttleAt) {
+        if (BatchTask *task = firstToYield(worker, true))
+            setThrottle(*task, true);
+    } else if (use < sheet_.guards.throttleAt - ThrottleHysteresis) {
+        const auto throttled =
+                std::find_if(worker.tasks.begin(), worker.tasks.end(),
+                             [this](const TaskId &id) { return state_.tasks.at(id).throttled; });
+        if (throttled != worker.tasks.end())
+            setThrottle(state_.tasks.at(*throttled), false);
+    }
+}
+
+void BatchScheduler::setThrottle(BatchTask &task, bool throttled)
+{
+    task.throttled = throttled;
+    TaskOrder message;
+    message.task = task.id;
+    message.generation = task.generation;
+    message.command = TaskCommand::Throttle;
+    message.throttlePercent = throttled ? ThrottledPercent : 100;
+    order(task, message, [](BatchTask &, OrderStatus, const std::string &, Time) {});
+}
+
+void BatchScheduler::evict(BatchTask &task, Time now)
+{
+    evictions_.erase(std::remove_if(evictions_.begin(), evictions_.end(),
+                                    [now](Time at) { return now - at >= EvictionPeriod; }),
+                     evictions_.end());
+    if (static_cast<int>(evictions_.size()) >= sheet_.guards.maxEvictionsPerMinute)
+        return;
+    evictions_.push_back(now);
+    task.state = TaskState::Evicting;
+    ++task.evictions;
+    toEvict_.insert(task.id);
+    markChanged(task);
+    log(LogLevel::Info, "task-evicted", task, "the worker is over its eviction guard");
+}
+
+void BatchScheduler::sendEvictions(Time)
+{
+    for (auto item = toEvict_.begin(); item != toEvict_.end();) {
+        BatchTask &task = state_.tasks.at(*item);
+        if (!isDurable(task)) {
+            ++item;
+            continue;
+        }
+        item = toEvict_.erase(item);
+        TaskOrder message;
+        message.task = task.id;
+        message.generation = task.generation;
+        message.command = TaskCommand::Checkpoint;
+        order(task, message,
+              [this](BatchTask &found, OrderStatus, const std::string &checkpoint, Time) {
+                  // Without a new checkpoint the task resumes from the last one that it reported.
+                  if (!checkpoint.empty())
+                      found.checkpoint = checkpoint;
+                  stop(found);
+              });
+    }
+}
+
+void BatchScheduler::stop(BatchTask &task)
+{
+    TaskOrder message;
+    message.task = task.id;
+    message.generation = task.generation;
+    message.command = TaskCommand::Stop;
+    order(task, message,
+          [this](BatchTask &found, OrderStatus status, const std::string &checkpoint, Time) {
+              if (found.state != TaskState::Evicting || status != OrderStatus::Ok)
+                  return; // the end of the lease decides
+              if (!checkpoint.empty())
+                  found.checkpoint = checkpoint;
+              requeue(found, "evicted");
+          });
+}
+
+} // namespace monsoonledge
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -76,6 +76,9 @@
     /// Gives up a granted claim that certainly has not run; a later attempt may claim the id again.
     /// Waiters are called with the answer.
     void withdraw(const RequestId &id, const Answer &answer, Time now);
+    /// Whether the id is remembered, or may have been claimed by the unit's former owner. If not,
+    /// it has certainly not run, so that a request may be refused as "not run" without a claim.
+    bool mayHaveRun(const RequestId &id, int unit, Time now) const;
     /// Calls back when the running request with this id ends.
     void waitFor(const RequestId &id, std::function<void(const Answer &, Time now)> done);
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -136,6 +136,8 @@
     /// A member was proven dead. Emitted once per run.
     sigc::signal<void(const EntryRun &, Time)> memberDied;
     sigc::signal<void(Time)> recordChanged;
+    /// The record no longer lists this run although it did not leave: it was declared dead.
+    sigc::signal<void(Time)> expelled;
 
 private:
     struct Private;
--- /dev/null
+++ b/src/node/peers.cpp
@@ -0,0 +1,179 @@
+// Links to the other entry processes: heartbeats, load reports and members found in the record.
+
+#include "node/node.h"
+#include "node/node_p.h"
+
+namespace monsoonledge {
+
+namespace {
+
+// Heartbeats whose acknowledgement is still awaited; older ones count as not acknowledged.
+constexpr std::size_t MaxUnacknowledged = 16;
+
+} // namespace
+
+void Node::connectPeers()
+{
+    PeerPort &port = ports_.peers;
+    port.linkUp.connect([this](const EntryId &entry, Incarnation incarnation, Time now) {
+        peerUp(entry, incarnation, now);
+    });
+    port.linkDown.connect(
+            [this](const EntryId &entry, LinkLoss loss, Time now) { peerDown(entry, loss, now); });
+    port.heartbeatReceived.connect([this](const EntryId &entry, const Heartbeat &message,
+                                          Time now) { heartbeat(entry, message, now); });
+    port.forwardReceived.connect([this](const EntryId &entry, const ForwardMessage &message,
+                                        Time now) { forwardReceived(entry, message, now); });
+    port.answerReceived.connect([this](const EntryId &entry, const AnswerMessage &message,
+                                       Time now) { answerReceived(entry, message, now); });
+    port.claimReceived.connect([this](const EntryId &entry, const ClaimMessage &message, Time now) {
+        Peer &peer = peers_[entry];
+        claims_.mirrored({entry, peer.last.incarnation}, message, now);
+        ports_.peers.send(entry, ClaimAckMessage{message.sequence});
+    });
+    port.claimAckReceived.connect(
+            [this](const EntryId &entry, const ClaimAckMessage &message, Time now) {
+                claims_.acknowledged(entry, message.sequence, now);
+            });
+    port.sheetReceived.connect([this](const EntryId &entry, const SheetMessage &message, Time now) {
+        adoptSheet({message.revision, message.author, message.text}, entry.str().c_str(), now);
+    });
+    port.sheetRequested.connect([this](const EntryId &entry, const SheetRequestMessage &, Time) {
+        if (sheetVersion_.revision.value > 0) {
+            ports_.peers.send(entry, SheetMessage{sheetVersion_.revision, sheetVersion_.author,
+                                                  sheetVersion_.text});
+        }
+    });
+}
+
+void Node::addRecordMembers(Time now)
+{
+    for (const Member &member : membership_.record().members) {
+        if (member.run.entry == self_.entry)
+            continue;
+        const auto found = peers_.find(member.run.entry);
+        if (found != peers_.end() && found->second.address == member.address)
+            continue;
+        if (found != peers_.end())
+            ports_.peers.removePeer(member.run.entry);
+        Peer &peer = peers_[member.run.entry];
+        peer.domain = settings_.domain;
+        peer.address = member.address;
+        peer.up = false;
+        peer.lastHeard = now;
+        ports_.peers.addPeer(member.run.entry, member.address);
+    }
+}
+
+void Node::peerUp(const EntryId &entry, Incarnation incarnation, Time now)
+{
+    Peer &peer = peers_[entry];
+    peer.up = true;
+    peer.heard = false;
+    peer.lastHeard = now;
+    peer.last = Heartbeat();
+    peer.last.entry = entry;
+    peer.last.incarnation = incarnation;
+    peer.outstanding = 0;
+    peer.sentAt.clear();
+    log(LogLevel::Info, "peer-up", "the link to a peer is up", {{"peer", entry.str()}});
+    if (peer.domain == settings_.domain) {
+        membership_.peerUp(entry, incarnation, now);
+        // Claims go first: a heartbeat that acknowledges a new one of the peer then tells it that
+        // it has them all.
+        claims_.peerLinked(entry, now);
+    }
+    sendHeartbeat(entry, peer, now);
+}
+
+void Node::peerDown(const EntryId &entry, LinkLoss loss, Time now)
+{
+    Peer &peer = peers_[entry];
+    if (peer.up) {
+        peer.up = false;
+        log(LogLevel::Warning, "peer-down", "the link to a peer is down",
+            {{"peer", entry.str()},
+             {"cause", loss == LinkLoss::Refused  ? "refused"
+                       : loss == LinkLoss::Closed ? "closed"
+                                                  : "timed-out"}});
+        forwardLost(entry, now);
+    }
+    if (peer.domain == settings_.domain)
+        membership_.peerLost(entry, loss, now);
+}
+
+void Node::heartbeat(const EntryId &entry, const Heartbeat &message, Time now)
+{
+    Peer &peer = peers_[entry];
+    const bool unitsChanged = peer.last.units != message.units || !peer.heard;
+    peer.heard = true;
+    peer.last = message;
+    peer.lastHeard = now;
+    peer.received = message.sequence;
+    peer.outstanding = 0;
+    const auto sent = peer.sentAt.find(message.acknowledged);
+    if (sent != peer.sentAt.end()) {
+        peer.acknowledgedSentAt = sent->second;
+        peer.sentAt.erase(peer.sentAt.begin(), std::next(sent));
+    }
+    if (message.sheetRevision > sheetVersion_.revision)
+        ports_.peers.send(entry, SheetRequestMessage());
+    else if (message.sheetRevision < sheetVersion_.revision)
+        ports_.peers.send(entry, SheetMessage{sheetVersion_.revision, sheetVersion_.author,
+                                              sheetVersion_.text});
+    if (unitsChanged)
+        retryHomeWaits(now);
+}
+
+void Node::sendHeartbeat(const EntryId &entry, Peer &peer, Time now)
+{
+    const bool local = peer.domain == settings_.domain;
+    peer.nextHeartbeat = now
+                         + (local ? settings_.timing.heartbeatInterval
+                                  : settings_.timing.remoteHeartbeatInterval);
+    Heartbeat message;
+    message.domain = settings_.domain;
+    message.entry = self_.entry;
+    message.incarnation = self_.incarnation;
+    message.sequence = ++peer.sent;
+    message.acknowledged = peer.received;
+    message.sheetRevision = sheetVersion_.revision;
+    message.storeReachable = membership_.storeReachable();
+    message.draining = draining_;
+    message.load = loadReport();
+    for (int unit = 0; unit < UnitCount; ++unit) {
+        const UnitMask bit = UnitMask(1) << unit;
+        if ((membership_.usableUnits() & bit) != 0 && claims_.isReady(unit))
+            message.units |= bit;
+    }
+    peer.sentAt[message.sequence] = now;
+    if (peer.sentAt.size() > MaxUnacknowledged)
+        peer.sentAt.erase(peer.sentAt.begin());
+    ports_.peers.send(entry, message);
+}
+
+void Node::announce(Time now)
+{
+    for (auto &item : peers_) {
+        if (item.second.up)
+            sendHeartbeat(item.first, item.second, now);
+    }
+}
+
+LoadReport Node::loadReport() const
+{
+    LoadReport load;
+    load.running = endpoints_.running();
+    load.queued = admission_.queued();
+    for (const ServiceId &service : admission_.services())
+        load.ownSlots += endpoints_.usableSlots(service);
+    for (const Service &service : sheet_.services) {
+        for (const RequestClass &definition : service.classes) {
+            load.predictedWait =
+                    std::max(load.predictedWait, admission_.predictedWait(definition.id));
+        }
+    }
+    return load;
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/node/sheets.cpp
@@ -0,0 +1,197 @@
+// The daily sheet: watching the store, passing newer sheets between peers, accepting a sheet.
+
+#include "node/node.h"
+#include "node/node_p.h"
+
+#include <nlohmann/json.hpp>
+
+namespace monsoonledge {
+
+namespace {
+
+// Writes of one sheet whose answers are lost, before the outcome is reported as unknown.
+constexpr int MaxSheetWrites = 5;
+constexpr Duration ConfirmDelay = milliseconds(200);
+constexpr Duration WatchRetryDelay = milliseconds(500);
+
+std::string encodeSheetVersion(const SheetVersion &version)
+{
+    return nlohmann::json{{"revision", version.revision.value},
+                          {"author", version.author},
+                          {"text", version.text}}
+            .dump();
+}
+
+SheetVersion decodeSheetVersion(const std::string &value)
+{
+    const nlohmann::json json = nlohmann::json::parse(value);
+    SheetVersion version;
+    version.revision.value = json.at("revision").get<std::uint64_t>();
+    version.author = json.at("author").get<std::string>();
+    version.text = json.at("text").get<std::string>();
+    return version;
+}
+
+} // namespace
+
+void Node::watchSheet()
+{
+    ports_.store.watch(SheetKey, sheetStoreVersion_, [this](const StoreValue &value, Time now) {
+        sheetRead(value, now);
+        const bool reached = value.status == StoreStatus::Ok
+                             || value.status == StoreStatus::Conflict
+                             || value.status == StoreStatus::NotFound;
+        ports_.timers.after(reached ? Duration::zero() : WatchRetryDelay,
+                            [this](Time) { watchSheet(); });
+    });
+}
+
+void Node::sheetRead(const StoreValue &value, Time now)
+{
+    if (value.status == StoreStatus::NotFound) {
+        sheetStoreVersion_ = Version();
+        if (sheetVersion_.revision.value > 0)
+            restoreSheet(Version(), now);
+        return;
+    }
+    if (value.status != StoreStatus::Ok)
+        return;
+    sheetStoreVersion_ = value.version;
+    try {
+        const SheetVersion version = decodeSheetVersion(value.value);
+        if (version.revision < sheetVersion_.revision)
+            restoreSheet(value.version, now);
+        else
+            adoptSheet(version, "store", now);
+    } catch (const std::exception &error) {
+        log(LogLevel::Error, "sheet-unreadable", error.what());
+    }
+}
+
+void Node::restoreSheet(Version storeVersion, Time)
+{
+    log(LogLevel::Warning, "sheet-restored", "the store holds an older sheet than the one in force",
+        {{"revision", std::to_string(sheetVersion_.revision.value)}});
+    ports_.store.compareAndSwap(SheetKey, storeVersion, encodeSheetVersion(sheetVersion_),
+                                [](const StoreValue &, Time) {});
+}
+
+bool Node::adoptSheet(const SheetVersion &version, const char *source, Time now)
+{
+    if (version.revision <= sheetVersion_.revision)
+        return false;
+    try {
+        sheet_ = parseSheet(version.text, "sheet");
+    } catch (const FindingsError &error) {
+        // The sheet was checked before it was accepted; a newer program may know more keys.
+        log(LogLevel::Error, "sheet-rejected", error.what(),
+            {{"revision", std::to_string(version.revision.value)}});
+        return false;
+    }
+    sheetVersion_ = version;
+    admission_.applySheet(sheet_);
+    batch_.applySheet(sheet_, now);
+    syncUnits(now);
+    log(LogLevel::Info, "sheet-in-force", "a newer sheet is in force",
+        {{"revision", std::to_string(version.revision.value)},
+         {"author", version.author},
+         {"source", source}});
+    announce(now);
+    return true;
+}
+
+void Node::putSheet(const std::string &text, const std::string &author, Revision expect,
+                    PutDone done, Time)
+{
+    PutResult result;
+    try {
+        parseSheet(text, "sheet");
+    } catch (const FindingsError &error) {
+        result.status = PutStatus::Invalid;
+        result.findings = error.findings();
+        ports_.timers.after(Duration::zero(), [done, result](Time later) { done(result, later); });
+        return;
+    }
+    ports_.store.get(SheetKey, [this, text, author, expect, done](const StoreValue &value,
+                                                                  Time now) {
+        PutResult outcome;
+        if (value.status != StoreStatus::Ok && value.status != StoreStatus::NotFound) {
+            outcome.status = PutStatus::StoreDown;
+            done(outcome, now);
+            return;
+        }
+        sheetRead(value, now);
+        if (expect != sheetVersion_.revision) {
+            outcome.status = PutStatus::Conflict;
+            outcome.revision = sheetVersion_.revision;
+            outcome.author = sheetVersion_.author;
+            done(outcome, now);
+            return;
+        }
+        const SheetVersion version{Revision{sheetVersion_.revision.value + 1}, author, text};
+        writeSheet({version, value.version, MaxSheetWrites}, done);
+    });
+}
+
+void Node::writeSheet(const SheetWrite &write, const PutDone &done)
+{
+    ports_.store.compareAndSwap(SheetKey, write.storeVersion, encodeSheetVersion(write.version),
+                                [this, write, done](const StoreValue &value, Time now) {
+                                    PutResult result;
+                                    result.revision = write.version.revision;
+                                    if (value.status == StoreStatus::Ok) {
+                                        adoptSheet(write.version, "operator", now);
+                                        result.status = PutStatus::Accepted;
+                                        done(result, now);
+                                    } else {
+                                        confirmSheet(write, done);
+                                    }
+                                });
+}
+
+void Node::confirmSheet(const SheetWrite &write, const PutDone &done)
+{
+    ports_.store.get(SheetKey, [this, write, done](const StoreValue &value, Time now) {
+        const bool read = value.status == StoreStatus::Ok || value.status == StoreStatus::NotFound;
+        if (read)
+            sheetRead(value, now);
+        if (read && value.version != write.storeVersion) {
+            const SheetVersion &winner = sheetVersion_;
+            const bool ours = winner.revision == write.version.revision
+                              && winner.author == write.version.author
+                              && winner.text == write.version.text;
+            PutResult result;
+            result.status = ours ? PutStatus::Accepted : PutStatus::Conflict;
+            result.revision = winner.revision;
+            result.author = winner.author;
+            done(result, now);
+            return;
+        }
+        if (write.attemptsLeft <= 1) {
+            PutResult result;
+            result.status = PutStatus::Unknown;
+            result.revision = write.version.revision;
+            done(result, now);
+            return;
+        }
+        // The earlier write may still arrive. Writing the same content from the same version again
+        // settles it: at most one of the two takes effect.
+        SheetWrite next = write;
+        --next.attemptsLeft;
+        ports_.timers.after(ConfirmDelay, [this, next, done](Time) { writeSheet(next, done); });
+    });
+}
+
+std::vector<EntryId> Node::notInForce() const
+{
+    std::vector<EntryId> entries;
+    for (const auto &item : peers_) {
+        const bool current = item.second.up && item.second.heard
+                             && item.second.last.sheetRevision >= sheetVersion_.revision;
+        if (!current)
+            entries.push_back(item.first);
+    }
+    return entries;
+}
+
+} // namespace monsoonledge
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -246,6 +246,7 @@
     std::string body; // the endpoint's body if done
     std::string reason; // machine-readable word for a refusal, such as "home-unreachable"
     std::string detail; // one sentence for a refusal
+    bool attemptNotRun = false; // for Unknown: this attempt did not run, an earlier one may have
 };
 
 /// Load of one entry process, sent in heartbeats.
--- /dev/null
+++ b/src/routing/routing.cpp
@@ -0,0 +1,261 @@
+#include "routing/routing.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace monsoonledge {
+
+namespace {
+
+// Random draws before a scan over all endpoints of the service: with one endpoint in eight usable,
+// two thirds of the choices need no scan.
+constexpr int MaxDraws = 8;
+
+// How long an endpoint that has left the list is kept because of a lost request.
+constexpr Duration LostRetention = minutes(10);
+
+} // namespace
+
+EndpointTable::EndpointTable(RoutingSettings settings, DomainId domain, EntryRun self,
+                             std::uint64_t seed)
+    : settings_(settings), domain_(std::move(domain)), self_(std::move(self)), random_(seed)
+{ }
+
+void EndpointTable::applyHosts(const HostListing &listing, Time now)
+{
+    if (!listing.ok)
+        return;
+    for (auto &item : endpoints_)
+        item.second.listed = false;
+    for (const HostInfo &host : listing.hosts) {
+        if (host.kind != HostKind::Worker || host.domain != domain_ || host.slots <= 0)
+            continue;
+        auto found = endpoints_.find(host.id);
+        // A host id that returns at another address is another machine: nothing of ours runs there.
+        if (found != endpoints_.end() && found->second.host.address != host.address
+            && found->second.running == 0) {
+            endpoints_.erase(found);
+            found = endpoints_.end();
+        }
+        if (found == endpoints_.end()) {
+            found = endpoints_.emplace(host.id, Endpoint()).first;
+            for (Unverified &entry : unverified_)
+                entry.pending.insert(host.id);
+        }
+        Endpoint &endpoint = found->second;
+        endpoint.host = host;
+        endpoint.listed = true;
+        endpoint.leaving = host.state == HostState::Leaving;
+        updateSlots(endpoint);
+    }
+    for (auto item = endpoints_.begin(); item != endpoints_.end();) {
+        const Endpoint &endpoint = item->second;
+        // A lost request may still run on a host that returns to the list soon.
+        const bool mayRun = endpoint.running > 0
+                            || (endpoint.lost > 0 && now < endpoint.lastLoss + LostRetention);
+        const bool unused = !endpoint.listed && !mayRun;
+        item = unused ? endpoints_.erase(item) : std::next(item);
+    }
+    indexServices();
+}
+
+void EndpointTable::indexServices()
+{
+    byService_.clear();
+    for (const auto &item : endpoints_) {
+        if (item.second.listed)
+            byService_[item.second.host.service].push_back(item.first);
+    }
+}
+
+void EndpointTable::setUnits(UnitMask units)
+{
+    units_ = units;
+    for (auto &item : endpoints_)
+        updateSlots(item.second);
+}
+
+void EndpointTable::addUnverified(const EntryRun &dead, UnitMask units, Time provenAt)
+{
+    Unverified entry;
+    entry.run = dead;
+    entry.units = units;
+    entry.provenAt = provenAt;
+    for (const auto &item : endpoints_)
+        entry.pending.insert(item.first);
+    unverified_.push_back(std::move(entry));
+    setUnits(units_);
+}
+
+void EndpointTable::updateSlots(Endpoint &endpoint)
+{
+    UnitMask usable = units_;
+    for (const Unverified &entry : unverified_) {
+        if (entry.pending.count(endpoint.host.id) > 0)
+            usable &= ~entry.units;
+    }
+    endpoint.ownSlots = slotsOfUnits(usable, endpoint.host.slots);
+    endpoint.needsSample = usable != units_ || endpoint.lost > 0 || endpoint.ejected;
+}
+
+void EndpointTable::applyStatus(const HostId &host, const EndpointStatus &status, Time now)
+{
+    const auto found = endpoints_.find(host);
+    if (found == endpoints_.end() || !status.ok)
+        return;
+    Endpoint &endpoint = found->second;
+    const Time sampled = now - status.sampleAge;
+    const auto runningOf = [&status](const EntryRun &run) {
+        const auto entry = status.runningByEntry.find(run.str());
+        return entry == status.runningByEntry.end() ? 0 : entry->second;
+    };
+    for (Unverified &entry : unverified_) {
+        if (sampled >= entry.provenAt + settings_.settle && runningOf(entry.run) == 0)
+            entry.pending.erase(host);
+    }
+    unverified_.erase(std::remove_if(unverified_.begin(), unverified_.end(),
+                                     [](const Unverified &entry) { return entry.pending.empty(); }),
+                      unverified_.end());
+    const bool lossesEnded = endpoint.running == 0 && runningOf(self_) == 0
+                             && sampled >= endpoint.lastLoss + settings_.settle;
+    if (endpoint.lost > 0 && lossesEnded)
+        endpoint.lost = 0;
+    endpoint.saidLeaving = status.leaving;
+    updateSlots(endpoint);
+}
+
+bool EndpointTable::mayUse(const Endpoint &endpoint, bool idempotent,
+                           const std::set<HostId> &exclude, Time now) const
+{
+    if (endpoint.freeSlots() <= 0 || exclude.count(endpoint.host.id) > 0)
+        return false;
+    return !endpoint.ejected || (idempotent && now >= endpoint.nextProbe);
+}
+
+double EndpointTable::score(const Endpoint &endpoint) const
+{
+    // Errors weigh more than in proportion, or an endpoint that fails fast would look idle.
+    const double success = std::max(0.05, 1 - endpoint.errorRate);
+    return (endpoint.running + 1) * std::max(1.0, endpoint.latencyMs) / (success * success);
+}
+
+std::optional<HostId> EndpointTable::choose(const ServiceId &service, bool idempotent,
+                                            const std::set<HostId> &exclude, Time now)
+{
+    const auto indexed = byService_.find(service);
+    if (indexed == byService_.end())
+        return std::nullopt;
+    const std::vector<HostId> &hosts = indexed->second;
+    const Endpoint *best = nullptr;
+    int candidates = 0;
+    const auto consider = [&](const Endpoint &endpoint) {
+        if (&endpoint == best || !mayUse(endpoint, idempotent, exclude, now))
+            return;
+        ++candidates;
+        if (!best || score(endpoint) < score(*best))
+            best = &endpoint;
+    };
+    for (int draw = 0; draw < MaxDraws && candidates < 2; ++draw)
+        consider(endpoints_.at(hosts[random_.below(hosts.size())]));
+    for (std::size_t i = 0; i < hosts.size() && !best; ++i)
+        consider(endpoints_.at(hosts[i]));
+    if (!best)
+        return std::nullopt;
+    return best->host.id;
+}
+
+void EndpointTable::started(const HostId &host, Time now)
+{
+    Endpoint &endpoint = endpoints_.at(host);
+    assert(endpoint.freeSlots() > 0);
+    ++endpoint.running;
+    if (endpoint.ejected)
+        endpoint.nextProbe = now + settings_.probeInterval;
+}
+
+void EndpointTable::finished(const HostId &host, RunStatus status, int httpStatus, Duration latency,
+                             Time now)
+{
+    Endpoint &endpoint = endpoints_.at(host);
+    assert(endpoint.running > 0);
+    --endpoint.running;
+    if (status == RunStatus::Unknown) {
+        ++endpoint.lost;
+        endpoint.lastLoss = now;
+    }
+    if (status == RunStatus::Answered) {
+        const double sample = toMilliseconds(latency);
+        const double weight = endpoint.latencyMs > 0 ? settings_.smoothing : 1;
+        endpoint.latencyMs += weight * (sample - endpoint.latencyMs);
+    }
+    updateHealth(endpoint, status != RunStatus::Answered || httpStatus >= 500, now);
+    updateSlots(endpoint);
+}
+
+void EndpointTable::updateHealth(Endpoint &endpoint, bool failed, Time now)
+{
+    ++endpoint.samples;
+    if (endpoint.ejected) {
+        if (!failed) {
+            endpoint.ejected = false;
+            endpoint.errorRate = 0;
+            endpoint.samples = 0;
+        }
+        return;
+    }
+    endpoint.errorRate += settings_.smoothing * ((failed ? 1.0 : 0.0) - endpoint.errorRate);
+    if (endpoint.samples < settings_.minSamples || endpoint.errorRate < settings_.failureLimit)
+        return;
+    const auto ejected = std::count_if(endpoints_.begin(), endpoints_.end(),
+                                       [](const auto &item) { return item.second.ejected; });
+    const double limit = settings_.maxEjected * static_cast<double>(endpoints_.size());
+    if (static_cast<double>(ejected + 1) > limit)
+        return;
+    endpoint.ejected = true;
+    endpoint.nextProbe = now + settings_.probeInterval;
+}
+
+void EndpointTable::markLeaving(const HostId &host)
+{
+    const auto found = endpoints_.find(host);
+    if (found != endpoints_.end())
+        found->second.saidLeaving = true;
+}
+
+const Endpoint *EndpointTable::find(const HostId &host) const
+{
+    const auto found = endpoints_.find(host);
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+int EndpointTable::usableSlots(const ServiceId &service) const
+{
+    const auto indexed = byService_.find(service);
+    if (indexed == byService_.end())
+        return 0;
+    int slots = 0;
+    for (const HostId &host : indexed->second) {
+        const Endpoint &endpoint = endpoints_.at(host);
+        if (endpoint.takesWork() && !endpoint.ejected && endpoint.lost == 0)
+            slots += endpoint.ownSlots;
+    }
+    return slots;
+}
+
+int EndpointTable::running() const
+{
+    int running = 0;
+    for (const auto &item : endpoints_)
+        running += item.second.running;
+    return running;
+}
+
+bool EndpointTable::fits(UnitMask units) const
+{
+    return std::all_of(endpoints_.begin(), endpoints_.end(), [units](const auto &item) {
+        const Endpoint &endpoint = item.second;
+        return endpoint.running + endpoint.lost <= slotsOfUnits(units, endpoint.host.slots);
+    });
+}
+
+} // namespace monsoonledge
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "membership/membership.h"
 #include "ports/ports.h"
 
 #include <cstdint>
@@ -36,20 +37,24 @@
 struct Endpoint
 {
     HostInfo host;
-    bool leaving = false; // by the host list or by its own answer
+    bool leaving = false; // by the host list
+    bool saidLeaving = false; // by its own answer; the list lags
     bool listed = true; // false: gone from the host list; kept while requests run on it
     int running = 0; // requests of this process on it
-    int ownSlots = 0; // slots of the usable units
+    int ownSlots = 0; // slots of the usable units, without those that are not yet verified
+    int lost = 0; // requests without a usable answer that may still run on it
+    Time lastLoss{};
     double errorRate = 0; // moving average, 0 to 1
-    double latencyMs = 0; // moving average of answered requests
-    int samples = 0; // results seen since it was listed or probed well
+    double latencyMs = 0; // moving average of answered requests; 0: none yet
+    int samples = 0; // results since it was listed or readmitted
     bool ejected = false;
     Time nextProbe{};
-    std::map<std::string, Time>
-            unverified; // dead run -> time of the proof; its slots count as busy
 
-    /// Slots that this process may still use now.
-    int freeSlots() const;
+    /// Slots that this process may still use now. None while a lost request may still run on it:
+    /// a sample tells its end apart from the others only when no other request is running.
+    int freeSlots() const { return !takesWork() || lost > 0 ? 0 : ownSlots - running; }
+    bool takesWork() const { return listed && !leaving && !saidLeaving; }
+    bool needsSample = false; // a fresh status sample may make more slots usable
 };
 
 // [3] Endpoint table
@@ -57,19 +62,19 @@
 class EndpointTable
 {
 public:
-    EndpointTable(RoutingSettings settings, DomainId domain, std::uint64_t seed);
+    EndpointTable(RoutingSettings settings, DomainId domain, EntryRun self, std::uint64_t seed);
 
     /// Takes the host list over. A failed reading is ignored: the last list holds.
     void applyHosts(const HostListing &listing, Time now);
-    /// The share units that this process may use, as a bit mask.
-    void setUnits(std::uint32_t units);
+    /// The share units that this process may use.
+    void setUnits(UnitMask units);
     /// Slots of these units, taken over from a dead run, count as busy on every endpoint until a
     /// sample taken after `provenAt` plus the settling time shows none of its requests.
-    void addUnverified(const EntryRun &dead, std::uint32_t units, Time provenAt);
+    void addUnverified(const EntryRun &dead, UnitMask units, Time provenAt);
     void applyStatus(const HostId &host, const EndpointStatus &status, Time now);
 
-    /// Chooses an endpoint with a free own slot: the better of two random candidates.
-    /// Non-idempotent requests are never sent to an ejected endpoint.
+    /// Chooses an endpoint with a free own slot: the better of two random candidates. An ejected
+    /// endpoint gets no request but an idempotent one as a probe.
     std::optional<HostId> choose(const ServiceId &service, bool idempotent,
                                  const std::set<HostId> &exclude, Time now);
     void started(const HostId &host, Time now);
@@ -80,29 +85,34 @@
     const std::map<HostId, Endpoint> &endpoints() const { return endpoints_; }
     /// Own slots on endpoints of the service that may be used, free or not.
     int usableSlots(const ServiceId &service) const;
-    int freeSlots(const ServiceId &service) const;
+    /// Requests of this process on all endpoints.
     int running() const;
-    /// Whether the running requests fit the slots of `units` on every endpoint.
-    bool fits(std::uint32_t units) const;
+    /// Whether the running and lost requests fit the slots of `units` on every endpoint.
+    bool fits(UnitMask units) const;
 
 private:
     struct Unverified
     {
         EntryRun run;
-        std::uint32_t units = 0;
+        UnitMask units = 0;
         Time provenAt{};
         std::set<HostId> pending; // endpoints without a sufficient sample yet
     };
 
     void updateSlots(Endpoint &endpoint);
-    bool mayUse(const Endpoint &endpoint, bool idempotent, Time now) const;
     void updateHealth(Endpoint &endpoint, bool failed, Time now);
+    bool mayUse(const Endpoint &endpoint, bool idempotent, const std::set<HostId> &exclude,
+                Time now) const;
+    double score(const Endpoint &endpoint) const;
+    void indexServices();
 
     RoutingSettings settings_;
     DomainId domain_;
+    EntryRun self_;
     Random random_;
-    std::uint32_t units_ = 0;
+    UnitMask units_ = 0;
     std::map<HostId, Endpoint> endpoints_;
+    std::map<ServiceId, std::vector<HostId>> byService_; // listed endpoints
     std::vector<Unverified> unverified_;
 };
 
