--- /dev/null
+++ b/src/adapters/peercodec.cpp
@@ -0,0 +1,447 @@
+// Codec of the messages between entry processes: one CBOR map for each message.
+//
+// Sections:
+//   [1] Limits
+//   [2] Structure check of received bytes
+//   [3] Writer and reader of fields
+//   [4] Fields of each message
+//   [5] Encoding and decoding
+//
+// String values are CBOR byte strings: ids and header values come from callers and endpoints and
+// need not be UTF-8, which CBOR text has to be.
+#include "adapters/adapters.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <stdexcept>
+#include <type_traits>
+
+namespace monsoonledge {
+
+namespace {
+
+using nlohmann::json;
+
+// [1] Limits
+
+constexpr std::size_t MaxNameBytes = 256; // ids other than request ids, authors, reasons
+// Content types and details may come from a header of an endpoint, which this limit exceeds.
+constexpr std::size_t MaxTextBytes = 16 * 1024;
+constexpr std::size_t MaxSheetBytes = MaxStoreValueBytes;
+// 8,192 claims with the longest ids take about 600 KiB, which fits into one websocket message.
+constexpr std::size_t MaxClaims = 8192;
+constexpr std::uint64_t MaxUnits = 0xffff; // 16 share units, one bit each
+// Deadlines are at most 60 s; longer predicted waits make no difference to the receiver.
+constexpr Duration MaxSpan = std::chrono::hours(24);
+// The claim list nests deepest: map, list of claims, one claim.
+constexpr std::size_t MaxDepth = 3;
+constexpr std::uint64_t MaxInt = std::numeric_limits<int>::max();
+constexpr std::uint64_t MaxU64 = std::numeric_limits<std::uint64_t>::max();
+
+// [2] Structure check of received bytes
+
+[[noreturn]] void refuse(const std::string &reason)
+{
+    throw std::runtime_error("invalid peer message: " + reason);
+}
+
+/// Returns the number of fields of the top map. Refuses whatever the codec never writes: nesting
+/// beyond MaxDepth, indefinite lengths, tags, lengths beyond the end. json::from_cbor recurses on
+/// nested containers and on indefinite strings, so deep input would overflow the stack there.
+std::size_t checkStructure(const std::string &bytes)
+{
+    std::size_t position = 0;
+    std::size_t fieldCount = 0;
+    std::vector<std::uint64_t> open{1}; // items still to come at each level
+    while (!open.empty()) {
+        if (open.back() == 0) {
+            open.pop_back();
+            continue;
+        }
+        --open.back();
+        if (position == bytes.size())
+            refuse("truncated");
+        const auto head = static_cast<unsigned char>(bytes[position++]);
+        const unsigned major = head >> 5U;
+        const unsigned info = head & 31U;
+        std::uint64_t argument = info;
+        if (info >= 28)
+            refuse("indefinite or reserved length");
+        if (info >= 24) {
+            argument = 0;
+            for (unsigned left = 1U << (info - 24U); left > 0; --left) {
+                if (position == bytes.size())
+                    refuse("truncated");
+                argument = (argument << 8U) | static_cast<unsigned char>(bytes[position++]);
+            }
+        }
+        if (open.size() == 1 && major != 5)
+            refuse("not a map");
+        if (major == 6)
+            refuse("tag");
+        if (major < 2 || major == 7)
+            continue;
+        if (argument > bytes.size() - position)
+            refuse("length beyond the end");
+        if (major == 2 || major == 3) {
+            position += argument;
+            continue;
+        }
+        if (open.size() > MaxDepth)
+            refuse("nested too deeply");
+        if (open.size() == 1)
+            fieldCount = argument;
+        open.push_back(major == 5 ? argument * 2 : argument);
+    }
+    if (position != bytes.size())
+        refuse("bytes after the end");
+    return fieldCount;
+}
+
+// [3] Writer and reader of fields. Both have the same functions, so that the fields of each message
+// are listed once.
+
+json toBinary(const std::string &text)
+{
+    return json::binary(json::binary_t::container_type(text.begin(), text.end()));
+}
+
+std::string fromBinary(const json &value)
+{
+    const json::binary_t &binary = value.get_binary();
+    return {binary.begin(), binary.end()};
+}
+
+class Writer
+{
+public:
+    explicit Writer(const char *type) { map_["type"] = type; }
+
+    std::string bytes() const
+    {
+        std::string out;
+        json::to_cbor(map_, out);
+        return out;
+    }
+
+    template<typename T> void number(const char *key, T value, std::uint64_t min, std::uint64_t max)
+    {
+        if constexpr (std::is_signed_v<T>)
+            require(value >= 0, key);
+        const auto number = static_cast<std::uint64_t>(value);
+        require(number >= min && number <= max, key);
+        map_[key] = number;
+    }
+    template<typename T> void choice(const char *key, T value, T last)
+    {
+        number(key, static_cast<int>(value), 0, static_cast<std::uint64_t>(last));
+    }
+    void flag(const char *key, bool value) { map_[key] = value; }
+    void span(const char *key, Duration value)
+    {
+        map_[key] = static_cast<std::uint64_t>(std::clamp(value, Duration(0), MaxSpan).count());
+    }
+    void text(const char *key, const std::string &value, std::size_t min, std::size_t max)
+    {
+        require(value.size() >= min && value.size() <= max, key);
+        map_[key] = toBinary(value);
+    }
+    template<typename Tag>
+    void id(const char *key, const StringId<Tag> &value, std::size_t min = 1,
+            std::size_t max = MaxNameBytes)
+    {
+        text(key, value.str(), min, max);
+    }
+    void claims(const char *key, const std::vector<Claim> &value)
+    {
+        require(value.size() <= MaxClaims, key);
+        json list = json::array();
+        for (const Claim &claim : value) {
+            require(!claim.id.isEmpty() && claim.id.str().size() <= MaxRequestIdBytes, key);
+            list.push_back(json::array({toBinary(claim.id.str()), claim.finished}));
+        }
+        map_[key] = std::move(list);
+    }
+
+private:
+    static void require(bool valid, const char *key)
+    {
+        if (!valid)
+            throw std::invalid_argument(std::string("peer message: field out of range: ") + key);
+    }
+
+    json map_ = json::object();
+};
+
+class Reader
+{
+public:
+    /// Refuses the message unless it is a map with a type. Throws std::runtime_error.
+    explicit Reader(const std::string &bytes)
+    {
+        const std::size_t fieldCount = checkStructure(bytes);
+        map_ = json::from_cbor(bytes);
+        // A repeated key leaves fewer entries in the map than the message declares.
+        if (!map_.is_object() || map_.size() != fieldCount)
+            refuse("repeated field");
+        const json &value = take("type");
+        if (!value.is_string())
+            refuse("field type");
+        type_ = value.get<std::string>();
+    }
+
+    const std::string &type() const { return type_; }
+    void finish() const
+    {
+        if (taken_ != map_.size())
+            refuse("unknown field in " + type_);
+    }
+
+    template<typename T>
+    void number(const char *key, T &value, std::uint64_t min, std::uint64_t max)
+    {
+        const json &field = take(key);
+        require(field.is_number_unsigned(), key);
+        const auto number = field.get<std::uint64_t>();
+        require(number >= min && number <= max, key);
+        value = static_cast<T>(number);
+    }
+    template<typename T> void choice(const char *key, T &value, T last)
+    {
+        int number = 0;
+        this->number(key, number, 0, static_cast<std::uint64_t>(last));
+        value = static_cast<T>(number);
+    }
+    void flag(const char *key, bool &value)
+    {
+        const json &field = take(key);
+        require(field.is_boolean(), key);
+        value = field.get<bool>();
+    }
+    void span(const char *key, Duration &value)
+    {
+        std::int64_t count = 0;
+        number(key, count, 0, static_cast<std::uint64_t>(MaxSpan.count()));
+        value = Duration(count);
+    }
+    void text(const char *key, std::string &value, std::size_t min, std::size_t max)
+    {
+        const json &field = take(key);
+        require(field.is_binary(), key);
+        const std::size_t size = field.get_binary().size();
+        require(size >= min && size <= max, key);
+        value = fromBinary(field);
+    }
+    template<typename Tag>
+    void id(const char *key, StringId<Tag> &value, std::size_t min = 1,
+            std::size_t max = MaxNameBytes)
+    {
+        std::string name;
+        text(key, name, min, max);
+        value = StringId<Tag>(std::move(name));
+    }
+    void claims(const char *key, std::vector<Claim> &value)
+    {
+        const json &list = take(key);
+        require(list.is_array() && list.size() <= MaxClaims, key);
+        value.reserve(list.size());
+        for (const json &item : list) {
+            require(item.is_array() && item.size() == 2 && item[0].is_binary()
+                            && item[1].is_boolean(),
+                    key);
+            std::string id = fromBinary(item[0]);
+            require(!id.empty() && id.size() <= MaxRequestIdBytes, key);
+            value.push_back({RequestId(std::move(id)), item[1].get<bool>()});
+        }
+    }
+
+private:
+    static void require(bool valid, const char *key)
+    {
+        if (!valid)
+            refuse(std::string("field ") + key);
+    }
+    const json &take(const char *key)
+    {
+        const auto found = map_.find(key);
+        if (found == map_.end())
+            refuse(std::string("no field ") + key);
+        ++taken_;
+        return *found;
+    }
+
+    json map_;
+    std::string type_;
+    std::size_t taken_ = 0;
+};
+
+// [4] Fields of each message. `M` is const for the writer.
+
+template<typename Archive, typename M> void helloFields(Archive &a, M &m)
+{
+    a.id("entry", m.run.entry);
+    a.number("incarnation", m.run.incarnation.value, 0, MaxU64);
+    a.id("domain", m.domain);
+    a.number("protocol", m.protocol, 0, MaxInt);
+}
+
+template<typename Archive, typename M> void heartbeatFields(Archive &a, M &m)
+{
+    a.id("domain", m.domain);
+    a.id("entry", m.entry);
+    a.number("incarnation", m.incarnation.value, 0, MaxU64);
+    a.number("sequence", m.sequence, 0, MaxU64);
+    a.number("acknowledged", m.acknowledged, 0, MaxU64);
+    a.number("sheetRevision", m.sheetRevision.value, 0, MaxU64);
+    a.number("units", m.units, 0, MaxUnits);
+    a.flag("storeReachable", m.storeReachable);
+    a.flag("draining", m.draining);
+    a.number("ownSlots", m.load.ownSlots, 0, MaxInt);
+    a.number("running", m.load.running, 0, MaxInt);
+    a.number("queued", m.load.queued, 0, MaxInt);
+    a.span("predictedWait", m.load.predictedWait);
+}
+
+template<typename Archive, typename M> void forwardFields(Archive &a, M &m)
+{
+    a.number("correlation", m.correlation, 0, MaxU64);
+    a.id("id", m.request.id, 1, MaxRequestIdBytes);
+    a.id("caller", m.request.caller, 0);
+    a.id("service", m.request.service);
+    a.id("class", m.request.requestClass);
+    a.flag("idempotent", m.request.idempotent);
+    a.span("remaining", m.request.remaining);
+    a.text("body", m.request.body, 0, MaxBodyBytes);
+    a.flag("asHome", m.asHome);
+}
+
+template<typename Archive, typename M> void answerFields(Archive &a, M &m)
+{
+    a.number("correlation", m.correlation, 0, MaxU64);
+    a.choice("outcome", m.answer.outcome, Outcome::Unknown);
+    a.number("httpStatus", m.answer.httpStatus, 100, 599);
+    a.text("contentType", m.answer.contentType, 0, MaxTextBytes);
+    a.text("body", m.answer.body, 0, MaxBodyBytes);
+    a.text("reason", m.answer.reason, 0, MaxNameBytes);
+    a.text("detail", m.answer.detail, 0, MaxTextBytes);
+}
+
+template<typename Archive, typename M> void claimFields(Archive &a, M &m)
+{
+    a.number("sequence", m.sequence, 0, MaxU64);
+    a.claims("claims", m.claims);
+}
+
+template<typename Archive, typename M> void claimAckFields(Archive &a, M &m)
+{
+    a.number("sequence", m.sequence, 0, MaxU64);
+}
+
+template<typename Archive, typename M> void sheetFields(Archive &a, M &m)
+{
+    a.number("revision", m.revision.value, 0, MaxU64);
+    a.text("author", m.author, 0, MaxNameBytes);
+    a.text("text", m.text, 0, MaxSheetBytes);
+}
+
+template<typename Archive, typename M> void sheetRequestFields(Archive & /*a*/, M & /*m*/) { }
+
+// [5] Encoding and decoding
+
+template<typename M>
+std::string encode(const char *type, const M &message, void (*fields)(Writer &, const M &))
+{
+    Writer writer(type);
+    fields(writer, message);
+    return writer.bytes();
+}
+
+/// The handler runs only after the whole message has been checked.
+template<typename M>
+void decode(Reader &reader, void (*fields)(Reader &, M &),
+            const std::function<void(const M &)> &handler)
+{
+    M message;
+    fields(reader, message);
+    reader.finish();
+    if (handler)
+        handler(message);
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerHello &message)
+{
+    return encode<PeerHello>("hello", message, helloFields);
+}
+
+std::string encodePeerMessage(const Heartbeat &message)
+{
+    return encode<Heartbeat>("heartbeat", message, heartbeatFields);
+}
+
+std::string encodePeerMessage(const ForwardMessage &message)
+{
+    return encode<ForwardMessage>("forward", message, forwardFields);
+}
+
+std::string encodePeerMessage(const AnswerMessage &message)
+{
+    return encode<AnswerMessage>("answer", message, answerFields);
+}
+
+std::string encodePeerMessage(const ClaimMessage &message)
+{
+    return encode<ClaimMessage>("claim", message, claimFields);
+}
+
+std::string encodePeerMessage(const ClaimAckMessage &message)
+{
+    return encode<ClaimAckMessage>("claimAck", message, claimAckFields);
+}
+
+std::string encodePeerMessage(const SheetMessage &message)
+{
+    return encode<SheetMessage>("sheet", message, sheetFields);
+}
+
+std::string encodePeerMessage(const SheetRequestMessage &message)
+{
+    return encode<SheetRequestMessage>("sheetRequest", message, sheetRequestFields);
+}
+
+void decodePeerMessage(const std::string &bytes, const PeerMessageHandlers &handlers)
+{
+    // json::exception is not a std::runtime_error.
+    const auto reader = [&bytes] {
+        try {
+            return Reader(bytes);
+        } catch (const json::exception &error) {
+            refuse(error.what());
+        }
+    };
+    Reader fields = reader();
+    const std::string &type = fields.type();
+    if (type == "hello")
+        decode<PeerHello>(fields, helloFields, handlers.hello);
+    else if (type == "heartbeat")
+        decode<Heartbeat>(fields, heartbeatFields, handlers.heartbeat);
+    else if (type == "forward")
+        decode<ForwardMessage>(fields, forwardFields, handlers.forward);
+    else if (type == "answer")
+        decode<AnswerMessage>(fields, answerFields, handlers.answer);
+    else if (type == "claim")
+        decode<ClaimMessage>(fields, claimFields, handlers.claim);
+    else if (type == "claimAck")
+        decode<ClaimAckMessage>(fields, claimAckFields, handlers.claimAck);
+    else if (type == "sheet")
+        decode<SheetMessage>(fields, sheetFields, handlers.sheet);
+    else if (type == "sheetRequest")
+        decode<SheetRequestMessage>(fields, sheetRequestFields, handlers.sheetRequest);
+    else
+        refuse("unknown type");
+}
+
+} // namespace monsoonledge
