Add the YAML reader, settings and sheet

Every finding carries its line and column and says what to write instead. Aliases and tags are refused: a short text can expand to a very large one with aliases.

--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,418 @@
+// Sections:
+//   [1] Tables of keys
+//   [2] Addresses
+//   [3] Parts of the file
+//   [4] Rules between keys
+//   [5] Public functions
+#include "settings/settings.h"
+
+#include "yaml/yaml.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+
+namespace monsoonledge {
+
+namespace {
+
+// [1] Tables of keys
+
+// A domain name stands before the '~' of request ids, which have at most MaxRequestIdBytes.
+constexpr std::size_t MaxDomainLength = 32;
+constexpr std::size_t MinTokenLength = 16;
+constexpr std::size_t MaxTokenLength = 256;
+// A settings file with 110 teams' tokens and 200 peers takes about 40 KB.
+constexpr std::size_t MaxFileBytes = 1024 * 1024;
+
+template<typename Struct> struct DurationKey
+{
+    const char *name;
+    Duration Struct::*field;
+    Duration min;
+    Duration max;
+    const char *note;
+};
+
+struct CountKey
+{
+    const char *name;
+    int LimitSettings::*field;
+    int min;
+    int max;
+    const char *unit;
+    const char *note;
+};
+
+const DurationKey<TimingSettings> TimingKeys[] = {
+        {"hostListIntervalMs", &TimingSettings::hostListInterval, milliseconds(50), minutes(1),
+         "time between two reads of the host list"},
+        {"hostGoneMs", &TimingSettings::hostGone, milliseconds(500), minutes(60),
+         "absence from the host list before a member may count as dead; at least twice "
+         "hostListIntervalMs"},
+        {"statusIntervalMs", &TimingSettings::statusInterval, milliseconds(20), minutes(1),
+         "time between two status samples of an endpoint"},
+        {"takeoverSettleMs", &TimingSettings::takeoverSettle, milliseconds(100), minutes(1),
+         "age after the proof of death from which a status sample counts"},
+        {"heartbeatIntervalMs", &TimingSettings::heartbeatInterval, milliseconds(50), seconds(2),
+         "time between heartbeats to peers of the same failure domain"},
+        // A link without any message for 5 s is closed.
+        {"remoteHeartbeatIntervalMs", &TimingSettings::remoteHeartbeatInterval, milliseconds(50),
+         seconds(4), "time between heartbeats to peers of other failure domains"},
+        {"claimWriteIntervalMs", &TimingSettings::claimWriteInterval, milliseconds(1), seconds(5),
+         "minimum time between two claim writes to the store"},
+        {"storeDownAfterMs", &TimingSettings::storeDownAfter, milliseconds(100), minutes(1),
+         "time without a response of the store before claims go to peers"},
+        {"claimRetentionMs", &TimingSettings::claimRetention, seconds(1), minutes(60),
+         "how long a finished request id is remembered"},
+        {"mirrorDropAfterMs", &TimingSettings::mirrorDropAfter, milliseconds(100), minutes(1),
+         "silence before claims no longer wait for a member; at least twice heartbeatIntervalMs"},
+        {"drainLimitMs", &TimingSettings::drainLimit, milliseconds(100), minutes(10),
+         "upper bound of a planned stop; more than drainGraceMs plus limits.maxDeadlineMs"},
+        {"drainGraceMs", &TimingSettings::drainGrace, milliseconds(0), minutes(1),
+         "time between readiness turning false and the listener closing"},
+        {"taskLeaseMs", &TimingSettings::taskLease, milliseconds(500), minutes(5),
+         "lease of a batch task on its worker"},
+};
+
+const DurationKey<LimitSettings> LimitDurationKeys[] = {
+        {"callerIdleMs", &LimitSettings::callerIdle, milliseconds(100), minutes(10),
+         "a connection without a whole request is closed after this"},
+        {"maxDeadlineMs", &LimitSettings::maxDeadline, milliseconds(100), seconds(60),
+         "larger X-Deadline-Ms values are cut to this"},
+};
+
+const CountKey LimitCountKeys[] = {
+        {"maxConnections", &LimitSettings::maxConnections, 1, 100000, "",
+         "callers connected at the same time"},
+        {"maxQueued", &LimitSettings::maxQueued, 1, 1000000, "",
+         "requests waiting in all class queues"},
+        {"maxHeaderBytes", &LimitSettings::maxHeaderBytes, 1024, 1024 * 1024, "bytes",
+         "size of the headers of one request"},
+        {"maxRememberedBytes", &LimitSettings::maxRememberedBytes, 0, 1024 * 1024 * 1024, "bytes",
+         "bodies kept to answer duplicates"},
+};
+
+const char *const LogLevels[] = {"debug", "info", "warning", "error"};
+
+std::string formatMs(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+template<typename Struct, std::size_t N>
+void addDurationKeys(std::vector<SettingsKey> &keys, const DurationKey<Struct> (&table)[N],
+                     const std::string &path)
+{
+    for (const auto &key : table)
+        keys.push_back({path + key.name, "ms", formatMs(Struct().*key.field),
+                        formatMs(key.min) + " to " + formatMs(key.max), key.note});
+}
+
+std::vector<SettingsKey> makeSettingsKeys()
+{
+    const std::string name = "name";
+    const std::string domainName = "name, at most " + std::to_string(MaxDomainLength);
+    const std::string tokenRange = std::to_string(MinTokenLength) + " to "
+                                   + std::to_string(MaxTokenLength) + " visible ASCII characters";
+    std::vector<SettingsKey> keys{
+            {"entry", "", "", name, "name of this entry process; a restarted process keeps it"},
+            {"domain", "", "", domainName, "failure domain of this process; listed in domains"},
+            {"host", "", "", name, "id of this host in the host list"},
+            {"listen", "ip:port", "", "IP address and port 1 to 65535",
+             "for callers and operators"},
+            {"peer", "ip:port", "", "IP address and port 1 to 65535, not 0.0.0.0",
+             "for other entry processes, which connect to this address"},
+            {"domains", "", "", "at least one name, no repeats",
+             "all configured failure domains; the same list on every process"},
+            {"peers", "", "[]", "list", "all other entry processes"},
+            {"peers[].entry", "", "", "name, unique", "name of the peer"},
+            {"peers[].domain", "", "", "one of domains", "failure domain of the peer"},
+            {"peers[].address", "ip:port", "", "unique", "peer address of the peer"},
+            {"store", "ip:port", "", "IP address and port 1 to 65535, not 0.0.0.0",
+             "key-value store of the platform"},
+            {"hostList", "ip:port", "", "IP address and port 1 to 65535, not 0.0.0.0",
+             "host list of the platform"},
+            {"tokens", "", "[]", "list; may be empty only if listen is a loopback address",
+             "operators; without tokens the operator interface is open"},
+            {"tokens[].name", "", "", "name, unique", "appears in logs in place of the token"},
+            {"tokens[].role", "", "", "readOnly or operator", "what the token permits"},
+            {"tokens[].token", "", "", tokenRange + ", unique", "sent as a bearer token"},
+            {"logLevel", "", Settings().logLevel, "debug, info, warning or error",
+             "least severe level that is logged"},
+    };
+    addDurationKeys(keys, TimingKeys, "timing.");
+    for (const CountKey &key : LimitCountKeys)
+        keys.push_back({std::string("limits.") + key.name, key.unit,
+                        std::to_string(LimitSettings().*key.field),
+                        std::to_string(key.min) + " to " + std::to_string(key.max), key.note});
+    addDurationKeys(keys, LimitDurationKeys, "limits.");
+    return keys;
+}
+
+// [2] Addresses
+
+enum class AddressUse { Bind, Connect };
+
+bool isLoopback(const Address &address)
+{
+    return address.ip.rfind("127.", 0) == 0 || address.ip == "::1";
+}
+
+bool isIpNumber(const std::string &ip)
+{
+    in6_addr buffer; // large enough for both kinds
+    return inet_pton(AF_INET, ip.c_str(), &buffer) == 1
+           || inet_pton(AF_INET6, ip.c_str(), &buffer) == 1;
+}
+
+void readAddress(YamlMap &map, const std::string &key, Address &value, AddressUse use)
+{
+    std::string text;
+    if (!map.readText(key, text))
+        return;
+    try {
+        const Address address = parseAddress(text);
+        if (!isIpNumber(address.ip))
+            throw std::invalid_argument("'" + address.ip + "' is no IP address");
+        if (use == AddressUse::Connect && (address.ip == "0.0.0.0" || address.ip == "::"))
+            throw std::invalid_argument("other processes cannot connect to " + address.ip);
+        value = address;
+    } catch (const std::invalid_argument &error) {
+        map.report(key, "'" + key + "': " + error.what()
+                                + ": write an IP address and a port, such as 10.0.0.1:8081");
+    }
+}
+
+// [3] Parts of the file
+
+template<typename Id>
+bool readId(YamlMap &map, const std::string &key, Id &id, std::size_t maxLength = MaxNameLength)
+{
+    std::string name;
+    if (!map.readName(key, name, maxLength))
+        return false;
+    id = Id(name);
+    return true;
+}
+
+void readDomains(YamlMap &map, Settings &settings, YamlFindings &findings)
+{
+    const std::vector<YamlNode> *items = map.findList("domains");
+    if (items == nullptr)
+        return;
+    if (items->empty())
+        map.report("domains", "'domains' is empty: write at least the domain of this process");
+    std::set<DomainId> seen;
+    for (const YamlNode &item : *items) {
+        const DomainId domain(readName(item, "this domain", findings, MaxDomainLength));
+        if (domain.isEmpty())
+            continue;
+        if (seen.insert(domain).second)
+            settings.domains.push_back(domain);
+        else
+            findings.add(item, "domain '" + domain.str() + "' is repeated: write it once");
+    }
+}
+
+bool isConfigured(const Settings &settings, const DomainId &domain)
+{
+    return std::find(settings.domains.begin(), settings.domains.end(), domain)
+           != settings.domains.end();
+}
+
+void readPeers(YamlMap &map, Settings &settings, YamlFindings &findings)
+{
+    const std::vector<YamlNode> *items = map.findList("peers");
+    if (items == nullptr)
+        return;
+    std::set<EntryId> entries{settings.entry};
+    std::set<Address> addresses{settings.peer};
+    for (const YamlNode &item : *items) {
+        YamlMap peerMap(item, "peers[].", findings);
+        PeerSettings peer;
+        peerMap.require({"entry", "domain", "address"});
+        if (readId(peerMap, "entry", peer.entry) && !entries.insert(peer.entry).second)
+            peerMap.report("entry",
+                           "peer '" + peer.entry.str()
+                                   + "' is repeated or this process: list each other entry "
+                                     "process once");
+        if (readId(peerMap, "domain", peer.domain, MaxDomainLength) && !settings.domains.empty()
+            && !isConfigured(settings, peer.domain))
+            peerMap.report("domain",
+                           "domain '" + peer.domain.str()
+                                   + "' is not listed in domains: write a listed one or add it");
+        readAddress(peerMap, "address", peer.address, AddressUse::Connect);
+        if (peer.address.port != 0 && !addresses.insert(peer.address).second)
+            peerMap.report("address",
+                           "address " + peer.address.str()
+                                   + " is in use by another entry process: write its own one");
+        peerMap.reportUnknown();
+        settings.peers.push_back(peer);
+    }
+}
+
+bool isValidToken(const std::string &text)
+{
+    return text.size() >= MinTokenLength && text.size() <= MaxTokenLength
+           && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
+}
+
+void readTokens(YamlMap &map, Settings &settings, YamlFindings &findings)
+{
+    const std::vector<YamlNode> *items = map.findList("tokens");
+    if (items == nullptr)
+        return;
+    std::set<std::string> names;
+    std::set<std::string> texts;
+    for (const YamlNode &item : *items) {
+        YamlMap tokenMap(item, "tokens[].", findings);
+        TokenSettings token;
+        tokenMap.require({"name", "role", "token"});
+        if (tokenMap.readName("name", token.name) && !names.insert(token.name).second)
+            tokenMap.report("name",
+                            "token name '" + token.name + "' is repeated: write another name");
+        std::string role;
+        if (tokenMap.readText("role", role)) {
+            if (role != "readOnly" && role != "operator")
+                tokenMap.report("role",
+                                "'tokens[].role' is '" + role + "': write readOnly or operator");
+            token.role = role == "operator" ? Role::Operator : Role::ReadOnly;
+        }
+        // Messages leave the token out, since they end up in logs.
+        if (tokenMap.readText("token", token.token)) {
+            if (!isValidToken(token.token))
+                tokenMap.report("token", "'tokens[].token' has the wrong form: write "
+                                                 + std::to_string(MinTokenLength) + " to "
+                                                 + std::to_string(MaxTokenLength)
+                                                 + " visible ASCII characters without spaces");
+            else if (!texts.insert(token.token).second)
+                tokenMap.report("token", "this token is repeated: write a token of its own");
+        }
+        tokenMap.reportUnknown();
+        settings.tokens.push_back(token);
+    }
+}
+
+template<typename Struct, std::size_t N>
+void readDurations(YamlMap &map, const DurationKey<Struct> (&table)[N], Struct &values)
+{
+    for (const auto &key : table)
+        map.readMilliseconds(key.name, values.*key.field, key.min, key.max);
+}
+
+void readLogLevel(YamlMap &map, std::string &level)
+{
+    std::string text;
+    if (!map.readText("logLevel", text))
+        return;
+    if (std::find(std::begin(LogLevels), std::end(LogLevels), text) == std::end(LogLevels))
+        map.report("logLevel", "'logLevel' is '" + text + "': write debug, info, warning or error");
+    level = text;
+}
+
+// [4] Rules between keys
+
+void checkAddresses(const Settings &settings, YamlMap &map)
+{
+    if (settings.listen.port != 0 && settings.listen == settings.peer)
+        map.report("peer", "'peer' is the same address as 'listen': write another port");
+    if (settings.listen.port != 0 && settings.tokens.empty() && !isLoopback(settings.listen))
+        map.report("listen",
+                   "'listen' is " + settings.listen.str()
+                           + " and 'tokens' is empty, which opens the operator interface to "
+                             "everyone: write at least one token, or listen on 127.0.0.1");
+}
+
+void checkTiming(const Settings &settings, YamlMap &timing)
+{
+    const TimingSettings &t = settings.timing;
+    // A single lost read of the host list must not make a member look dead.
+    if (t.hostGone < 2 * t.hostListInterval)
+        timing.report("hostGoneMs",
+                      "'timing.hostGoneMs' is less than two reads of the host list: write at least "
+                              + formatMs(2 * t.hostListInterval));
+    // A single lost heartbeat must not make a member drop out of claims.
+    if (t.mirrorDropAfter < 2 * t.heartbeatInterval)
+        timing.report("mirrorDropAfterMs",
+                      "'timing.mirrorDropAfterMs' is less than two heartbeats: write at least "
+                              + formatMs(2 * t.heartbeatInterval));
+    // A planned stop must not cut off a request that is within its deadline.
+    const Duration longestWork = t.drainGrace + settings.limits.maxDeadline;
+    if (t.drainLimit <= longestWork)
+        timing.report("drainLimitMs", "'timing.drainLimitMs' is not larger than drainGraceMs plus "
+                                      "limits.maxDeadlineMs: write more than "
+                                              + formatMs(longestWork));
+}
+
+} // namespace
+
+// [5] Public functions
+
+const std::vector<SettingsKey> &settingsKeys()
+{
+    static const std::vector<SettingsKey> keys = makeSettingsKeys();
+    return keys;
+}
+
+Settings parseSettings(const std::string &text, const std::string &file)
+{
+    const YamlNode root = parseYaml(text, file);
+    YamlFindings findings(file);
+    Settings settings;
+    YamlMap map(root, "", findings);
+    map.require({"entry", "domain", "host", "listen", "peer", "domains", "store", "hostList"});
+    readId(map, "entry", settings.entry);
+    readId(map, "domain", settings.domain, MaxDomainLength);
+    readId(map, "host", settings.host);
+    readAddress(map, "listen", settings.listen, AddressUse::Bind);
+    readAddress(map, "peer", settings.peer, AddressUse::Connect);
+    readDomains(map, settings, findings);
+    if (!settings.domain.isEmpty() && !settings.domains.empty()
+        && !isConfigured(settings, settings.domain))
+        map.report("domain", "domain '" + settings.domain.str()
+                                     + "' is not listed in domains: write a listed one or add it");
+    readPeers(map, settings, findings);
+    readAddress(map, "store", settings.store, AddressUse::Connect);
+    readAddress(map, "hostList", settings.hostList, AddressUse::Connect);
+    readTokens(map, settings, findings);
+    readLogLevel(map, settings.logLevel);
+
+    const YamlNode emptyMap{YamlNode::Kind::Map, root.line, root.column, "", false, {}, {}};
+    const YamlNode *limitsNode = map.find("limits");
+    YamlMap limits(limitsNode != nullptr ? *limitsNode : emptyMap, "limits.", findings);
+    for (const CountKey &key : LimitCountKeys)
+        limits.readInteger(key.name, settings.limits.*key.field, key.min, key.max);
+    readDurations(limits, LimitDurationKeys, settings.limits);
+    limits.reportUnknown();
+    const YamlNode *timingNode = map.find("timing");
+    YamlMap timing(timingNode != nullptr ? *timingNode : emptyMap, "timing.", findings);
+    readDurations(timing, TimingKeys, settings.timing);
+    timing.reportUnknown();
+
+    checkAddresses(settings, map);
+    checkTiming(settings, timing);
+    map.reportUnknown();
+    findings.throwIfAny();
+    return settings;
+}
+
+Settings loadSettings(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::string text;
+    if (stream) {
+        text.resize(MaxFileBytes + 1);
+        stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+        text.resize(static_cast<std::size_t>(stream.gcount()));
+    }
+    if (!stream.eof())
+        throw FindingsError({{{path, 0, 0},
+                              "cannot be read: write the path of a readable settings file of at "
+                              "most 1 MiB"}});
+    return parseSettings(text, path);
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/yaml/yaml.cpp
@@ -0,0 +1,448 @@
+#include "yaml/yaml.h"
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/parser.h>
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <set>
+#include <sstream>
+
+namespace monsoonledge {
+
+namespace {
+
+[[noreturn]] void throwAt(const std::string &file, const YAML::Mark &mark,
+                          const std::string &message)
+{
+    Place place{file, 0, 0};
+    if (!mark.is_null())
+        place = {file, mark.line + 1, mark.column + 1};
+    throw FindingsError({{place, message}});
+}
+
+/// Builds the tree of one document from parser events.
+class TreeBuilder : public YAML::EventHandler
+{
+public:
+    explicit TreeBuilder(const std::string &file) : file_(file) { }
+
+    YamlNode takeRoot() { return std::move(root_); }
+
+    void OnDocumentStart(const YAML::Mark &mark) override
+    {
+        if (++documents_ > 1)
+            throwAt(file_, mark,
+                    "a second YAML document begins here: write one document, without '---' or "
+                    "'...' between its parts");
+    }
+    void OnDocumentEnd() override { }
+    void OnNull(const YAML::Mark &mark, YAML::anchor_t) override
+    {
+        YamlNode &node = add(mark);
+        // The parser places an empty value at the token after it, which is often on another line.
+        if (stack_.empty() || stack_.back().node->kind != YamlNode::Kind::Map
+            || !stack_.back().keyComplete)
+            return;
+        const YamlNode &key = stack_.back().node->entries.back().key;
+        node.line = key.line;
+        node.column = key.column;
+    }
+    void OnAlias(const YAML::Mark &mark, YAML::anchor_t) override
+    {
+        throwAt(file_, mark, "aliases are not supported: write the value out in full");
+    }
+    void OnScalar(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t,
+                  const std::string &value) override
+    {
+        refuseTag(mark, tag);
+        YamlNode &node = add(mark);
+        node.kind = YamlNode::Kind::Scalar;
+        node.scalar = value;
+        node.quoted = tag == "!";
+    }
+    void OnSequenceStart(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t,
+                         YAML::EmitterStyle::value) override
+    {
+        refuseTag(mark, tag);
+        open(mark, YamlNode::Kind::List);
+    }
+    void OnSequenceEnd() override { stack_.pop_back(); }
+    void OnMapStart(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t,
+                    YAML::EmitterStyle::value) override
+    {
+        refuseTag(mark, tag);
+        open(mark, YamlNode::Kind::Map);
+    }
+    void OnMapEnd() override { stack_.pop_back(); }
+
+private:
+    struct Level
+    {
+        YamlNode *node;
+        bool keyComplete = true; // of a map: the next node is a key
+    };
+
+    void refuseTag(const YAML::Mark &mark, const std::string &tag)
+    {
+        // "?" stands for a plain and "!" for a quoted scalar.
+        if (!tag.empty() && tag != "?" && tag != "!")
+            throwAt(file_, mark, "tags such as '" + tag + "' are not supported: remove the tag");
+    }
+
+    YamlNode &add(const YAML::Mark &mark)
+    {
+        YamlNode *node = &root_;
+        if (!stack_.empty()) {
+            Level &level = stack_.back();
+            if (level.node->kind == YamlNode::Kind::List) {
+                node = &level.node->items.emplace_back();
+            } else if (level.keyComplete) {
+                node = &level.node->entries.emplace_back().key;
+                level.keyComplete = false;
+            } else {
+                node = &level.node->entries.back().value;
+                level.keyComplete = true;
+            }
+        }
+        node->line = mark.line + 1;
+        node->column = mark.column + 1;
+        return *node;
+    }
+
+    void open(const YAML::Mark &mark, YamlNode::Kind kind)
+    {
+        YamlNode &node = add(mark);
+        node.kind = kind;
+        stack_.push_back({&node});
+    }
+
+    const std::string &file_;
+    YamlNode root_;
+    std::vector<Level> stack_;
+    int documents_ = 0;
+};
+
+/// Number of single-character changes between two words.
+std::size_t editDistance(const std::string &a, const std::string &b)
+{
+    std::vector<std::size_t> row(b.size() + 1);
+    for (std::size_t j = 0; j <= b.size(); ++j)
+        row[j] = j;
+    for (std::size_t i = 1; i <= a.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= b.size(); ++j) {
+            const std::size_t above = row[j];
+            const std::size_t change = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+            row[j] = std::min({row[j] + 1, row[j - 1] + 1, change});
+            diagonal = above;
+        }
+    }
+    return row.back();
+}
+
+/// The advice for an unknown key: the most similar known key, or all of them.
+std::string suggestKey(const std::string &key, const std::vector<std::string> &known)
+{
+    const std::size_t maxDistance = 2;
+    std::string all;
+    const std::string *best = nullptr;
+    std::size_t bestDistance = maxDistance + 1;
+    for (const std::string &candidate : known) {
+        all += (all.empty() ? "" : ", ") + candidate;
+        // Long keys are not compared: the cost grows with the product of both lengths.
+        if (key.size() > 2 * MaxNameLength)
+            continue;
+        const std::size_t distance = editDistance(key, candidate);
+        if (distance < bestDistance) {
+            best = &candidate;
+            bestDistance = distance;
+        }
+    }
+    return best != nullptr ? "write '" + *best + "'" : "remove it or write one of: " + all;
+}
+
+std::string describe(const YamlNode &node)
+{
+    switch (node.kind) {
+    case YamlNode::Kind::Null:
+        return "empty";
+    case YamlNode::Kind::List:
+        return "a list";
+    case YamlNode::Kind::Map:
+        return "a map";
+    case YamlNode::Kind::Scalar:
+        break;
+    }
+    const std::size_t maxShown = 80;
+    std::string text = node.scalar.substr(0, maxShown);
+    if (node.scalar.size() > maxShown)
+        text += "...";
+    return node.quoted ? "the quoted text \"" + text + '"' : "'" + text + "'";
+}
+
+template<typename T> bool parseWhole(const std::string &text, T &value)
+{
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value);
+    return result.ec == std::errc() && result.ptr == end;
+}
+
+} // namespace
+
+YamlNode parseYaml(const std::string &text, const std::string &file)
+{
+    TreeBuilder builder(file);
+    try {
+        std::istringstream stream(text);
+        YAML::Parser parser(stream);
+        while (parser.HandleNextDocument(builder)) { }
+    } catch (const YAML::Exception &error) {
+        throwAt(file, error.mark,
+                "wrong YAML syntax: " + error.msg
+                        + "; correct the indentation, colon, quote or bracket at this place");
+    }
+    return builder.takeRoot();
+}
+
+void YamlFindings::add(const YamlNode &node, const std::string &message)
+{
+    findings_.push_back({{file_, node.line, node.column}, message});
+}
+
+void YamlFindings::throwIfAny()
+{
+    if (findings_.empty())
+        return;
+    std::stable_sort(findings_.begin(), findings_.end(), [](const Finding &a, const Finding &b) {
+        return std::pair(a.place.line, a.place.column) < std::pair(b.place.line, b.place.column);
+    });
+    throw FindingsError(std::move(findings_));
+}
+
+bool isValidName(const std::string &text, std::size_t maxLength)
+{
+    const auto isAlphanumeric = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+    };
+    if (text.empty() || text.size() > maxLength || !isAlphanumeric(text.front()))
+        return false;
+    return std::all_of(text.begin(), text.end(), [&](char c) {
+        return isAlphanumeric(c) || c == '-' || c == '_' || c == '.';
+    });
+}
+
+std::string readName(const YamlNode &node, const std::string &what, YamlFindings &findings,
+                     std::size_t maxLength)
+{
+    if (node.kind == YamlNode::Kind::Scalar && isValidName(node.scalar, maxLength))
+        return node.scalar;
+    findings.add(node,
+                 what + " is " + describe(node) + ": write a name of 1 to "
+                         + std::to_string(maxLength)
+                         + " letters, digits, '-', '_' or '.', beginning with a letter or digit");
+    return std::string();
+}
+
+YamlMap::YamlMap(const YamlNode &node, std::string path, YamlFindings &findings)
+    : node_(node), path_(std::move(path)), findings_(findings)
+{
+    if (node.kind != YamlNode::Kind::Map) {
+        const std::string name = path_.empty() ? "this" : path_.substr(0, path_.size() - 1);
+        findings_.add(node_,
+                      name + " is " + describe(node) + ": write a map of 'key: value' lines");
+        return;
+    }
+    std::set<std::string> seen;
+    for (const YamlEntry &entry : node.entries) {
+        if (entry.key.kind != YamlNode::Kind::Scalar)
+            findings_.add(entry.key, "this key is " + describe(entry.key) + ": write a word");
+        else if (!seen.insert(entry.key.scalar).second)
+            findings_.add(entry.key, quoteKey(entry.key.scalar) + " is repeated: write it once");
+    }
+}
+
+void YamlMap::require(const std::vector<std::string> &keys)
+{
+    if (node_.kind != YamlNode::Kind::Map)
+        return;
+    for (const std::string &key : keys) {
+        const bool found =
+                std::any_of(node_.entries.begin(), node_.entries.end(),
+                            [&](const YamlEntry &entry) { return entry.key.scalar == key; });
+        if (!found)
+            findings_.add(node_, quoteKey(key) + " is missing: write '" + key + ": ...' here");
+    }
+}
+
+void YamlMap::reportUnknown()
+{
+    for (const YamlEntry &entry : node_.entries) {
+        const std::string &key = entry.key.scalar;
+        if (entry.key.kind == YamlNode::Kind::Scalar
+            && std::find(known_.begin(), known_.end(), key) == known_.end())
+            findings_.add(entry.key,
+                          "unknown key " + describe(entry.key) + ": " + suggestKey(key, known_));
+    }
+}
+
+const YamlNode &YamlMap::at(const std::string &key) const
+{
+    for (const YamlEntry &entry : node_.entries) {
+        if (entry.key.scalar == key)
+            return entry.value;
+    }
+    return node_;
+}
+
+const YamlNode *YamlMap::find(const std::string &key)
+{
+    const bool repeated = std::find(known_.begin(), known_.end(), key) != known_.end();
+    if (!repeated)
+        known_.push_back(key);
+    const YamlNode &value = at(key);
+    if (&value == &node_)
+        return nullptr;
+    if (value.kind == YamlNode::Kind::Null) {
+        if (!repeated)
+            report(key, quoteKey(key) + " has no value: write one or remove the key");
+        return nullptr;
+    }
+    return &value;
+}
+
+const std::vector<YamlNode> *YamlMap::findList(const std::string &key)
+{
+    const YamlNode *value = find(key);
+    if (value == nullptr)
+        return nullptr;
+    if (value->kind != YamlNode::Kind::List) {
+        reportValue(key, *value, "a list, one '- ...' per item, or [] for none");
+        return nullptr;
+    }
+    return &value->items;
+}
+
+bool YamlMap::readText(const std::string &key, std::string &value)
+{
+    const YamlNode *node = findScalar(key, "a text");
+    if (node != nullptr)
+        value = node->scalar;
+    return node != nullptr;
+}
+
+bool YamlMap::readName(const std::string &key, std::string &value, std::size_t maxLength)
+{
+    const YamlNode *node = find(key);
+    if (node == nullptr)
+        return false;
+    const std::string name = monsoonledge::readName(*node, quoteKey(key), findings_, maxLength);
+    if (!name.empty())
+        value = name;
+    return !name.empty();
+}
+
+bool YamlMap::readBool(const std::string &key, bool &value)
+{
+    const std::string expected = "true or false, without quotes";
+    const YamlNode *node = findScalar(key, expected);
+    if (node == nullptr)
+        return false;
+    if (node->quoted || (node->scalar != "true" && node->scalar != "false")) {
+        reportValue(key, *node, expected);
+        return false;
+    }
+    value = node->scalar == "true";
+    return true;
+}
+
+bool YamlMap::readInteger(const std::string &key, std::int64_t &value, std::int64_t min,
+                          std::int64_t max)
+{
+    const std::string expected =
+            "a whole number from " + std::to_string(min) + " to " + std::to_string(max);
+    const YamlNode *node = findScalar(key, expected);
+    if (node == nullptr)
+        return false;
+    std::int64_t number = 0;
+    if (node->quoted || !parseWhole(node->scalar, number) || number < min || number > max) {
+        reportValue(key, *node, expected);
+        return false;
+    }
+    value = number;
+    return true;
+}
+
+bool YamlMap::readInteger(const std::string &key, int &value, int min, int max)
+{
+    std::int64_t number = 0;
+    if (!readInteger(key, number, static_cast<std::int64_t>(min), static_cast<std::int64_t>(max)))
+        return false;
+    value = static_cast<int>(number);
+    return true;
+}
+
+bool YamlMap::readNumber(const std::string &key, double &value, double min, double max)
+{
+    const std::string expected = "a number from " + formatNumber(min) + " to " + formatNumber(max);
+    const YamlNode *node = findScalar(key, expected);
+    if (node == nullptr)
+        return false;
+    double number = 0;
+    // The comparison is written so that it also refuses "nan".
+    if (node->quoted || !parseWhole(node->scalar, number) || !(number >= min && number <= max)) {
+        reportValue(key, *node, expected);
+        return false;
+    }
+    value = number;
+    return true;
+}
+
+bool YamlMap::readMilliseconds(const std::string &key, Duration &value, Duration min, Duration max)
+{
+    std::int64_t number = 0;
+    if (!readInteger(key, number, std::chrono::duration_cast<milliseconds>(min).count(),
+                     std::chrono::duration_cast<milliseconds>(max).count()))
+        return false;
+    value = milliseconds(number);
+    return true;
+}
+
+void YamlMap::report(const std::string &key, const std::string &message)
+{
+    findings_.add(at(key), message);
+}
+
+std::string YamlMap::quoteKey(const std::string &key) const
+{
+    return "'" + path_ + key + "'";
+}
+
+const YamlNode *YamlMap::findScalar(const std::string &key, const std::string &expected)
+{
+    const YamlNode *node = find(key);
+    if (node != nullptr && node->kind != YamlNode::Kind::Scalar) {
+        reportValue(key, *node, expected);
+        return nullptr;
+    }
+    return node;
+}
+
+void YamlMap::reportValue(const std::string &key, const YamlNode &node, const std::string &expected)
+{
+    findings_.add(node, quoteKey(key) + " is " + describe(node) + ": write " + expected);
+}
+
+std::string formatNumber(double value)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.10g", value);
+    return text;
+}
+
+} // namespace monsoonledge
