--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -78,21 +78,24 @@
     return slots * (queue.definition.floor + share);
 }
 
-Duration Admission::predictedWait(const ClassId &id) const
+Duration Admission::waitBehind(const ClassQueue &queue, double queuedAhead) const
 {
-    const ClassQueue *queue = find(id);
-    if (!queue)
-        return Duration::zero();
-    const double slots = guaranteedSlots(*queue);
-    const double ahead = queue->queued + std::max(0.0, queue->running - slots + 1);
+    const double slots = guaranteedSlots(queue);
+    const double ahead = queuedAhead + std::max(0.0, queue.running - slots + 1);
     if (ahead <= 0)
         return Duration::zero();
     if (slots <= 0)
         return minutes(1);
-    const double serviceTime = static_cast<double>(queue->serviceTime.count());
+    const double serviceTime = static_cast<double>(queue.serviceTime.count());
     return Duration(static_cast<Duration::rep>(ahead * serviceTime / slots));
 }
 
+Duration Admission::predictedWait(const ClassId &id) const
+{
+    const ClassQueue *queue = find(id);
+    return queue ? waitBehind(*queue, queue->queued) : Duration::zero();
+}
+
 Duration Admission::serviceTime(const ClassId &id) const
 {
     const ClassQueue *queue = find(id);
@@ -110,15 +113,20 @@
     const auto slots = slots_.find(queue->definition.service);
     if (slots == slots_.end() || slots->second == 0)
         return Refusal::None;
-    const Duration wait = predictedWait(id);
-    if (now + wait + queue->serviceTime > deadline)
-        return Refusal::DeadlineUnreachable;
     const auto own = queue->callers.find(caller);
     const int ownQueued =
             own == queue->callers.end() ? 0 : static_cast<int>(own->second.waiting.size());
+    const int others =
+            static_cast<int>(queue->callers.size()) - (own == queue->callers.end() ? 0 : 1);
+    // Callers take turns, so a caller waits behind its own requests and as many of each other's.
+    const int ahead = std::min(queue->queued, (ownQueued + 1) * (others + 1) - 1);
+    const Duration wait = waitBehind(*queue, ahead);
+    if (now + wait + queue->serviceTime > deadline)
+        return Refusal::DeadlineUnreachable;
     const double bound = settings_.callerShareAbove * toMilliseconds(deadline - now);
-    const bool busy = toMilliseconds(wait) > bound;
-    if (busy && ownQueued + 1 > queue->definition.callerShare * (queue->queued + 1))
+    const bool busy = toMilliseconds(waitBehind(*queue, queue->queued)) > bound;
+    const bool overShare = ownQueued + 1 > queue->definition.callerShare * (queue->queued + 1);
+    if (others > 0 && busy && overShare)
         return Refusal::CallerShare;
     return Refusal::None;
 }
--- /dev/null
+++ b/tests/unit/routing_test.cpp
@@ -0,0 +1,169 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "routing/routing.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonledge;
+
+namespace {
+
+const Time Start{seconds(100)};
+const ServiceId Desk("desk");
+const EntryRun Self{EntryId("a"), Incarnation{7}};
+const EntryRun Dead{EntryId("b"), Incarnation{3}};
+constexpr UnitMask AllUnits = 0xffff;
+constexpr UnitMask HalfUnits = 0x00ff;
+
+HostListing workers(int count, HostState state = HostState::Live)
+{
+    HostListing listing;
+    listing.ok = true;
+    for (int i = 0; i < count; ++i) {
+        HostInfo host;
+        host.id = HostId("w" + std::to_string(i));
+        host.address = {"127.0.0.1", static_cast<std::uint16_t>(1000 + i)};
+        host.domain = DomainId("d");
+        host.service = Desk;
+        host.slots = 8;
+        host.state = state;
+        listing.hosts.push_back(host);
+    }
+    return listing;
+}
+
+EndpointTable makeTable(int count, UnitMask units)
+{
+    EndpointTable table(RoutingSettings(), DomainId("d"), Self, 42);
+    table.applyHosts(workers(count), Start);
+    table.setUnits(units);
+    return table;
+}
+
+int startAll(EndpointTable &table, Time now)
+{
+    int started = 0;
+    while (const auto host = table.choose(Desk, true, {}, now)) {
+        table.started(*host, now);
+        ++started;
+    }
+    return started;
+}
+
+EndpointStatus sample(int deadRunning, int ownRunning = 0)
+{
+    EndpointStatus status;
+    status.ok = true;
+    status.slots = 8;
+    if (deadRunning > 0)
+        status.runningByEntry[Dead.str()] = deadRunning;
+    if (ownRunning > 0)
+        status.runningByEntry[Self.str()] = ownRunning;
+    return status;
+}
+
+} // namespace
+
+TEST_CASE("invariant_1: a process uses only the slots of its own units")
+{
+    EndpointTable half = makeTable(3, HalfUnits);
+    CHECK(startAll(half, Start) == 3 * 4);
+    EndpointTable other = makeTable(3, AllUnits & ~HalfUnits);
+    CHECK(startAll(other, Start) == 3 * 4);
+    EndpointTable none = makeTable(3, 0);
+    CHECK(startAll(none, Start) == 0);
+}
+
+TEST_CASE(
+        "invariant_1: slots of a dead member stay busy until a later sample shows none of its work")
+{
+    EndpointTable table = makeTable(1, HalfUnits);
+    const HostId host("w0");
+    table.addUnverified(Dead, AllUnits & ~HalfUnits, Start);
+    table.setUnits(AllUnits);
+    CHECK(table.usableSlots(Desk) == 4);
+    // Too early: the dead member's last request may not have reached the endpoint.
+    table.applyStatus(host, sample(0), Start + milliseconds(100));
+    CHECK(table.usableSlots(Desk) == 4);
+    // A late answer with an old sample proves nothing.
+    EndpointStatus stale = sample(0);
+    stale.sampleAge = seconds(2);
+    table.applyStatus(host, stale, Start + seconds(1));
+    CHECK(table.usableSlots(Desk) == 4);
+    table.applyStatus(host, sample(1), Start + seconds(1));
+    CHECK(table.usableSlots(Desk) == 4);
+    table.applyStatus(host, sample(0), Start + seconds(2));
+    CHECK(table.usableSlots(Desk) == 8);
+}
+
+TEST_CASE("invariant_1: a request without an answer blocks its endpoint until it has ended there")
+{
+    EndpointTable table = makeTable(1, AllUnits);
+    const HostId host("w0");
+    table.started(host, Start);
+    table.finished(host, RunStatus::Unknown, 0, seconds(1), Start + seconds(1));
+    CHECK_FALSE(table.choose(Desk, true, {}, Start + seconds(1)));
+    table.applyStatus(host, sample(0, 1), Start + seconds(3));
+    CHECK_FALSE(table.choose(Desk, true, {}, Start + seconds(3)));
+    table.applyStatus(host, sample(0), Start + seconds(4));
+    CHECK(table.choose(Desk, true, {}, Start + seconds(4)));
+}
+
+TEST_CASE("invariant_7: a leaving endpoint gets no new work, by the list or by its own answer")
+{
+    EndpointTable table = makeTable(2, AllUnits);
+    table.markLeaving(HostId("w0"));
+    // The list lags and still shows the host as live.
+    table.applyHosts(workers(2), Start + seconds(1));
+    for (int i = 0; i < 20; ++i)
+        CHECK(table.choose(Desk, true, {}, Start + seconds(1)) == HostId("w1"));
+    table.applyHosts(workers(2, HostState::Leaving), Start + seconds(2));
+    CHECK_FALSE(table.choose(Desk, true, {}, Start + seconds(2)));
+    // An unreadable list changes nothing.
+    table.applyHosts(HostListing(), Start + seconds(3));
+    CHECK(table.endpoints().size() == 2);
+}
+
+TEST_CASE("an endpoint that fails fast is ejected, and readmitted by idempotent requests only")
+{
+    EndpointTable table = makeTable(4, AllUnits);
+    const HostId bad("w0");
+    Time now = Start;
+    int onBad = 0;
+    for (int i = 0; i < 400; ++i) {
+        now += milliseconds(10);
+        const auto host = table.choose(Desk, false, {}, now);
+        REQUIRE(host);
+        table.started(*host, now);
+        onBad += *host == bad ? 1 : 0;
+        const int status = *host == bad ? 500 : 200;
+        const Duration latency = *host == bad ? milliseconds(1) : milliseconds(30);
+        table.finished(*host, RunStatus::Answered, status, latency, now);
+    }
+    CHECK(table.find(bad)->ejected);
+    CHECK(onBad <= 40);
+    now += seconds(3);
+    bool probed = false;
+    for (int i = 0; i < 200 && !probed; ++i) {
+        const auto host = table.choose(Desk, true, {}, now);
+        probed = host == bad;
+    }
+    CHECK(probed);
+    table.started(bad, now);
+    table.finished(bad, RunStatus::Answered, 200, milliseconds(30), now);
+    CHECK_FALSE(table.find(bad)->ejected);
+}
+
+TEST_CASE("at most a third of the endpoints is ejected")
+{
+    EndpointTable table = makeTable(6, AllUnits);
+    for (int i = 0; i < 600; ++i) {
+        const auto host = table.choose(Desk, false, {}, Start);
+        REQUIRE(host);
+        table.started(*host, Start);
+        table.finished(*host, RunStatus::Answered, 500, milliseconds(1), Start);
+    }
+    int ejected = 0;
+    for (const auto &item : table.endpoints())
+        ejected += item.second.ejected ? 1 : 0;
+    CHECK(ejected == 2);
+}
