--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,482 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <bitset>
+#include <stdexcept>
+
+namespace monsoonledge {
+
+namespace {
+
+int count(UnitMask mask)
+{
+    return static_cast<int>(std::bitset<UnitCount>(mask).count());
+}
+
+bool has(UnitMask mask, int unit)
+{
+    return ((mask >> unit) & 1U) != 0;
+}
+
+void removeMember(DomainRecord &record, const EntryRun &run)
+{
+    auto &members = record.members;
+    members.erase(std::remove_if(members.begin(), members.end(),
+                                 [&](const Member &m) { return m.run == run; }),
+                  members.end());
+    for (UnitRecord &unit : record.units) {
+        if (unit.owner == run)
+            unit = {std::nullopt, run, false};
+    }
+}
+
+} // namespace
+
+Membership::Membership(MembershipSettings settings, StorePort &store, TimerPort &timers,
+                       LogHook log)
+    : settings_(std::move(settings)), store_(store), timers_(timers), log_(std::move(log))
+{ }
+
+std::string Membership::key() const
+{
+    return "domains/" + settings_.domain.str();
+}
+
+void Membership::log(LogLevel level, const char *event, const std::string &message,
+                     std::vector<std::pair<std::string, std::string>> fields) const
+{
+    if (log_)
+        log_({level, event, message, std::move(fields)});
+}
+
+StoreDone Membership::guarded(void (Membership::*handler)(const StoreValue &, Time))
+{
+    return [this, handler, guard = std::weak_ptr<bool>(alive_)](const StoreValue &value, Time now) {
+        if (!guard.expired())
+            (this->*handler)(value, now);
+    };
+}
+
+void Membership::later(void (Membership::*action)(Time))
+{
+    timers_.after(settings_.retryDelay,
+                  [this, action, guard = std::weak_ptr<bool>(alive_)](Time now) {
+                      if (!guard.expired())
+                          (this->*action)(now);
+                  });
+}
+
+void Membership::start(Time now)
+{
+    busy_ = true;
+    read(now);
+}
+
+void Membership::restart(Incarnation incarnation, Time /*now*/)
+{
+    if (!expelled_ || incarnation <= settings_.self.incarnation)
+        throw std::logic_error("restart() needs an expelled run and a newer incarnation");
+    settings_.self.incarnation = incarnation;
+    expelled_ = false;
+    registered_ = false;
+    if (!busy_)
+        evaluate();
+}
+
+void Membership::read(Time /*now*/)
+{
+    versionAtRead_ = version_;
+    store_.get(key(), guarded(&Membership::onRead));
+}
+
+void Membership::onFailure()
+{
+    if (storeReachable_)
+        log(LogLevel::Warning, "store-unreachable", "The domain record cannot be reached.");
+    storeReachable_ = false;
+}
+
+void Membership::onRead(const StoreValue &value, Time now)
+{
+    if (value.status != StoreStatus::Ok && value.status != StoreStatus::NotFound) {
+        onFailure();
+        later(&Membership::read);
+        return;
+    }
+    // A watch may have delivered a newer record while the read was in flight. A version lower than
+    // the one known when the read was issued means that the store was restored from a backup.
+    if (value.version >= version_ || value.version < versionAtRead_) {
+        if (value.status == StoreStatus::NotFound) {
+            adopt(DomainRecord(), Version(), now);
+        } else if (!adoptText(value.value, value.version, now)) {
+            later(&Membership::read);
+            return;
+        }
+    }
+    storeReachable_ = true;
+    busy_ = false;
+    watch(now);
+    evaluate();
+}
+
+void Membership::watch(Time /*now*/)
+{
+    if (watching_)
+        return;
+    watching_ = true;
+    store_.watch(key(), version_, guarded(&Membership::onWatched));
+}
+
+void Membership::onWatched(const StoreValue &value, Time now)
+{
+    watching_ = false;
+    switch (value.status) {
+    case StoreStatus::Ok:
+        // An answer older than an own write that completed meanwhile is outdated.
+        if (value.version > version_ && !adoptText(value.value, value.version, now)) {
+            later(&Membership::watch);
+            return;
+        }
+        if (value.version < version_) {
+            later(&Membership::watch);
+            return;
+        }
+        storeReachable_ = true;
+        break;
+    case StoreStatus::Conflict:
+        storeReachable_ = true;
+        break;
+    case StoreStatus::NotFound:
+    case StoreStatus::Refused:
+    case StoreStatus::Unknown:
+        // While busy, the pending read or write ends with a new watch.
+        if (value.status != StoreStatus::NotFound)
+            onFailure();
+        if (!busy_) {
+            busy_ = true;
+            later(&Membership::read);
+        }
+        return;
+    }
+    watch(now);
+    evaluate();
+}
+
+void Membership::onWritten(const StoreValue &value, Time now)
+{
+    if (value.status == StoreStatus::Ok) {
+        busy_ = false;
+        if (value.version > version_)
+            adopt(written_, value.version, now);
+        watch(now);
+        evaluate();
+        return;
+    }
+    if (value.status != StoreStatus::Conflict)
+        onFailure();
+    later(&Membership::read);
+}
+
+bool Membership::adoptText(const std::string &text, Version version, Time now)
+{
+    try {
+        adopt(decodeDomainRecord(text), version, now);
+        return true;
+    } catch (const std::runtime_error &error) {
+        log(LogLevel::Error, "domain-record-unreadable", error.what());
+        return false;
+    }
+}
+
+void Membership::adopt(DomainRecord record, Version version, Time now)
+{
+    const EntryRun self = settings_.self;
+    const bool changed = version != version_ || !haveRecord_;
+    const DomainRecord before = std::exchange(record_, std::move(record));
+    version_ = version;
+    haveRecord_ = true;
+    if (!storeReachable_)
+        log(LogLevel::Info, "store-reachable", "The domain record was read.");
+    storeReachable_ = true;
+    if (!changed)
+        return;
+
+    const Member *member = record_.findMember(self.entry);
+    const bool present = member != nullptr && member->run == self;
+    const bool left = draining_ && (owned_ & ~releaseWritten_) == 0;
+    if (!present && registered_ && !left) {
+        expel(now);
+    } else {
+        registered_ = registered_ || present;
+        const UnitMask owned = record_.unitsOf(self);
+        const UnitMask gained = owned & ~owned_;
+        const UnitMask lost = owned_ & ~owned;
+        owned_ = owned;
+        releasing_ &= owned;
+        releaseWritten_ &= owned;
+        if (draining_)
+            releasing_ = owned;
+        for (int unit = 0; unit < UnitCount; ++unit) {
+            if (has(lost, unit))
+                unitReleased.emit(unit, now);
+            if (!has(gained, unit) || !has(owned_, unit))
+                continue;
+            const UnitRecord &former = record_.units[unit];
+            log(LogLevel::Info, former.released ? "unit-gained" : "unit-taken-over",
+                "A share unit now belongs to this process.",
+                {{"unit", std::to_string(unit)}, {"former", former.lastOwner.str()}});
+            unitGained.emit({unit, former.lastOwner, former.released}, now);
+        }
+    }
+    // A member whose units were freed without a release was proven dead by another process.
+    for (const Member &old : before.members) {
+        const auto &units = record_.units;
+        const bool takenOver = std::any_of(units.begin(), units.end(), [&](const UnitRecord &u) {
+            return u.lastOwner == old.run && !u.released;
+        });
+        const Member *successor = record_.findMember(old.run.entry);
+        if (takenOver && old.run != self && (successor == nullptr || successor->run != old.run))
+            reportDeath(old.run, now);
+    }
+    std::vector<EntryRun> outdated;
+    for (const Member &current : record_.members) {
+        if (isDead(current))
+            outdated.push_back(current.run);
+    }
+    for (const EntryRun &run : outdated)
+        reportDeath(run, now);
+    recordChanged.emit(now);
+}
+
+void Membership::expel(Time now)
+{
+    if (expelled_)
+        return;
+    log(LogLevel::Error, "expelled", "This run was removed from the domain record.");
+    expelled_ = true;
+    owned_ = 0;
+    releasing_ = 0;
+    releaseWritten_ = 0;
+    expelled.emit(now);
+}
+
+void Membership::peerUp(const EntryId &entry, Incarnation incarnation, Time now)
+{
+    linked_[entry] = true;
+    Incarnation &newest = newestSeen_[entry];
+    newest = std::max(newest, incarnation);
+    const Member *member = record_.findMember(entry);
+    if (member != nullptr && member->run.incarnation < newest && entry != settings_.self.entry) {
+        const EntryRun run = member->run;
+        declareDead(run, "a newer incarnation is up", now);
+    }
+}
+
+void Membership::peerLost(const EntryId &entry, LinkLoss loss, Time now)
+{
+    linked_[entry] = false;
+    const Member *member = record_.findMember(entry);
+    if (loss != LinkLoss::Refused || member == nullptr || entry == settings_.self.entry)
+        return;
+    const EntryRun run = member->run;
+    if (!refusedOnce_.insert(run).second)
+        declareDead(run, "its address refuses connections", now);
+}
+
+void Membership::hostsRead(const HostListing &listing, Time now)
+{
+    if (!listing.ok)
+        return;
+    // Two listings far apart, as after a suspension, do not show that a host was gone in between.
+    if (now - lastListing_ > settings_.hostGone / 3)
+        goneSince_.clear();
+    lastListing_ = now;
+    std::map<HostId, Time> gone;
+    std::vector<EntryRun> proven;
+    for (const Member &member : record_.members) {
+        const bool listed = std::any_of(listing.hosts.begin(), listing.hosts.end(),
+                                        [&](const HostInfo &h) { return h.id == member.host; });
+        if (listed || linked_[member.run.entry] || member.run == settings_.self)
+            continue;
+        const auto known = goneSince_.find(member.host);
+        const Time since = known == goneSince_.end() ? now : known->second;
+        gone[member.host] = since;
+        if (now - since >= settings_.hostGone && !settings_.soleMember)
+            proven.push_back(member.run);
+    }
+    goneSince_ = std::move(gone);
+    for (const EntryRun &run : proven)
+        declareDead(run, "its host has left the host list", now);
+}
+
+void Membership::attestDead(const EntryRun &run, Time now)
+{
+    if (run == settings_.self)
+        log(LogLevel::Error, "own-death-attested", "An operator attested the death of this run.");
+    else
+        declareDead(run, "attested by an operator", now);
+}
+
+void Membership::declareDead(const EntryRun &run, const char *proof, Time now)
+{
+    if (!dead_.insert(run).second)
+        return;
+    log(LogLevel::Warning, "member-dead", proof, {{"run", run.str()}});
+    reportDeath(run, now);
+    evaluate();
+}
+
+void Membership::reportDeath(const EntryRun &run, Time now)
+{
+    if (deadReported_.insert(run).second)
+        memberDied.emit(run, now);
+}
+
+bool Membership::isDead(const Member &member) const
+{
+    if (member.run == settings_.self)
+        return false;
+    const auto newest = newestSeen_.find(member.run.entry);
+    return dead_.count(member.run) != 0
+           || (newest != newestSeen_.end() && member.run.incarnation < newest->second);
+}
+
+void Membership::drain(Time /*now*/)
+{
+    draining_ = true;
+    releasing_ = owned_;
+    evaluate();
+}
+
+bool Membership::drained() const
+{
+    if (!draining_)
+        return false;
+    const Member *member = record_.findMember(settings_.self.entry);
+    const bool present = member != nullptr && member->run == settings_.self;
+    return !storeReachable_ || (haveRecord_ && !busy_ && !present && owned_ == 0);
+}
+
+void Membership::recheckReleases(Time /*now*/)
+{
+    evaluate();
+}
+
+std::optional<EntryRun> Membership::unitOwner(int unit) const
+{
+    return record_.units.at(static_cast<std::size_t>(unit)).owner;
+}
+
+// Compares the record with what it should be and writes the difference.
+void Membership::evaluate()
+{
+    if (busy_ || !haveRecord_ || expelled_)
+        return;
+    DomainRecord next = record_;
+    planDead(next);
+    if (!planSelf(next))
+        return;
+    // The hook may call back into this object, which must not start a second write.
+    busy_ = true;
+    planReleases(next);
+    planShare(next);
+    const bool leave = draining_ && next.unitsOf(settings_.self) == 0;
+    if (leave)
+        removeMember(next, settings_.self);
+    const std::string text = encodeDomainRecord(next);
+    if (text == encodeDomainRecord(record_)) {
+        busy_ = false;
+        return;
+    }
+    written_ = std::move(next);
+    store_.compareAndSwap(key(), version_, text, guarded(&Membership::onWritten));
+}
+
+// Adds or updates the own member entry. False: the process cannot take part now.
+bool Membership::planSelf(DomainRecord &next)
+{
+    const EntryRun &self = settings_.self;
+    if (const Member *present = next.findMember(self.entry)) {
+        if (present->run == self) {
+            for (Member &member : next.members) {
+                if (member.run == self && draining_)
+                    member.state = MemberState::Draining;
+            }
+            return true;
+        }
+        if (self.incarnation < present->run.incarnation) {
+            log(LogLevel::Error, "newer-incarnation", "A newer run of this entry is registered.",
+                {{"run", present->run.str()}});
+            return false;
+        }
+        // Only the same address proves the older run dead, since this process listens there now.
+        if (present->address != settings_.address) {
+            log(LogLevel::Warning, "older-run-elsewhere",
+                "An older run of this entry is registered at another address.",
+                {{"run", present->run.str()}, {"address", present->address.str()}});
+            return false;
+        }
+        const EntryRun older = present->run;
+        removeMember(next, older);
+    }
+    if (!draining_)
+        next.members.push_back({self, settings_.host, settings_.address, MemberState::Active});
+    return true;
+}
+
+void Membership::planDead(DomainRecord &next) const
+{
+    std::vector<EntryRun> dead;
+    for (const Member &member : next.members) {
+        if (isDead(member))
+            dead.push_back(member.run);
+    }
+    for (const EntryRun &run : dead)
+        removeMember(next, run);
+}
+
+void Membership::planReleases(DomainRecord &next)
+{
+    const std::map<EntryId, int> shares = fairShares(next);
+    const auto own = shares.find(settings_.self.entry);
+    int excess = count(usableUnits()) - (own == shares.end() ? 0 : own->second);
+    int wanted = -count(releasing_);
+    for (const auto &[entry, share] : shares) {
+        const Member *member = next.findMember(entry);
+        wanted += std::max(0, share - count(next.unitsOf(member->run)));
+    }
+    for (const UnitRecord &unit : next.units)
+        wanted -= unit.owner ? 0 : 1;
+    for (int unit = UnitCount - 1; unit >= 0 && excess > 0 && wanted > 0; --unit) {
+        if (!has(usableUnits(), unit))
+            continue;
+        releasing_ |= 1U << unit;
+        --excess;
+        --wanted;
+    }
+    for (int unit = 0; unit < UnitCount; ++unit) {
+        if (has(releasing_, unit) && (!unitIdle || unitIdle(unit))) {
+            next.units[unit] = {std::nullopt, settings_.self, true};
+            releaseWritten_ |= 1U << unit;
+        }
+    }
+}
+
+// Takes free units up to the fair share. Taking more, up to the share rounded up, would have to be
+// given back to a member below its share, and units would move in circles.
+void Membership::planShare(DomainRecord &next)
+{
+    if (draining_)
+        return;
+    const std::map<EntryId, int> shares = fairShares(next);
+    const auto own = shares.find(settings_.self.entry);
+    int missing = (own == shares.end() ? 0 : own->second) - count(next.unitsOf(settings_.self));
+    for (int unit = 0; unit < UnitCount && missing > 0; ++unit) {
+        if (next.units[unit].owner || has(releasing_, unit))
+            continue;
+        next.units[unit].owner = settings_.self;
+        --missing;
+    }
+}
+
+} // namespace monsoonledge
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -68,6 +69,10 @@
     UnitMask unitsOf(const EntryRun &run) const;
 };
 
+/// How many units each active member should own: 16 divided by their number, rounded so that the
+/// sum is 16; members with smaller entry ids get the remainder.
+std::map<EntryId, int> fairShares(const DomainRecord &record);
+
 std::string encodeDomainRecord(const DomainRecord &record);
 /// Throws std::runtime_error if the text is not a domain record.
 DomainRecord decodeDomainRecord(const std::string &text);
@@ -103,8 +108,14 @@
     /// Registers this process in the record and keeps the record watched from now on.
     void start(Time now);
 
+    /// Registers a new run after `expelled`. All state of the former run is dropped.
+    void restart(Incarnation incarnation, Time now);
+
     /// Inputs. A peer that refuses connections is dead if it is a member at that address; a peer
-    /// that is up with a newer incarnation proves the older one dead.
+    /// that is up with a newer incarnation proves the older one dead. The caller keeps its links at
+    /// the addresses of the record. A member counts as refusing after two reports, because the
+    /// attempt behind the first one may have begun before the member opened its listener: a process
+    /// that was suspended can find such a report queued behind a newer record.
     void peerUp(const EntryId &entry, Incarnation incarnation, Time now);
     void peerLost(const EntryId &entry, LinkLoss loss, Time now);
     void hostsRead(const HostListing &listing, Time now);
@@ -120,9 +131,9 @@
     std::function<bool(int unit)> unitIdle;
 
     /// Units owned and not being released.
-    UnitMask usableUnits() const;
+    UnitMask usableUnits() const { return owned_ & ~releasing_; }
     /// Units owned, including those being released.
-    UnitMask ownedUnits() const;
+    UnitMask ownedUnits() const { return owned_; }
     /// The owner of a unit according to the last record read, or none.
     std::optional<EntryRun> unitOwner(int unit) const;
     const DomainRecord &record() const { return record_; }
@@ -136,25 +147,62 @@
     /// A member was proven dead. Emitted once per run.
     sigc::signal<void(const EntryRun &, Time)> memberDied;
     sigc::signal<void(Time)> recordChanged;
+    /// The own run was removed from the record although it did not leave: other members own its
+    /// units. The process must stop dispatching to endpoints. It takes part again after restart().
+    sigc::signal<void(Time)> expelled;
 
 private:
-    struct Private;
+    std::string key() const;
+    /// Wraps a member function as a callback that does nothing after the object's destruction.
+    StoreDone guarded(void (Membership::*handler)(const StoreValue &, Time));
+    void later(void (Membership::*action)(Time));
+    void read(Time now);
+    void onRead(const StoreValue &value, Time now);
+    void watch(Time now);
+    void onWatched(const StoreValue &value, Time now);
+    void onWritten(const StoreValue &value, Time now);
+    void onFailure();
+    bool adoptText(const std::string &text, Version version, Time now);
+    void adopt(DomainRecord record, Version version, Time now);
+    void expel(Time now);
+
+    void evaluate();
+    bool planSelf(DomainRecord &next);
+    void planDead(DomainRecord &next) const;
+    void planReleases(DomainRecord &next);
+    void planShare(DomainRecord &next);
+    bool isDead(const Member &member) const;
+    void declareDead(const EntryRun &run, const char *proof, Time now);
+    void reportDeath(const EntryRun &run, Time now);
+    void log(LogLevel level, const char *event, const std::string &message,
+             std::vector<std::pair<std::string, std::string>> fields = {}) const;
 
     MembershipSettings settings_;
     StorePort &store_;
     TimerPort &timers_;
     LogHook log_;
     DomainRecord record_;
+    DomainRecord written_; // content of the write that is in flight
     Version version_;
+    Version versionAtRead_; // version_ when the last read was issued
+    bool haveRecord_ = false;
     bool storeReachable_ = false;
     bool draining_ = false;
-    bool registered_ = false;
-    bool writing_ = false;
+    bool registered_ = false; // the own run was seen in the record
+    bool expelled_ = false;
+    bool busy_ = false; // a read or write is in flight, or a retry is scheduled
+    bool watching_ = false;
+    UnitMask owned_ = 0;
     UnitMask releasing_ = 0;
+    UnitMask releaseWritten_ = 0; // units of releasing_ that a write has set free, perhaps lost
     std::set<EntryRun> dead_;
     std::set<EntryRun> deadReported_;
+    std::set<EntryRun> refusedOnce_;
+    std::map<EntryId, Incarnation> newestSeen_;
     std::map<HostId, Time> goneSince_;
+    Time lastListing_{};
     std::map<EntryId, bool> linked_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace monsoonledge
--- /dev/null
+++ b/src/membership/record.cpp
@@ -0,0 +1,149 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <cassert>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace monsoonledge {
+
+int unitOfSlot(int slot, int slots)
+{
+    assert(slot >= 0 && slot < slots);
+    return static_cast<int>(static_cast<std::int64_t>(slot) * UnitCount / slots);
+}
+
+int slotsOfUnits(UnitMask units, int slots)
+{
+    int count = 0;
+    for (int slot = 0; slot < slots; ++slot)
+        count += static_cast<int>((units >> unitOfSlot(slot, slots)) & 1U);
+    return count;
+}
+
+int unitOfRequest(const RequestId &id)
+{
+    return static_cast<int>(stableHash(id.str()) % UnitCount);
+}
+
+DomainId homeDomain(const RequestId &id, const std::vector<DomainId> &configured)
+{
+    const std::size_t end = id.str().find('~');
+    if (end != std::string::npos) {
+        DomainId named(id.str().substr(0, end));
+        if (std::find(configured.begin(), configured.end(), named) != configured.end())
+            return named;
+    }
+    return rendezvous(id.str(), configured);
+}
+
+const Member *DomainRecord::findMember(const EntryId &entry) const
+{
+    const auto found = std::find_if(members.begin(), members.end(),
+                                    [&](const Member &m) { return m.run.entry == entry; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+UnitMask DomainRecord::unitsOf(const EntryRun &run) const
+{
+    UnitMask mask = 0;
+    for (int unit = 0; unit < UnitCount; ++unit) {
+        if (units[unit].owner == run)
+            mask |= 1U << unit;
+    }
+    return mask;
+}
+
+std::map<EntryId, int> fairShares(const DomainRecord &record)
+{
+    std::map<EntryId, int> shares;
+    for (const Member &member : record.members) {
+        if (member.state == MemberState::Active)
+            shares[member.run.entry] = 0;
+    }
+    int remaining = UnitCount;
+    int left = static_cast<int>(shares.size());
+    for (auto &[entry, share] : shares) {
+        share = (remaining + left - 1) / left;
+        remaining -= share;
+        --left;
+    }
+    return shares;
+}
+
+namespace {
+
+using nlohmann::json;
+
+json encodeRun(const EntryRun &run)
+{
+    return {{"entry", run.entry.str()}, {"incarnation", run.incarnation.value}};
+}
+
+EntryRun decodeRun(const json &value)
+{
+    return {EntryId(value.at("entry").get<std::string>()),
+            Incarnation{value.at("incarnation").get<std::uint64_t>()}};
+}
+
+} // namespace
+
+std::string encodeDomainRecord(const DomainRecord &record)
+{
+    json members = json::array();
+    for (const Member &member : record.members) {
+        json entry = encodeRun(member.run);
+        entry["host"] = member.host.str();
+        entry["ip"] = member.address.ip;
+        entry["port"] = member.address.port;
+        entry["state"] = member.state == MemberState::Active ? "active" : "draining";
+        members.push_back(std::move(entry));
+    }
+    json units = json::array();
+    for (const UnitRecord &unit : record.units) {
+        json entry = json::object();
+        if (unit.owner)
+            entry["owner"] = encodeRun(*unit.owner);
+        if (!unit.lastOwner.entry.isEmpty())
+            entry["lastOwner"] = encodeRun(unit.lastOwner);
+        entry["released"] = unit.released;
+        units.push_back(std::move(entry));
+    }
+    return json{{"members", std::move(members)}, {"units", std::move(units)}}.dump();
+}
+
+DomainRecord decodeDomainRecord(const std::string &text)
+{
+    try {
+        const json document = json::parse(text);
+        DomainRecord record;
+        for (const json &entry : document.at("members")) {
+            const std::string state = entry.at("state").get<std::string>();
+            if (state != "active" && state != "draining")
+                throw std::runtime_error("unknown member state '" + state + "'");
+            record.members.push_back(
+                    {decodeRun(entry), HostId(entry.at("host").get<std::string>()),
+                     Address{entry.at("ip").get<std::string>(),
+                             entry.at("port").get<std::uint16_t>()},
+                     state == "active" ? MemberState::Active : MemberState::Draining});
+        }
+        const json &units = document.at("units");
+        if (units.size() != UnitCount)
+            throw std::runtime_error("expected " + std::to_string(UnitCount) + " units, got "
+                                     + std::to_string(units.size()));
+        for (int i = 0; i < UnitCount; ++i) {
+            const json &entry = units.at(i);
+            UnitRecord &unit = record.units[i];
+            if (entry.contains("owner"))
+                unit.owner = decodeRun(entry.at("owner"));
+            if (entry.contains("lastOwner"))
+                unit.lastOwner = decodeRun(entry.at("lastOwner"));
+            unit.released = entry.at("released").get<bool>();
+        }
+        return record;
+    } catch (const json::exception &error) {
+        throw std::runtime_error(std::string("not a domain record: ") + error.what());
+    }
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/tests/unit/membership_test.cpp
@@ -0,0 +1,297 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "fakes/fakestore.h"
+#include "membership/membership.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+
+using namespace monsoonledge;
+
+namespace {
+
+struct Domain
+{
+    FakeClock clock;
+    FakeStore store{clock, 1};
+
+    DomainRecord record() const { return decodeDomainRecord(store.value("domains/d").text); }
+};
+
+MembershipSettings settingsOf(const std::string &name, std::uint64_t incarnation)
+{
+    MembershipSettings settings;
+    settings.domain = DomainId("d");
+    settings.self = {EntryId(name), Incarnation{incarnation}};
+    settings.host = HostId("host-" + name);
+    settings.address = {"127.0.0.1", static_cast<std::uint16_t>(7000 + name[0])};
+    return settings;
+}
+
+struct Process
+{
+    Process(Domain &domain, const std::string &name, std::uint64_t incarnation = 1)
+        : timers(domain.clock), store(domain.store, timers), clock(domain.clock),
+          membership(settingsOf(name, incarnation), store, timers, nullptr)
+    {
+        membership.unitGained.connect([this](const GainedUnit &u, Time) { gained.push_back(u); });
+        membership.memberDied.connect([this](const EntryRun &r, Time) { died.push_back(r); });
+        membership.expelled.connect([this](Time) { ++expulsions; });
+        membership.unitIdle = [this](int unit) { return ((busy >> unit) & 1U) == 0; };
+        membership.start(clock.now());
+    }
+    int usable() const { return __builtin_popcount(membership.usableUnits()); }
+    void refused(const std::string &name, int times = 2)
+    {
+        for (int i = 0; i < times; ++i)
+            membership.peerLost(EntryId(name), LinkLoss::Refused, clock.now());
+    }
+
+    FakeTimers timers;
+    FakeStoreClient store;
+    FakeClock &clock;
+    Membership membership;
+    std::vector<GainedUnit> gained;
+    std::vector<EntryRun> died;
+    UnitMask busy = 0;
+    int expulsions = 0;
+};
+
+EntryRun run(const std::string &name, std::uint64_t incarnation = 1)
+{
+    return {EntryId(name), Incarnation{incarnation}};
+}
+
+} // namespace
+
+TEST_CASE("slots are split by unit without overlap or gap, also for slots that 16 does not divide")
+{
+    for (const int slots : {1, 8, 16, 24, 33}) {
+        int total = 0;
+        for (int unit = 0; unit < UnitCount; ++unit)
+            total += slotsOfUnits(1U << unit, slots);
+        CHECK(total == slots);
+        CHECK(unitOfSlot(slots - 1, slots) < UnitCount);
+    }
+}
+
+TEST_CASE("the domain named in an id is its home, unless that domain is not configured")
+{
+    const std::vector<DomainId> domains{DomainId("a"), DomainId("b")};
+    CHECK(homeDomain(RequestId("b~1"), domains) == DomainId("b"));
+    CHECK(homeDomain(RequestId("x~1"), domains) == rendezvous("x~1", domains));
+}
+
+TEST_CASE("a damaged domain record is an error and not an empty record")
+{
+    CHECK_THROWS_AS(decodeDomainRecord("{}"), std::runtime_error);
+    CHECK_THROWS_AS(decodeDomainRecord("not json"), std::runtime_error);
+    CHECK_THROWS_AS(decodeDomainRecord(R"({"members":[],"units":[]})"), std::runtime_error);
+}
+
+TEST_CASE("a joining member gets its share only after the owner's work on the units has ended")
+{
+    Domain domain;
+    Process a(domain, "a");
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 16);
+    a.busy = 0xffff;
+    Process b(domain, "b");
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 8);
+    CHECK(a.membership.ownedUnits() == 0xffff);
+    CHECK(b.membership.ownedUnits() == 0);
+    a.busy = 0;
+    a.membership.recheckReleases(domain.clock.now());
+    domain.clock.advance(seconds(1));
+    CHECK(b.usable() == 8);
+    REQUIRE(b.gained.size() == 8);
+    CHECK(b.gained[0].formerOwner == run("a"));
+    CHECK(b.gained[0].released);
+    Process c(domain, "c");
+    domain.clock.advance(seconds(2));
+    CHECK(a.usable() == 6);
+    CHECK(b.usable() == 5);
+    CHECK(c.usable() == 5);
+}
+
+TEST_CASE("a unit counts as gained only when the write is known, also after a lost answer")
+{
+    Domain domain;
+    domain.store.loseAnswer = 1;
+    domain.store.dropWatches();
+    Process a(domain, "a");
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 0);
+    domain.store.loseAnswer = 0;
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 16);
+    CHECK(a.gained.size() == 16);
+}
+
+TEST_CASE("one report of a refused connection is not proof, since it may be older than the run")
+{
+    Domain domain;
+    Process a(domain, "a");
+    Process b(domain, "b");
+    domain.clock.advance(seconds(2));
+    a.refused("b", 1);
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 8);
+    b.timers.kill();
+    a.refused("b", 1);
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 16);
+    REQUIRE(a.died.size() == 1);
+    CHECK(a.died[0] == run("b"));
+    CHECK_FALSE(a.gained.back().released);
+    CHECK(a.gained.back().formerOwner == run("b"));
+}
+
+TEST_CASE("lost links and silence prove nothing")
+{
+    Domain domain;
+    Process a(domain, "a");
+    Process b(domain, "b");
+    domain.clock.advance(seconds(2));
+    a.membership.peerLost(EntryId("b"), LinkLoss::TimedOut, domain.clock.now());
+    a.membership.peerLost(EntryId("b"), LinkLoss::Closed, domain.clock.now());
+    b.timers.suspend();
+    domain.clock.advance(minutes(60));
+    CHECK(a.usable() == 8);
+    CHECK(a.died.empty());
+}
+
+TEST_CASE("a restarted process takes the units of its older run as not released")
+{
+    Domain domain;
+    Process old(domain, "a", 1);
+    domain.clock.advance(seconds(1));
+    old.timers.kill();
+    Process a(domain, "a", 2);
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 16);
+    CHECK(a.gained[0].formerOwner == run("a", 1));
+    CHECK_FALSE(a.gained[0].released);
+    CHECK(domain.record().members.size() == 1);
+}
+
+TEST_CASE("a newer incarnation on the link proves the older run dead")
+{
+    Domain domain;
+    Process a(domain, "a");
+    Process b(domain, "b");
+    domain.clock.advance(seconds(2));
+    b.timers.kill();
+    a.membership.peerUp(EntryId("b"), Incarnation{1}, domain.clock.now());
+    CHECK(a.died.empty());
+    a.membership.peerUp(EntryId("b"), Incarnation{2}, domain.clock.now());
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 16);
+}
+
+TEST_CASE("a host gone from the list proves death only after 30 s without link and if not sole")
+{
+    Domain domain;
+    Process a(domain, "a");
+    Process b(domain, "b");
+    domain.clock.advance(seconds(2));
+    HostListing listing;
+    listing.ok = true;
+    const auto listFor = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            domain.clock.advance(seconds(1));
+            a.membership.hostsRead(listing, domain.clock.now());
+        }
+    };
+    a.membership.peerUp(EntryId("b"), Incarnation{1}, domain.clock.now());
+    listFor(40);
+    CHECK(a.died.empty()); // the link shows activity
+    a.membership.peerLost(EntryId("b"), LinkLoss::TimedOut, domain.clock.now());
+    listFor(29);
+    domain.clock.advance(seconds(60)); // suspended: nothing was seen in between
+    listFor(29);
+    CHECK(a.died.empty());
+    listFor(2);
+    CHECK(a.died.size() == 1);
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 16);
+    CHECK(b.expulsions == 1); // it was alive after all
+    CHECK(b.usable() == 0);
+}
+
+TEST_CASE("an expelled process takes part again only with a newer incarnation")
+{
+    Domain domain;
+    Process a(domain, "a");
+    Process b(domain, "b");
+    domain.clock.advance(seconds(2));
+    b.timers.suspend();
+    a.membership.attestDead(run("b"), domain.clock.now());
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 16);
+    b.timers.resume();
+    domain.clock.advance(seconds(1));
+    CHECK(b.expulsions == 1);
+    CHECK(b.usable() == 0);
+    CHECK_THROWS_AS(b.membership.restart(Incarnation{1}, domain.clock.now()), std::logic_error);
+    b.membership.restart(Incarnation{2}, domain.clock.now());
+    domain.clock.advance(seconds(2));
+    CHECK(b.usable() == 8);
+    CHECK(a.usable() == 8);
+}
+
+TEST_CASE("without the store nothing is taken or given, and units stay usable")
+{
+    Domain domain;
+    Process a(domain, "a");
+    Process b(domain, "b");
+    domain.clock.advance(seconds(2));
+    domain.store.down = true;
+    b.timers.kill();
+    a.refused("b");
+    domain.clock.advance(seconds(30));
+    CHECK(a.usable() == 8);
+    CHECK_FALSE(a.membership.storeReachable());
+    domain.store.down = false;
+    domain.clock.advance(seconds(2));
+    CHECK(a.membership.storeReachable());
+    CHECK(a.usable() == 16);
+}
+
+TEST_CASE("draining gives all units up once they are idle and removes the member")
+{
+    Domain domain;
+    Process a(domain, "a");
+    Process b(domain, "b");
+    domain.clock.advance(seconds(2));
+    b.busy = b.membership.usableUnits() & ~(b.membership.usableUnits() - 1); // one unit
+    b.membership.drain(domain.clock.now());
+    CHECK(b.usable() == 0);
+    domain.clock.advance(seconds(2));
+    CHECK_FALSE(b.membership.drained());
+    CHECK(a.usable() == 15);
+    b.busy = 0;
+    b.membership.recheckReleases(domain.clock.now());
+    domain.clock.advance(seconds(2));
+    CHECK(b.membership.drained());
+    CHECK(b.expulsions == 0);
+    CHECK(a.usable() == 16);
+    CHECK(a.died.empty());
+    CHECK(domain.record().members.size() == 1);
+}
+
+TEST_CASE("an older run registered at another address is not replaced, since it may be alive")
+{
+    Domain domain;
+    Process old(domain, "a", 1);
+    domain.clock.advance(seconds(1));
+    DomainRecord moved = domain.record();
+    moved.members[0].address.port = 9;
+    domain.store.put("domains/d", encodeDomainRecord(moved));
+    Process a(domain, "a", 2);
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 0);
+    a.membership.attestDead(run("a", 1), domain.clock.now());
+    domain.clock.advance(seconds(1));
+    CHECK(a.usable() == 16);
+}
