Add the event loop, HTTP server and client, platform clients and logger

The server refuses requests whose length two parsers could read differently (differing Content-Length, a body on GET, HEAD or DELETE, white space in a header name, other transfer codings) and closes the connection, since evhttp accepts them and a balancer in front would allow request smuggling. evhttp's own HTML error pages are replaced by the JSON refusal before they are sent.

The client keeps one request on a connection and never reconnects an evhttp connection. A request counts as unsent only while no byte has reached the connection's output buffer.

--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -103,9 +103,10 @@
     void stopAccepting();
     int openConnections() const;
 
+    struct Private; // internal state, used by callbacks of evhttp
+
 private:
-    struct Private;
-    std::unique_ptr<Private> d_;
+    std::shared_ptr<Private> d_;
 };
 
 // [3] HTTP client
@@ -143,14 +144,20 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// `target` is the path with the query, already encoded. Calls back exactly once.
+    /// Returns the reason why a response cannot be used, or an empty string.
+    using Check = std::function<std::string(const HttpResponse &)>;
+
+    /// `target` is the path with the query, already encoded. Calls back exactly once, unless the
+    /// client is destroyed before. A response refused by `check` is Lost, with the reason as its
+    /// detail, and closes the connection.
     void send(const Address &address, const std::string &method, const std::string &target,
               const HttpHeaders &headers, const std::string &body, Duration timeout,
-              std::function<void(const HttpResult &, Time now)> done);
+              std::function<void(const HttpResult &, Time now)> done, Check check = {});
+
+    struct Private; // internal state, used by callbacks of evhttp
 
 private:
-    struct Private;
-    std::unique_ptr<Private> d_;
+    std::shared_ptr<Private> d_;
 };
 
 /// Percent-encodes everything but unreserved characters, for use in a path or query.
@@ -158,12 +165,16 @@
 
 // [4] Clients of the platform
 
+/// A watch waits 10 s in the store and has its own connections. `timeout` applies to each call, and
+/// to a watch on top of its wait.
 std::unique_ptr<StorePort> makeStoreClient(EventLoop &loop, const Address &address,
                                            Duration timeout = seconds(2));
+/// A host that cannot be read from the list is left out. A host in an unknown state is Leaving.
 std::unique_ptr<HostListPort> makeHostListClient(EventLoop &loop, const Address &address,
                                                  Duration timeout = seconds(2));
 /// `maxConnections`: per endpoint, for requests; status samples use one more.
 std::unique_ptr<EndpointPort> makeEndpointClient(EventLoop &loop, int maxConnections = 24);
+/// Throttle orders carry {"percent"} as body; a response may carry {"checkpoint"}.
 std::unique_ptr<WorkerPort> makeWorkerClient(EventLoop &loop, Duration timeout = seconds(2));
 
 // [5] Peer links
--- /dev/null
+++ b/src/adapters/eventloop.cpp
@@ -0,0 +1,131 @@
+#include "adapters/adapters.h"
+#include "adapters/http_p.h"
+
+#include <event2/event.h>
+
+#include <stdexcept>
+#include <unordered_map>
+
+#include <csignal>
+#include <ctime>
+
+namespace monsoonledge {
+
+namespace {
+
+struct EventDeleter
+{
+    void operator()(event *ev) const { event_free(ev); }
+};
+using EventPtr = std::unique_ptr<event, EventDeleter>;
+
+} // namespace
+
+struct EventLoop::Private
+{
+    struct Timer
+    {
+        EventLoop *loop = nullptr;
+        TimerId id = 0;
+        std::function<void(Time)> callback;
+        EventPtr event;
+    };
+    struct Signal
+    {
+        EventLoop *loop = nullptr;
+        std::function<void(Time)> callback;
+        EventPtr event;
+    };
+
+    event_base *base = nullptr;
+    TimerId lastId = 0;
+    std::unordered_map<TimerId, std::unique_ptr<Timer>> timers;
+    std::vector<std::unique_ptr<Signal>> signals;
+
+    static void onTimer(evutil_socket_t, short, void *arg)
+    {
+        auto *timer = static_cast<Timer *>(arg);
+        EventLoop *loop = timer->loop;
+        const std::function<void(Time)> callback = std::move(timer->callback);
+        loop->d_->timers.erase(timer->id);
+        callback(loop->now());
+    }
+
+    static void onSignal(evutil_socket_t, short, void *arg)
+    {
+        auto *signal = static_cast<Signal *>(arg);
+        signal->callback(signal->loop->now());
+    }
+};
+
+EventLoop::EventLoop() : d_(std::make_unique<Private>())
+{
+    // A write to a connection that the peer has closed must return an error, not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    d_->base = event_base_new();
+    if (!d_->base)
+        throw std::runtime_error("cannot create the event loop");
+}
+
+EventLoop::~EventLoop()
+{
+    d_->timers.clear();
+    d_->signals.clear();
+    event_base_free(d_->base);
+}
+
+void EventLoop::run()
+{
+    event_base_loop(d_->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(d_->base);
+}
+
+Time EventLoop::now() const
+{
+    timespec ts{};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return Time(seconds(ts.tv_sec) + microseconds(ts.tv_nsec / 1000));
+}
+
+TimerId EventLoop::after(Duration delay, std::function<void(Time now)> callback)
+{
+    auto timer = std::make_unique<Private::Timer>();
+    timer->loop = this;
+    timer->id = ++d_->lastId;
+    timer->callback = std::move(callback);
+    timer->event.reset(evtimer_new(d_->base, &Private::onTimer, timer.get()));
+    if (!timer->event)
+        throw std::bad_alloc();
+    const timeval tv = toTimeval(delay);
+    evtimer_add(timer->event.get(), &tv);
+    const TimerId id = timer->id;
+    d_->timers.emplace(id, std::move(timer));
+    return id;
+}
+
+void EventLoop::cancel(TimerId id)
+{
+    d_->timers.erase(id);
+}
+
+void EventLoop::onSignal(int signalNumber, std::function<void(Time now)> callback)
+{
+    auto signal = std::make_unique<Private::Signal>();
+    signal->loop = this;
+    signal->callback = std::move(callback);
+    signal->event.reset(evsignal_new(d_->base, signalNumber, &Private::onSignal, signal.get()));
+    if (!signal->event || evsignal_add(signal->event.get(), nullptr) != 0)
+        throw std::runtime_error("cannot handle signal " + std::to_string(signalNumber));
+    d_->signals.push_back(std::move(signal));
+}
+
+event_base *EventLoop::base() const
+{
+    return d_->base;
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/adapters/http.cpp
@@ -0,0 +1,107 @@
+#include "adapters/http_p.h"
+
+#include <nlohmann/json.hpp>
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+
+#include <strings.h>
+
+namespace monsoonledge {
+
+namespace {
+
+std::string toLower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; });
+    return text;
+}
+
+} // namespace
+
+timeval toTimeval(Duration duration)
+{
+    const auto count = std::max<Duration::rep>(duration.count(), 0);
+    timeval tv{};
+    tv.tv_sec = static_cast<time_t>(count / 1000000);
+    tv.tv_usec = static_cast<suseconds_t>(count % 1000000);
+    return tv;
+}
+
+HttpHeaders copyHeaders(const evkeyvalq *headers)
+{
+    HttpHeaders result;
+    for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
+        const auto [it, inserted] = result.emplace(toLower(header->key), header->value);
+        if (!inserted && it->first != "content-length")
+            it->second.append(", ").append(header->value);
+    }
+    return result;
+}
+
+bool hasConsistentContentLength(const evkeyvalq *headers)
+{
+    std::optional<std::string> first;
+    for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
+        if (strcasecmp(header->key, "Content-Length") != 0)
+            continue;
+        // strtoll() in evhttp also accepts a sign, which another parser may read differently.
+        if (!parseNumber(header->value) || (first && *first != header->value))
+            return false;
+        first = header->value;
+    }
+    return true;
+}
+
+std::string headerValue(const HttpHeaders &headers, const std::string &name)
+{
+    const auto it = headers.find(name);
+    return it == headers.end() ? std::string() : it->second;
+}
+
+std::optional<std::uint64_t> parseNumber(const std::string &text)
+{
+    // 19 digits always fit into 64 bits.
+    if (text.empty() || text.size() > 19
+        || text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return std::stoull(text);
+}
+
+std::optional<nlohmann::json> parseObject(const std::string &text)
+{
+    nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return std::nullopt;
+    return json;
+}
+
+bool isCertainlyUnsent(HttpFailure failure)
+{
+    return failure == HttpFailure::NotConnected || failure == HttpFailure::Refused;
+}
+
+std::string percentEncode(const std::string &text)
+{
+    static const char *const digits = "0123456789ABCDEF";
+    std::string result;
+    for (const char c : text) {
+        const bool unreserved = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+                                || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_'
+                                || c == '~';
+        if (unreserved) {
+            result += c;
+        } else {
+            const auto byte = static_cast<unsigned char>(c);
+            result += '%';
+            result += digits[byte >> 4];
+            result += digits[byte & 15];
+        }
+    }
+    return result;
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/adapters/http_p.h
@@ -0,0 +1,38 @@
+// Helpers shared by the HTTP adapters. Private to src/adapters.
+#pragma once
+
+#include "adapters/adapters.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <string>
+
+#include <sys/time.h>
+
+struct evkeyvalq;
+
+namespace monsoonledge {
+
+timeval toTimeval(Duration duration);
+
+/// Copies the headers, names in lower case. Repeated headers are joined with ", ", except for
+/// Content-Length, whose first value is kept.
+HttpHeaders copyHeaders(const evkeyvalq *headers);
+
+/// False if Content-Length headers differ or one of them is not a plain decimal number.
+bool hasConsistentContentLength(const evkeyvalq *headers);
+
+/// The value of a header, or an empty string. `name` is in lower case.
+std::string headerValue(const HttpHeaders &headers, const std::string &name);
+
+/// Parses a decimal number of at most 19 digits without sign or spaces.
+std::optional<std::uint64_t> parseNumber(const std::string &text);
+
+/// Parses a JSON object. The result is empty if the text is none.
+std::optional<nlohmann::json> parseObject(const std::string &text);
+
+/// True if the failure guarantees that no byte of the request left this process.
+bool isCertainlyUnsent(HttpFailure failure);
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/adapters/httpclient.cpp
@@ -0,0 +1,506 @@
+#include "adapters/adapters.h"
+#include "adapters/http_p.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <cstring>
+#include <deque>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+namespace monsoonledge {
+
+namespace {
+
+// Idle connections are not reused after this time. It is shorter than the idle time-out of
+// HttpServer (30 s), so that a request does not meet a connection that the server is closing.
+constexpr Duration MaxIdle = seconds(20);
+// The time-outs inside evhttp are a fallback only: each request has its own timer.
+constexpr Duration FallbackTimeout = std::chrono::hours(1);
+constexpr ev_ssize_t MaxResponseHeaderBytes = 64 * 1024;
+
+using Done = std::function<void(const HttpResult &, Time now)>;
+
+struct Connection;
+
+/// One request from send() until its callback.
+struct Call
+{
+    Address address;
+    evhttp_cmd_type method = EVHTTP_REQ_GET;
+    std::string target;
+    HttpHeaders headers;
+    std::string body;
+    Done done;
+    HttpClient::Check check;
+    TimerId timer = 0;
+    TimerId connectTimer = 0;
+    std::weak_ptr<Connection> connection; // empty while the call waits for one
+    bool sent = false; // bytes were handed to the socket's output buffer, and may have left
+    HttpResult result;
+};
+
+/// One TCP connection. It is never reconnected: a new connection is a new object, because evhttp
+/// would send queued requests again on a connection that it reconnects.
+struct Connection
+{
+    ~Connection()
+    {
+        evhttp_connection_set_closecb(evcon, nullptr, nullptr);
+        evhttp_connection_free(evcon);
+    }
+
+    HttpClient::Private *client = nullptr;
+    std::weak_ptr<Connection> self;
+    Address address;
+    evhttp_connection *evcon = nullptr;
+    std::shared_ptr<Call> call; // empty while idle
+    bool completed = false; // the call's result is set and its callback scheduled
+    bool dead = false; // closed by the peer or unusable
+    Time idleSince{};
+    int connectError = 0; // errno of a failed attempt to connect
+    const char *error = nullptr; // evhttp's reason for a failed request
+    // evhttp's own event callback while connecting.
+    bufferevent_data_cb originalRead = nullptr;
+    bufferevent_data_cb originalWrite = nullptr;
+    bufferevent_event_cb originalEvent = nullptr;
+    void *originalArg = nullptr;
+};
+
+struct Pool
+{
+    std::vector<std::shared_ptr<Connection>> connections;
+    std::deque<std::shared_ptr<Call>> waiting;
+};
+
+evhttp_cmd_type parseMethod(const std::string &method)
+{
+    static const std::map<std::string, evhttp_cmd_type> methods{{"GET", EVHTTP_REQ_GET},
+                                                                {"POST", EVHTTP_REQ_POST},
+                                                                {"PUT", EVHTTP_REQ_PUT},
+                                                                {"DELETE", EVHTTP_REQ_DELETE},
+                                                                {"HEAD", EVHTTP_REQ_HEAD}};
+    const auto it = methods.find(method);
+    assert(it != methods.end());
+    return it->second;
+}
+
+const char *errorText(evhttp_request_error error)
+{
+    switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+        return "no progress on the connection";
+    case EVREQ_HTTP_EOF:
+        return "connection closed before the whole response arrived";
+    case EVREQ_HTTP_INVALID_HEADER:
+        return "malformed response header";
+    case EVREQ_HTTP_BUFFER_ERROR:
+        return "connection failed";
+    case EVREQ_HTTP_REQUEST_CANCEL:
+        return "request cancelled";
+    case EVREQ_HTTP_DATA_TOO_LONG:
+        return "response body over the size limit";
+    }
+    return "connection failed";
+}
+
+bool isIpNumber(const std::string &ip)
+{
+    std::array<unsigned char, 16> buffer{};
+    return inet_pton(AF_INET, ip.c_str(), buffer.data()) == 1
+           || inet_pton(AF_INET6, ip.c_str(), buffer.data()) == 1;
+}
+
+/// Returns why the response cannot be taken as whole, or an empty string.
+std::string findFault(const Connection &connection, evhttp_request *req,
+                      const HttpResponse &response)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(req);
+    if (response.status < 200)
+        return "unexpected status " + std::to_string(response.status);
+    if (!hasConsistentContentLength(headers))
+        return "inconsistent Content-Length";
+    const bool hasLength = response.headers.count("content-length") > 0;
+    const std::string encoding = headerValue(response.headers, "transfer-encoding");
+    if (!encoding.empty() && (encoding != "chunked" || hasLength))
+        return "unusable Transfer-Encoding";
+    const bool hasBody = response.status != 204 && response.status != 304
+                         && connection.call->method != EVHTTP_REQ_HEAD;
+    // Without a length, a body cut short by a lost connection looks like a whole one.
+    if (hasBody && !hasLength && encoding.empty())
+        return "response without a length";
+    bufferevent *bev = evhttp_connection_get_bufferevent(connection.evcon);
+    if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+        return "more bytes than one response";
+    return {};
+}
+
+} // namespace
+
+struct HttpClient::Private : std::enable_shared_from_this<HttpClient::Private>
+{
+    Private(EventLoop &eventLoop, HttpClientSettings clientSettings)
+        : loop(eventLoop), settings(clientSettings)
+    { }
+
+    EventLoop &loop;
+    HttpClientSettings settings;
+    std::map<Address, Pool> pools;
+
+    void dispatch(const Address &address);
+    std::shared_ptr<Connection> takeIdle(Pool &pool);
+    std::shared_ptr<Connection> open(Pool &pool, const Address &address);
+    void start(const std::shared_ptr<Connection> &connection, const std::shared_ptr<Call> &call);
+    void watchConnecting(const std::shared_ptr<Connection> &connection);
+    void remove(const std::shared_ptr<Connection> &connection);
+    void removeLater(const std::weak_ptr<Connection> &connection);
+    void fail(Connection &connection, const std::string &detail);
+    void complete(Connection &connection);
+    void finish(const std::shared_ptr<Connection> &connection);
+    void abandon(const std::shared_ptr<Call> &call, const std::string &detail);
+    void deliver(const std::shared_ptr<Call> &call);
+    void cancelTimers(Call &call);
+
+    static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg);
+    static void onConnectEvent(bufferevent *bev, short what, void *arg);
+    static void onClosed(evhttp_connection *, void *arg);
+    static void onError(evhttp_request_error error, void *arg);
+    static void onResponse(evhttp_request *req, void *arg);
+};
+
+/// Starts waiting calls on idle or new connections.
+void HttpClient::Private::dispatch(const Address &address)
+{
+    const auto it = pools.find(address);
+    if (it == pools.end())
+        return;
+    Pool &pool = it->second;
+    while (!pool.waiting.empty()) {
+        std::shared_ptr<Connection> connection = takeIdle(pool);
+        if (!connection) {
+            if (pool.connections.size()
+                >= static_cast<std::size_t>(settings.maxConnectionsPerAddress))
+                return;
+            connection = open(pool, address);
+        }
+        const std::shared_ptr<Call> call = pool.waiting.front();
+        pool.waiting.pop_front();
+        start(connection, call);
+    }
+    if (pool.connections.empty())
+        pools.erase(it);
+}
+
+/// The idle connection used last, or none. Connections that cannot be reused are closed.
+std::shared_ptr<Connection> HttpClient::Private::takeIdle(Pool &pool)
+{
+    const Time now = loop.now();
+    const auto isStale = [now](const std::shared_ptr<Connection> &c) {
+        if (c->call)
+            return false;
+        if (c->dead || now - c->idleSince > MaxIdle)
+            return true;
+        // The peer may have closed the connection without the loop having seen it yet. Any byte
+        // that arrives while no request is pending is not an answer to one.
+        char byte = 0;
+        bufferevent *bev = evhttp_connection_get_bufferevent(c->evcon);
+        const ssize_t n = recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    };
+    auto &all = pool.connections;
+    all.erase(std::remove_if(all.begin(), all.end(), isStale), all.end());
+    std::shared_ptr<Connection> best;
+    for (const std::shared_ptr<Connection> &c : all) {
+        if (!c->call && (!best || best->idleSince < c->idleSince))
+            best = c;
+    }
+    return best;
+}
+
+std::shared_ptr<Connection> HttpClient::Private::open(Pool &pool, const Address &address)
+{
+    bufferevent *bev = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    evhttp_connection *evcon = bev ? evhttp_connection_base_bufferevent_new(
+                                       loop.base(), nullptr, bev, address.ip.c_str(), address.port)
+                                   : nullptr;
+    if (!evcon)
+        throw std::bad_alloc();
+    auto connection = std::make_shared<Connection>();
+    connection->client = this;
+    connection->self = connection;
+    connection->address = address;
+    connection->evcon = evcon;
+    const timeval tv = toTimeval(FallbackTimeout);
+    evhttp_connection_set_timeout_tv(evcon, &tv);
+    evhttp_connection_set_retries(evcon, 0);
+    evhttp_connection_set_max_headers_size(evcon, MaxResponseHeaderBytes);
+    evhttp_connection_set_max_body_size(evcon, static_cast<ev_ssize_t>(settings.maxBodyBytes));
+    evhttp_connection_set_closecb(evcon, &onClosed, connection.get());
+    evbuffer_add_cb(bufferevent_get_output(bev), &onOutput, connection.get());
+    pool.connections.push_back(connection);
+    return connection;
+}
+
+void HttpClient::Private::start(const std::shared_ptr<Connection> &connection,
+                                const std::shared_ptr<Call> &call)
+{
+    connection->call = call;
+    connection->completed = false;
+    connection->error = nullptr;
+    call->connection = connection;
+    evhttp_request *req = evhttp_request_new(&onResponse, connection.get());
+    if (!req)
+        throw std::bad_alloc();
+    evhttp_request_set_error_cb(req, &onError);
+    evkeyvalq *headers = evhttp_request_get_output_headers(req);
+    evhttp_add_header(headers, "Host", call->address.str().c_str());
+    for (const auto &[name, value] : call->headers) {
+        // evhttp refuses line breaks, which would let a value forge further headers.
+        if (evhttp_add_header(headers, name.c_str(), value.c_str()) != 0) {
+            evhttp_request_free(req);
+            fail(*connection, "header " + name + " contains a line break");
+            return;
+        }
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(req), call->body.data(), call->body.size());
+    const bool isNew = bufferevent_getfd(evhttp_connection_get_bufferevent(connection->evcon)) < 0;
+    errno = 0;
+    const int status =
+            evhttp_make_request(connection->evcon, req, call->method, call->target.c_str());
+    // On loopback, connect() may report a refusal at once; its errno is gone when evhttp's event
+    // callback runs.
+    if (isNew && errno == ECONNREFUSED)
+        connection->connectError = ECONNREFUSED;
+    if (status != 0 && !connection->completed)
+        fail(*connection, "request could not be started");
+    if (isNew && !connection->completed)
+        watchConnecting(connection);
+}
+
+void HttpClient::Private::watchConnecting(const std::shared_ptr<Connection> &connection)
+{
+    Connection &c = *connection;
+    bufferevent *bev = evhttp_connection_get_bufferevent(c.evcon);
+    bufferevent_getcb(bev, &c.originalRead, &c.originalWrite, &c.originalEvent, &c.originalArg);
+    bufferevent_setcb(bev, c.originalRead, c.originalWrite, &onConnectEvent, &c);
+    c.call->connectTimer =
+            loop.after(settings.connectTimeout,
+                       [weak = weak_from_this(), weakCall = std::weak_ptr<Call>(c.call)](Time) {
+                           const std::shared_ptr<Private> self = weak.lock();
+                           const std::shared_ptr<Call> call = weakCall.lock();
+                           if (self && call && !call->sent)
+                               self->abandon(call, "time-out while connecting");
+                       });
+}
+
+void HttpClient::Private::onConnectEvent(bufferevent *bev, short what, void *arg)
+{
+    auto *connection = static_cast<Connection *>(arg);
+    const int error = errno;
+    if ((what & BEV_EVENT_ERROR) && connection->connectError == 0)
+        connection->connectError = error;
+    bufferevent_setcb(bev, connection->originalRead, connection->originalWrite,
+                      connection->originalEvent, connection->originalArg);
+    errno = error; // evhttp's callback reads it
+    connection->originalEvent(bev, what, connection->originalArg);
+}
+
+void HttpClient::Private::onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg)
+{
+    auto *connection = static_cast<Connection *>(arg);
+    if (info->n_added > 0 && connection->call)
+        connection->call->sent = true;
+}
+
+void HttpClient::Private::onClosed(evhttp_connection *, void *arg)
+{
+    auto *connection = static_cast<Connection *>(arg);
+    connection->dead = true;
+    if (!connection->call)
+        connection->client->removeLater(connection->self);
+}
+
+void HttpClient::Private::onError(evhttp_request_error error, void *arg)
+{
+    static_cast<Connection *>(arg)->error = errorText(error);
+}
+
+void HttpClient::Private::onResponse(evhttp_request *req, void *arg)
+{
+    auto *connection = static_cast<Connection *>(arg);
+    Private *client = connection->client;
+    if (!connection->call || connection->completed)
+        return;
+    if (!req || evhttp_request_get_response_code(req) == 0) {
+        client->fail(*connection, connection->error ? connection->error : "connection failed");
+        return;
+    }
+    HttpResponse response;
+    response.status = evhttp_request_get_response_code(req);
+    response.headers = copyHeaders(evhttp_request_get_input_headers(req));
+    evbuffer *body = evhttp_request_get_input_buffer(req);
+    response.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, response.body.data(), response.body.size());
+    std::string fault = findFault(*connection, req, response);
+    if (fault.empty() && connection->call->check)
+        fault = connection->call->check(response);
+    if (!fault.empty()) {
+        client->fail(*connection, fault);
+        return;
+    }
+    connection->call->result.response = std::move(response);
+    client->complete(*connection);
+}
+
+void HttpClient::Private::fail(Connection &connection, const std::string &detail)
+{
+    HttpResult &result = connection.call->result;
+    result.detail = detail;
+    if (connection.call->sent) {
+        result.failure = HttpFailure::Lost;
+    } else if (connection.connectError == ECONNREFUSED) {
+        result.failure = HttpFailure::Refused;
+        result.detail = "connection refused";
+    } else {
+        result.failure = HttpFailure::NotConnected;
+        if (connection.connectError != 0)
+            result.detail = std::strerror(connection.connectError);
+    }
+    connection.dead = true;
+    complete(connection);
+}
+
+/// Schedules finish(). evhttp still uses the connection and must return first.
+void HttpClient::Private::complete(Connection &connection)
+{
+    connection.completed = true;
+    cancelTimers(*connection.call);
+    loop.after(Duration::zero(), [weak = weak_from_this(), weakConnection = connection.self](Time) {
+        const std::shared_ptr<Private> self = weak.lock();
+        const std::shared_ptr<Connection> c = weakConnection.lock();
+        if (self && c)
+            self->finish(c);
+    });
+}
+
+void HttpClient::Private::finish(const std::shared_ptr<Connection> &connection)
+{
+    const std::shared_ptr<Call> call = std::move(connection->call);
+    connection->call.reset();
+    connection->idleSince = loop.now();
+    if (connection->dead)
+        remove(connection);
+    dispatch(call->address);
+    deliver(call);
+}
+
+/// Ends a call that waits for a connection or runs on one, and closes that connection.
+void HttpClient::Private::abandon(const std::shared_ptr<Call> &call, const std::string &detail)
+{
+    cancelTimers(*call);
+    call->result.failure = call->sent ? HttpFailure::TimedOut : HttpFailure::NotConnected;
+    call->result.detail = detail;
+    if (const std::shared_ptr<Connection> connection = call->connection.lock()) {
+        connection->call.reset();
+        remove(connection);
+    } else {
+        auto &waiting = pools[call->address].waiting;
+        waiting.erase(std::remove(waiting.begin(), waiting.end(), call), waiting.end());
+    }
+    dispatch(call->address);
+    deliver(call);
+}
+
+/// Runs the callback, which may destroy the client. Callers hold a reference to this object.
+void HttpClient::Private::deliver(const std::shared_ptr<Call> &call)
+{
+    const Done done = std::move(call->done);
+    done(call->result, loop.now());
+}
+
+void HttpClient::Private::cancelTimers(Call &call)
+{
+    loop.cancel(call.timer);
+    loop.cancel(call.connectTimer);
+}
+
+void HttpClient::Private::remove(const std::shared_ptr<Connection> &connection)
+{
+    const auto it = pools.find(connection->address);
+    if (it == pools.end())
+        return;
+    auto &all = it->second.connections;
+    all.erase(std::remove(all.begin(), all.end(), connection), all.end());
+    if (all.empty() && it->second.waiting.empty())
+        pools.erase(it);
+}
+
+void HttpClient::Private::removeLater(const std::weak_ptr<Connection> &connection)
+{
+    loop.after(Duration::zero(), [weak = weak_from_this(), connection](Time) {
+        const std::shared_ptr<Private> self = weak.lock();
+        const std::shared_ptr<Connection> c = connection.lock();
+        if (self && c && !c->call)
+            self->remove(c);
+    });
+}
+
+HttpClient::HttpClient(EventLoop &loop, HttpClientSettings settings)
+    : d_(std::make_shared<Private>(loop, settings))
+{
+    assert(settings.maxConnectionsPerAddress > 0);
+}
+
+HttpClient::~HttpClient()
+{
+    for (auto &[address, pool] : d_->pools) {
+        for (const std::shared_ptr<Call> &call : pool.waiting)
+            d_->cancelTimers(*call);
+        for (const std::shared_ptr<Connection> &connection : pool.connections) {
+            if (connection->call)
+                d_->cancelTimers(*connection->call);
+        }
+    }
+    d_->pools.clear();
+}
+
+void HttpClient::send(const Address &address, const std::string &method, const std::string &target,
+                      const HttpHeaders &headers, const std::string &body, Duration timeout,
+                      std::function<void(const HttpResult &, Time now)> done, Check check)
+{
+    assert(done);
+    auto call = std::make_shared<Call>();
+    call->address = address;
+    call->method = parseMethod(method);
+    call->target = target;
+    call->headers = headers;
+    call->body = body;
+    call->done = std::move(done);
+    call->check = std::move(check);
+    // evhttp would look up a host name and block the loop.
+    const bool usable = isIpNumber(address.ip);
+    call->timer =
+            d_->loop.after(usable ? timeout : Duration::zero(),
+                           [weak = d_->weak_from_this(), weakCall = std::weak_ptr<Call>(call),
+                            keep = usable ? nullptr : call, usable](Time) {
+                               const std::shared_ptr<Private> self = weak.lock();
+                               const std::shared_ptr<Call> timed = weakCall.lock();
+                               if (self && timed)
+                                   self->abandon(timed, usable ? "time-out" : "not an IP number");
+                           });
+    if (!usable)
+        return;
+    d_->pools[address].waiting.push_back(std::move(call));
+    d_->dispatch(address);
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/adapters/httpserver.cpp
@@ -0,0 +1,485 @@
+#include "adapters/adapters.h"
+#include "adapters/http_p.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <set>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr int ListenBacklog = 1024;
+// Connections over the limit still get a refusal as response to their first request, so that the
+// caller learns that nothing ran. Beyond this excess they are closed without one.
+constexpr int MaxRefusedConnections = 256;
+
+/// One accepted connection.
+struct ServerConnection
+{
+    HttpServer::Private *server = nullptr;
+    bufferevent *bev = nullptr;
+    evhttp_connection *evcon = nullptr; // empty until adopted
+    bool overLimit = false;
+    bool writing = false; // the adapter itself is adding a response to the output
+    bool busy = false; // a request is with the handler, or its response is being sent
+    Time readingSince{}; // when the wait for the next whole request began
+};
+
+/// One request from the handler's call until its response.
+struct Exchange
+{
+    ~Exchange();
+
+    std::weak_ptr<HttpServer::Private> server;
+    evhttp_request *req = nullptr; // empty once answered
+};
+
+HttpResponse refusal(int status, const std::string &error, const std::string &field)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.headers["X-Outcome"] = "not-run";
+    response.body =
+            nlohmann::json{{"error", error}, {"field", field}, {"outcome", "not-run"}}.dump();
+    return response;
+}
+
+std::string methodName(evhttp_cmd_type type)
+{
+    switch (type) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    default:
+        return {};
+    }
+}
+
+std::string decode(const std::string &text, bool isQuery)
+{
+    std::size_t size = 0;
+    char *decoded = evhttp_uridecode(text.c_str(), isQuery ? 1 : 0, &size);
+    if (!decoded)
+        return text;
+    std::string result(decoded, size);
+    std::free(decoded); // libevent allocates with malloc()
+    return result;
+}
+
+std::map<std::string, std::string> parseQuery(const std::string &query)
+{
+    std::map<std::string, std::string> result;
+    std::size_t begin = 0;
+    while (begin < query.size()) {
+        const std::size_t end = std::min(query.find('&', begin), query.size());
+        const std::string part = query.substr(begin, end - begin);
+        const std::size_t equals = std::min(part.find('='), part.size());
+        if (!part.empty()) {
+            result[decode(part.substr(0, equals), true)] =
+                    equals < part.size() ? decode(part.substr(equals + 1), true) : std::string();
+        }
+        begin = end + 1;
+    }
+    return result;
+}
+
+bool isToken(const char *name)
+{
+    for (const char *c = name; *c; ++c) {
+        if (*c <= ' ' || *c >= 127)
+            return false;
+    }
+    return *name != 0;
+}
+
+/// Names the header that makes the end of the request ambiguous, or returns an empty string. Two
+/// parsers that disagree about it, such as a balancer's and this one, would let a caller hide a
+/// second request inside a body.
+std::string findAmbiguousHeader(evhttp_request *req)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(req);
+    for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
+        if (!isToken(header->key)) // evhttp keeps "Transfer-Encoding " with its space
+            return "header name";
+    }
+    if (!hasConsistentContentLength(headers))
+        return "Content-Length";
+    const HttpHeaders copy = copyHeaders(headers);
+    const bool isChunked = copy.count("transfer-encoding") > 0;
+    if (isChunked && headerValue(copy, "transfer-encoding") != "chunked")
+        return "Transfer-Encoding";
+    // evhttp takes the body of a GET, HEAD or DELETE for the next request.
+    const evhttp_cmd_type method = evhttp_request_get_command(req);
+    if (method != EVHTTP_REQ_POST && method != EVHTTP_REQ_PUT) {
+        if (isChunked)
+            return "Transfer-Encoding";
+        if (parseNumber(headerValue(copy, "content-length")).value_or(0) > 0)
+            return "Content-Length";
+    }
+    return {};
+}
+
+HttpRequest copyRequest(evhttp_request *req)
+{
+    HttpRequest request;
+    request.method = methodName(evhttp_request_get_command(req));
+    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
+    const char *path = uri ? evhttp_uri_get_path(uri) : nullptr;
+    const char *query = uri ? evhttp_uri_get_query(uri) : nullptr;
+    request.path = decode(path ? path : "", false);
+    request.query = parseQuery(query ? query : "");
+    request.headers = copyHeaders(evhttp_request_get_input_headers(req));
+    evbuffer *body = evhttp_request_get_input_buffer(req);
+    request.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, request.body.data(), request.body.size());
+    return request;
+}
+
+} // namespace
+
+struct HttpServer::Private : std::enable_shared_from_this<HttpServer::Private>
+{
+    Private(EventLoop &eventLoop, HttpServerSettings serverSettings, Handler requestHandler)
+        : loop(eventLoop), settings(std::move(serverSettings)), handler(std::move(requestHandler))
+    { }
+    ~Private();
+    Private(const Private &) = delete;
+    Private &operator=(const Private &) = delete;
+
+    EventLoop &loop;
+    HttpServerSettings settings;
+    Handler handler;
+    evhttp *http = nullptr;
+    evhttp_bound_socket *bound = nullptr; // empty after stopAccepting()
+    event *soon = nullptr; // runs onSoon() before the next poll for I/O
+    TimerId sweepTimer = 0;
+    std::vector<std::unique_ptr<ServerConnection>> fresh; // accepted, not yet adopted
+    std::unordered_map<evhttp_connection *, std::unique_ptr<ServerConnection>> connections;
+    std::vector<ServerConnection *> errorPages; // evhttp has begun its own error response on these
+    std::set<evhttp_request *> pending; // with the handler
+
+    void start();
+    void listen();
+    void adopt(std::unique_ptr<ServerConnection> connection);
+    void replaceErrorPage(ServerConnection &connection);
+    void reply(evhttp_request *req, HttpResponse response, bool close);
+    void sweep();
+
+    static bufferevent *onAccept(event_base *base, void *arg);
+    static void onSoon(evutil_socket_t, short, void *arg);
+    static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg);
+    static void onClosed(evhttp_connection *evcon, void *arg);
+    static void onSent(evhttp_request *req, void *arg);
+    static void onRequest(evhttp_request *req, void *arg);
+};
+
+namespace {
+
+Exchange::~Exchange()
+{
+    const std::shared_ptr<HttpServer::Private> locked = server.lock();
+    if (!req || !locked || locked->pending.erase(req) == 0)
+        return;
+    HttpResponse response = refusal(500, "the request was dropped", "");
+    response.headers["X-Outcome"] = "unknown";
+    response.body = R"({"error":"the request was dropped","field":"","outcome":"unknown"})";
+    locked->reply(req, std::move(response), true);
+}
+
+} // namespace
+
+void HttpServer::Private::listen()
+{
+    sockaddr_storage storage{};
+    int length = sizeof storage;
+    const bool isV6 = settings.address.ip.find(':') != std::string::npos;
+    const std::string text =
+            isV6 ? '[' + settings.address.ip + "]:" + std::to_string(settings.address.port)
+                 : settings.address.str();
+    auto *address = reinterpret_cast<sockaddr *>(&storage);
+    if (evutil_parse_sockaddr_port(text.c_str(), address, &length) != 0)
+        throw std::runtime_error("cannot listen on " + text + ": not an IP number and port");
+    evconnlistener *listener = evconnlistener_new_bind(loop.base(), nullptr, nullptr,
+                                                       LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC
+                                                               | LEV_OPT_CLOSE_ON_FREE,
+                                                       ListenBacklog, address, length);
+    if (!listener)
+        throw std::runtime_error("cannot listen on " + text + ": " + std::strerror(errno));
+    bound = evhttp_bind_listener(http, listener);
+    if (!bound) {
+        evconnlistener_free(listener);
+        throw std::bad_alloc();
+    }
+}
+
+/// evhttp asks for the bufferevent of each accepted connection. This is the only notice of a new
+/// connection that it gives; its evhttp_connection does not exist yet.
+bufferevent *HttpServer::Private::onAccept(event_base *base, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    bufferevent *bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    if (!bev)
+        return nullptr;
+    auto connection = std::make_unique<ServerConnection>();
+    connection->server = server;
+    connection->bev = bev;
+    connection->readingSince = server->loop.now();
+    evbuffer_add_cb(bufferevent_get_output(bev), &onOutput, connection.get());
+    server->fresh.push_back(std::move(connection));
+    event_active(server->soon, EV_TIMEOUT, 0);
+    return bev;
+}
+
+void HttpServer::Private::onSoon(evutil_socket_t, short, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    std::vector<std::unique_ptr<ServerConnection>> accepted;
+    accepted.swap(server->fresh);
+    for (std::unique_ptr<ServerConnection> &connection : accepted)
+        server->adopt(std::move(connection));
+    std::vector<ServerConnection *> pages;
+    pages.swap(server->errorPages);
+    for (ServerConnection *connection : pages)
+        server->replaceErrorPage(*connection);
+}
+
+void HttpServer::Private::adopt(std::unique_ptr<ServerConnection> connection)
+{
+    // evhttp registers its connection as the argument of the bufferevent's callbacks.
+    void *arg = nullptr;
+    bufferevent_getcb(connection->bev, nullptr, nullptr, nullptr, &arg);
+    connection->evcon = static_cast<evhttp_connection *>(arg);
+    assert(connection->evcon
+           && evhttp_connection_get_bufferevent(connection->evcon) == connection->bev);
+    evhttp_connection_set_closecb(connection->evcon, &onClosed, this);
+    evhttp_connection *evcon = connection->evcon;
+    const int open = static_cast<int>(connections.size()) + 1;
+    connection->overLimit = open > settings.maxConnections;
+    connections.emplace(evcon, std::move(connection));
+    if (open > settings.maxConnections + MaxRefusedConnections)
+        evhttp_connection_free(evcon);
+}
+
+void HttpServer::Private::onClosed(evhttp_connection *evcon, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const auto it = server->connections.find(evcon);
+    if (it == server->connections.end())
+        return;
+    auto &pages = server->errorPages;
+    pages.erase(std::remove(pages.begin(), pages.end(), it->second.get()), pages.end());
+    server->connections.erase(it);
+}
+
+/// Notices output that the adapter has not written: evhttp's own error page.
+void HttpServer::Private::onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg)
+{
+    auto *connection = static_cast<ServerConnection *>(arg);
+    if (info->n_added == 0 || info->orig_size > 0 || connection->writing)
+        return;
+    connection->server->errorPages.push_back(connection);
+    event_active(connection->server->soon, EV_TIMEOUT, 0);
+}
+
+/// Replaces evhttp's HTML error page by the JSON refusal before it is sent. evhttp 2.1 has no hook
+/// for it, and callers rely on X-Outcome.
+void HttpServer::Private::replaceErrorPage(ServerConnection &connection)
+{
+    evbuffer *output = bufferevent_get_output(connection.bev);
+    std::array<char, 13> line{}; // "HTTP/1.1 413 "
+    if (evbuffer_copyout(output, line.data(), line.size()) < static_cast<ev_ssize_t>(line.size()))
+        return;
+    int status = std::atoi(line.data() + 9);
+    if (status < 400) // "100 Continue" is to be sent as it is
+        return;
+    std::string error = "malformed request";
+    std::string field;
+    if (status == 413) {
+        error = "body over " + std::to_string(settings.maxBodyBytes) + " bytes";
+        field = "body";
+    } else if (status == 400) {
+        error = "malformed request, or headers over " + std::to_string(settings.maxHeaderBytes)
+                + " bytes";
+        field = "headers";
+    } else if (status == 501) {
+        status = 405; // bad input of the caller, not a fault of the server
+        error = "unsupported method";
+        field = "method";
+    }
+    const HttpResponse response = refusal(status, error, field);
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " Refused\r\nConnection: close\r\n";
+    for (const auto &[name, value] : response.headers)
+        text.append(name).append(": ").append(value).append("\r\n");
+    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
+    // A bufferevent protects the front of its output; nothing of the page has been sent yet.
+    evbuffer_unfreeze(output, 1);
+    evbuffer_drain(output, evbuffer_get_length(output));
+    evbuffer_freeze(output, 1);
+    connection.writing = true;
+    evbuffer_add(output, text.data(), text.size());
+    connection.writing = false;
+}
+
+void HttpServer::Private::onRequest(evhttp_request *req, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const auto it = server->connections.find(evhttp_request_get_connection(req));
+    assert(it != server->connections.end());
+    ServerConnection &connection = *it->second;
+    connection.busy = true;
+    if (connection.overLimit) {
+        server->reply(req, refusal(503, "too many connections", "connections"), true);
+        return;
+    }
+    const std::string ambiguous = findAmbiguousHeader(req);
+    if (!ambiguous.empty()) {
+        server->reply(req, refusal(400, "the length of the request is ambiguous", ambiguous), true);
+        return;
+    }
+    auto exchange = std::make_shared<Exchange>();
+    exchange->server = server->weak_from_this();
+    exchange->req = req;
+    server->pending.insert(req);
+    server->handler(
+            copyRequest(req),
+            [exchange](const HttpResponse &response) {
+                const std::shared_ptr<Private> locked = exchange->server.lock();
+                evhttp_request *answered = std::exchange(exchange->req, nullptr);
+                if (answered && locked && locked->pending.erase(answered) > 0)
+                    locked->reply(answered, response, false);
+            },
+            server->loop.now());
+}
+
+void HttpServer::Private::reply(evhttp_request *req, HttpResponse response, bool close)
+{
+    evkeyvalq *headers = evhttp_request_get_output_headers(req);
+    for (const auto &[name, value] : response.headers)
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    if (close || !bound)
+        evhttp_add_header(headers, "Connection", "close");
+    evhttp_request_set_on_complete_cb(req, &onSent, this);
+    const auto it = connections.find(evhttp_request_get_connection(req));
+    const std::unique_ptr<evbuffer, void (*)(evbuffer *)> body(evbuffer_new(), &evbuffer_free);
+    evbuffer_add(body.get(), response.body.data(), response.body.size());
+    // Without a connection, which is the case after the client has closed it, evhttp only frees
+    // the request.
+    if (it != connections.end())
+        it->second->writing = true;
+    evhttp_send_reply(req, response.status, nullptr, body.get());
+    if (it != connections.end())
+        it->second->writing = false;
+}
+
+void HttpServer::Private::onSent(evhttp_request *req, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const auto it = server->connections.find(evhttp_request_get_connection(req));
+    if (it == server->connections.end())
+        return;
+    it->second->busy = false;
+    it->second->readingSince = server->loop.now();
+}
+
+/// Closes connections that have not delivered a whole request within the idle time-out. evhttp's
+/// own time-out restarts with each byte, so a slow sender could hold a connection for ever.
+void HttpServer::Private::sweep()
+{
+    const Time now = loop.now();
+    std::vector<evhttp_connection *> expired;
+    for (const auto &[evcon, connection] : connections) {
+        if (!connection->busy && now - connection->readingSince > settings.idleTimeout)
+            expired.push_back(evcon);
+    }
+    for (evhttp_connection *evcon : expired)
+        evhttp_connection_free(evcon);
+    sweepTimer = loop.after(settings.idleTimeout / 4, [weak = weak_from_this()](Time) {
+        if (const std::shared_ptr<Private> self = weak.lock())
+            self->sweep();
+    });
+}
+
+void HttpServer::Private::start()
+{
+    http = evhttp_new(loop.base());
+    soon = event_new(loop.base(), -1, 0, &onSoon, this);
+    if (!http || !soon)
+        throw std::bad_alloc();
+    evhttp_set_max_body_size(http, static_cast<ev_ssize_t>(settings.maxBodyBytes));
+    evhttp_set_max_headers_size(http, static_cast<ev_ssize_t>(settings.maxHeaderBytes));
+    // Reads the rest of a body over the limit before the response: closing a socket with unread
+    // bytes resets the connection, and the caller may never see the refusal.
+    evhttp_set_flags(http, EVHTTP_SERVER_LINGERING_CLOSE);
+    evhttp_set_default_content_type(http, nullptr);
+    const timeval tv = toTimeval(settings.idleTimeout);
+    evhttp_set_timeout_tv(http, &tv);
+    evhttp_set_bevcb(http, &onAccept, this);
+    evhttp_set_gencb(http, &onRequest, this);
+    listen();
+    sweep();
+}
+
+HttpServer::Private::~Private()
+{
+    loop.cancel(sweepTimer);
+    // evhttp frees requests together with their connection, but leaves those to the adapter whose
+    // connection has failed in the meantime.
+    for (evhttp_request *req : pending) {
+        if (!evhttp_request_get_connection(req))
+            evhttp_request_free(req);
+    }
+    pending.clear();
+    if (http)
+        evhttp_free(http);
+    if (soon)
+        event_free(soon);
+}
+
+HttpServer::HttpServer(EventLoop &loop, HttpServerSettings settings, Handler handler)
+    : d_(std::make_shared<Private>(loop, std::move(settings), std::move(handler)))
+{
+    assert(d_->handler);
+    d_->start();
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::stopAccepting()
+{
+    if (d_->bound)
+        evhttp_del_accept_socket(d_->http, std::exchange(d_->bound, nullptr));
+}
+
+int HttpServer::openConnections() const
+{
+    return static_cast<int>(d_->connections.size() + d_->fresh.size());
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/tests/unit/logger_test.cpp
@@ -0,0 +1,98 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "adapters/adapters.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+
+using namespace monsoonledge;
+
+namespace {
+
+/// Collects what is written to standard error during its lifetime.
+class Capture
+{
+public:
+    Capture() : original_(std::cerr.rdbuf(text_.rdbuf())) { }
+    ~Capture() { std::cerr.rdbuf(original_); }
+    Capture(const Capture &) = delete;
+    Capture &operator=(const Capture &) = delete;
+
+    std::vector<nlohmann::json> lines() const
+    {
+        std::vector<nlohmann::json> result;
+        std::istringstream in(text_.str());
+        for (std::string line; std::getline(in, line);)
+            result.push_back(nlohmann::json::parse(line));
+        return result;
+    }
+
+private:
+    std::ostringstream text_;
+    std::streambuf *original_;
+};
+
+LoggerSettings makeSettings()
+{
+    LoggerSettings settings;
+    settings.domain = DomainId("martin");
+    settings.entry = EntryId("e1");
+    settings.repeatsPerMinute = 3;
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("text from outside can neither break a line nor forge a field")
+{
+    const Capture capture;
+    Logger logger(makeSettings());
+    const std::string text = "a\"b\n{\"level\":\"error\"} %level %msg \xff";
+    logger.write({LogLevel::Warning, "odd-input", text, {{"request", text}, {"level", "x"}}}, {});
+    REQUIRE(capture.lines().size() == 1);
+    const nlohmann::json line = capture.lines()[0];
+    const std::string cleaned = "a\"b\n{\"level\":\"error\"} %level %msg \xef\xbf\xbd";
+    CHECK(line["message"] == cleaned);
+    CHECK(line["request"] == cleaned);
+    CHECK(line["level"] == "warning");
+    CHECK(line["field.level"] == "x");
+    CHECK(line["event"] == "odd-input");
+    CHECK(line["domain"] == "martin");
+    CHECK(line["entry"] == "e1");
+    const auto time = line["time"].get<std::string>();
+    CHECK(time.size() == 24); // 2026-01-31T12:00:00.000Z
+    CHECK(time.back() == 'Z');
+}
+
+TEST_CASE("the level is a threshold, and an unknown one is refused")
+{
+    const Capture capture;
+    Logger logger(makeSettings());
+    logger.write({LogLevel::Debug, "d", "", {}}, {});
+    logger.setLevel("debug");
+    logger.write({LogLevel::Debug, "d", "", {}}, {});
+    logger.setLevel("error");
+    logger.write({LogLevel::Warning, "w", "", {}}, {});
+    CHECK(capture.lines().size() == 1);
+    CHECK_THROWS_AS(logger.setLevel("loud"), std::invalid_argument);
+}
+
+TEST_CASE("a flood of one event is cut, counted, and does not hide other events")
+{
+    const Capture capture;
+    Logger logger(makeSettings());
+    for (int i = 0; i < 10; ++i)
+        logger.write({LogLevel::Info, "refused", "", {}}, Time(seconds(10)));
+    logger.write({LogLevel::Info, "other", "", {}}, Time(seconds(11)));
+    CHECK(capture.lines().size() == 4);
+    logger.write({LogLevel::Info, "other", "", {}}, Time(seconds(70)));
+    const auto lines = capture.lines();
+    REQUIRE(lines.size() == 6);
+    CHECK(lines[4]["event"] == "log-lines-suppressed");
+    CHECK(lines[4]["suppressedEvent"] == "refused");
+    CHECK(lines[4]["count"] == "7");
+    CHECK(lines[5]["event"] == "other");
+}
