Add the command line

Commands on settings, sheets and the state of an entry process, with one exit status for each kind of failure.

--- /dev/null
+++ b/src/app/commands.h
@@ -0,0 +1,41 @@
+// The commands of the program. Each returns an exit status of exitcodes.h and throws FindingsError
+// for bad input, EntryUnreachable if the entry process does not respond, and std::runtime_error for
+// any other failure.
+#pragma once
+
+#include "base/base.h"
+
+#include <cstdint>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace monsoonledge {
+
+/// Options and streams of one command. A command ignores the options that it does not offer.
+struct CommandContext
+{
+    std::string file;
+    std::string against; // sheet diff: compare with this file; empty: with the sheet in force
+    std::string author; // sheet put: recorded with the sheet
+    std::string token; // sent as a bearer token; empty: none
+    Address entry{"127.0.0.1", 8080};
+    std::optional<std::uint64_t> expect; // sheet put: revision that the new sheet replaces
+    bool json = false;
+    std::ostream &out;
+    std::ostream &err;
+};
+
+int runServe(const CommandContext &context);
+int runConfigCheck(const CommandContext &context);
+int runSheetCheck(const CommandContext &context);
+int runSheetDiff(const CommandContext &context);
+int runSheetPut(const CommandContext &context);
+int runSheetShow(const CommandContext &context);
+int runStatus(const CommandContext &context);
+
+/// Parses the arguments after the program name and runs the command. Prints errors to `err`.
+int runCommandLine(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err);
+
+} // namespace monsoonledge
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -11,7 +11,6 @@
 #include <arpa/inet.h>
 
 #include <algorithm>
-#include <fstream>
 #include <set>
 
 namespace monsoonledge {
@@ -174,9 +173,7 @@
     if (!map.readText(key, text))
         return;
     try {
-        const Address address = parseAddress(text);
-        if (!isIpNumber(address.ip))
-            throw std::invalid_argument("'" + address.ip + "' is no IP address");
+        const Address address = parseIpAddress(text);
         if (use == AddressUse::Connect && (address.ip == "0.0.0.0" || address.ip == "::"))
             throw std::invalid_argument("other processes cannot connect to " + address.ip);
         value = address;
@@ -357,6 +354,14 @@
     return keys;
 }
 
+Address parseIpAddress(const std::string &text)
+{
+    Address address = parseAddress(text);
+    if (!isIpNumber(address.ip))
+        throw std::invalid_argument("'" + address.ip + "' is no IP address");
+    return address;
+}
+
 Settings parseSettings(const std::string &text, const std::string &file)
 {
     const YamlNode root = parseYaml(text, file);
@@ -401,18 +406,7 @@
 
 Settings loadSettings(const std::string &path)
 {
-    std::ifstream stream(path, std::ios::binary);
-    std::string text;
-    if (stream) {
-        text.resize(MaxFileBytes + 1);
-        stream.read(text.data(), static_cast<std::streamsize>(text.size()));
-        text.resize(static_cast<std::size_t>(stream.gcount()));
-    }
-    if (!stream.eof())
-        throw FindingsError({{{path, 0, 0},
-                              "cannot be read: write the path of a readable settings file of at "
-                              "most 1 MiB"}});
-    return parseSettings(text, path);
+    return parseSettings(readDocument(path, MaxFileBytes), path);
 }
 
 } // namespace monsoonledge
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -83,6 +83,9 @@
 /// All keys in the order of the file.
 const std::vector<SettingsKey> &settingsKeys();
 
+/// Parses "ip:port" and checks that the ip is a number. Throws std::invalid_argument.
+Address parseIpAddress(const std::string &text);
+
 /// Parses and checks the text of a settings file. `file` appears in findings. Throws FindingsError
 /// with everything found wrong.
 Settings parseSettings(const std::string &text, const std::string &file);
--- a/src/yaml/yaml.cpp
+++ b/src/yaml/yaml.cpp
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <fstream>
 #include <set>
 #include <sstream>
 
@@ -210,6 +211,22 @@
     return builder.takeRoot();
 }
 
+std::string readDocument(const std::string &path, std::size_t maxBytes)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::string text;
+    if (stream) {
+        text.resize(maxBytes + 1);
+        stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+        text.resize(static_cast<std::size_t>(stream.gcount()));
+    }
+    if (!stream.eof())
+        throw FindingsError({{{path, 0, 0},
+                              "cannot be read: write the path of a readable file of at most "
+                                      + std::to_string(maxBytes) + " bytes"}});
+    return text;
+}
+
 void YamlFindings::add(const YamlNode &node, const std::string &message)
 {
     findings_.push_back({{file_, node.line, node.column}, message});
--- a/src/yaml/yaml.h
+++ b/src/yaml/yaml.h
@@ -43,6 +43,9 @@
 /// text can expand to a huge one with them.
 YamlNode parseYaml(const std::string &text, const std::string &file);
 
+/// The text of a file. Throws FindingsError if it cannot be read or has more than `maxBytes`.
+std::string readDocument(const std::string &path, std::size_t maxBytes);
+
 // [2] Findings of one document
 
 class YamlFindings
--- /dev/null
+++ b/tests/process/cli_test.py
@@ -0,0 +1,216 @@
+#!/usr/bin/env python3
+"""Runs the command line and checks exit statuses, messages and the requests it sends.
+
+A small HTTP server in this process stands for the entry process.
+"""
+import argparse
+import http.server
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+EXAMPLE = str(ROOT / "examples/tatrasen.yaml")
+PROGRAM = ""
+OK, FAILED, BAD_INPUT, UNREACHABLE = 0, 1, 2, 3
+
+
+class Entry(http.server.ThreadingHTTPServer):
+    """Answers each "METHOD /path" with a prepared (status, body) and records the requests."""
+
+    daemon_threads = True
+
+    def __init__(self):
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.responses = {}
+        self.requests = []
+        self.address = f"127.0.0.1:{self.server_address[1]}"
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    def answer(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        headers = {name.lower(): value for name, value in self.headers.items()}
+        self.server.requests.append((self.command, self.path, headers, body))
+        status, text = self.server.responses[f"{self.command} {self.path.split('?')[0]}"]
+        payload = (text if isinstance(text, str) else json.dumps(text)).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(payload)))
+        self.end_headers()
+        self.wfile.write(payload)
+
+    do_GET = do_PUT = answer
+
+    def log_message(self, *args):
+        pass
+
+
+def run(*arguments, **environment):
+    variables = {k: v for k, v in os.environ.items() if k != "MONSOONLEDGE_TOKEN"}
+    return subprocess.run([PROGRAM, *arguments], capture_output=True, text=True, timeout=30,
+                          env={**variables, **environment})
+
+
+class CommandLineCase(unittest.TestCase):
+    def expect(self, result, status, message=""):
+        self.assertEqual(result.returncode, status, result.stderr + result.stdout)
+        self.assertIn(message, result.stdout if status == OK else result.stderr)
+        if status != OK:
+            self.assertEqual(result.stdout, "")
+
+
+class WithoutEntry(CommandLineCase):
+    def test_help_documents_commands_and_exit_statuses(self):
+        result = run("--help")
+        self.expect(result, OK)
+        for text in ("serve --config FILE", "config check", "sheet check", "sheet diff",
+                     "sheet put", "sheet show", "status", "Exit statuses:", "4  an address"):
+            self.assertIn(text, result.stdout)
+        self.expect(run("--version"), OK, "monsoonledge ")
+        self.expect(run("sheet", "put", "--help"), OK, "--expect N")
+
+    def test_wrong_command_lines_are_bad_input_with_a_message_of_their_own(self):
+        for line, message in {
+            "": "no command: write one of serve, config check",
+            "strat": "unknown command 'strat'",
+            "sheet": "'sheet' is incomplete: write one of sheet check, sheet diff",
+            "sheet pull": "unknown command 'sheet pull'",
+            "--verbose": "unknown option '--verbose' before the command",
+            "status --verbose": "'status': unknown option '--verbose': write one of --help, --json",
+            "sheet put a --exp 1": "unknown option '--exp'",
+            "sheet put": "an argument is missing: write sheet put FILE",
+            "serve": "an argument is missing: write serve --config FILE",
+            "sheet check a b": "too many arguments: write sheet check FILE",
+            "sheet put a --expect -1": "--expect is '-1'",
+            "status --entry localhost:80": "'localhost' is no IP address",
+            "status --entry": "--entry",
+            "--version 1": "'--version' takes no argument",
+        }.items():
+            with self.subTest(line):
+                self.expect(run(*line.split()), BAD_INPUT, message)
+
+    def test_a_token_or_author_cannot_add_headers(self):
+        self.expect(run("status", "--token", "a\r\nX-Author: b"), BAD_INPUT, "the token has")
+        self.expect(run("status", MONSOONLEDGE_TOKEN="a\nb"), BAD_INPUT, "the token has")
+        self.expect(run("sheet", "put", EXAMPLE, "--author", "a\nb"), BAD_INPUT, "the author has")
+
+    def test_documents_are_checked_and_all_findings_printed(self):
+        for path in ("examples/tatrasen.yaml", "examples/asociacion.yaml"):
+            self.expect(run("sheet", "check", str(ROOT / path)), OK, "valid sheet")
+        self.expect(run("config", "check", str(ROOT / "examples/entry.yaml")), OK,
+                    "valid settings of entry process zilina1-a")
+        with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
+            file.write("nmae: x\nteams: 3\n")
+            file.flush()
+            for command in (["sheet", "check"], ["sheet", "put"], ["sheet", "diff"]):
+                result = run(*command, file.name)
+                self.expect(result, BAD_INPUT, f"{file.name}:1:1: unknown key 'nmae'")
+                self.assertIn(f"{file.name}:2:8: 'teams' is '3'", result.stderr)
+            self.expect(run("config", "check", file.name), BAD_INPUT, "'entry' is missing")
+            self.expect(run("serve", "--config", file.name), BAD_INPUT, "'entry' is missing")
+        self.expect(run("sheet", "check", "/nonexistent"), BAD_INPUT, "/nonexistent: cannot be read")
+
+    def test_diff_between_two_files(self):
+        other = str(ROOT / "examples/asociacion.yaml")
+        self.expect(run("sheet", "diff", EXAMPLE, "--against", EXAMPLE), OK, "no differences")
+        self.expect(run("sheet", "diff", EXAMPLE, "--against", other), OK,
+                    "sheet: name asociacion-2026-12-04 -> tatrasen-2026-12-04")
+
+    def test_no_entry_process(self):
+        with socket.socket() as bound:
+            bound.bind(("127.0.0.1", 0))  # bound but not listening: connections are refused
+            entry = f"127.0.0.1:{bound.getsockname()[1]}"
+            for line in (["status"], ["sheet", "show"], ["sheet", "diff", EXAMPLE],
+                         ["sheet", "put", EXAMPLE, "--expect", "1"]):
+                result = run(*line, "--entry", entry)
+                self.expect(result, UNREACHABLE, f"entry process {entry}: connection refused")
+                self.assertNotIn("may have been carried out", result.stderr)
+
+    def test_output_that_cannot_be_written_is_a_failure(self):
+        with open("/dev/full", "w") as full:
+            result = subprocess.run([PROGRAM, "--help"], stdout=full, stderr=subprocess.PIPE)
+        self.assertEqual(result.returncode, FAILED)
+
+
+class WithEntry(CommandLineCase):
+    def setUp(self):
+        self.entry = Entry()
+        self.addCleanup(self.entry.server_close)
+        self.addCleanup(self.entry.shutdown)
+        text = pathlib.Path(EXAMPLE).read_text()
+        self.sheet = {"revision": 7, "author": "jana", "acceptedAt": "2026-12-04T05:00:00Z",
+                      "text": text.replace("floor: 0.5", "floor: 0.4"), "notInForce": ["martin-a"]}
+        self.entry.responses["GET /v1/sheet"] = (200, self.sheet)
+
+    def call(self, *arguments, **environment):
+        return run(*arguments, "--entry", self.entry.address, **environment)
+
+    def put(self, status, body, *options):
+        self.entry.responses["PUT /v1/sheet"] = (status, body)
+        return self.call("sheet", "put", EXAMPLE, *options)
+
+    def test_show(self):
+        result = self.call("sheet", "show")
+        self.expect(result, OK, "# revision 7, accepted 2026-12-04T05:00:00Z, author jana\n"
+                                "# not yet in force on: martin-a\n")
+        self.assertTrue(result.stdout.endswith(self.sheet["text"]))
+        self.assertEqual(json.loads(self.call("sheet", "show", "--json").stdout), self.sheet)
+
+    def test_diff_against_the_sheet_in_force(self):
+        self.expect(self.call("sheet", "diff", EXAMPLE), OK,
+                    "class strip-desk/renewal: floor 0.4 -> 0.5\n")
+        self.entry.responses["GET /v1/sheet"] = (200, {"revision": 0, "text": ""})
+        self.expect(self.call("sheet", "diff", EXAMPLE), OK, "service strip-desk: added")
+
+    def test_put_sends_the_text_the_author_and_the_expected_revision(self):
+        self.expect(self.put(200, {"revision": 8}, "--author", "Jana M"), OK,
+                    "accepted as revision 8")
+        method, path, headers, body = self.entry.requests[-1]
+        self.assertEqual((method, path), ("PUT", "/v1/sheet?expect=7"))
+        self.assertEqual(headers["x-author"], "Jana M")
+        self.assertEqual(body, pathlib.Path(EXAMPLE).read_bytes())
+        self.expect(self.put(200, {"revision": 6}, "--expect", "5"), OK)
+        self.assertEqual(self.entry.requests[-1][1], "/v1/sheet?expect=5")
+
+    def test_put_that_loses_a_race_names_the_winner(self):
+        self.expect(self.put(409, {"error": "conflict", "revision": 9, "author": "iv\x1ban"}),
+                    FAILED, "refused: revision 9 by iv?an is in force, not 7")
+
+    def test_put_prints_the_findings_of_the_entry_process(self):
+        finding = {"line": 41, "column": 5, "message": "can never run"}
+        self.expect(self.put(400, {"findings": [finding]}), BAD_INPUT,
+                    f"{EXAMPLE}:41:5: can never run")
+
+    def test_other_refusals_are_failures(self):
+        self.expect(self.put(503, {"error": "store is down"}), FAILED, "503: store is down")
+        self.entry.responses["GET /v1/status"] = (401, {"error": "no token"})
+        self.expect(self.call("status"), FAILED, "no token; set MONSOONLEDGE_TOKEN")
+        self.entry.responses["GET /v1/status"] = (200, "<html>")
+        self.expect(self.call("status"), FAILED, "no JSON object")
+
+    def test_status_and_token(self):
+        status = {"entry": "zilina1-a", "domain": "žilina", "ready": True, "units": [0, 1],
+                  "peers": [{"entry": "martin-a", "domain": "martin", "up": False},
+                            {"entry": "b", "domain": "trencin", "up": True}], "endpoints": []}
+        self.entry.responses["GET /v1/status"] = (200, status)
+        result = self.call("status", MONSOONLEDGE_TOKEN="secret-of-operator")
+        self.expect(result, OK, "  ready      yes\n  units      0,1\n  endpoints  -\n")
+        self.assertIn("\npeers\n  entry     domain   up\n  martin-a  martin   no\n"
+                      "  b         trencin  yes\n", result.stdout)
+        self.assertEqual(self.entry.requests[-1][2]["authorization"], "Bearer secret-of-operator")
+        self.assertEqual(json.loads(self.call("status", "--json").stdout), status)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", required=True)
+    options, rest = parser.parse_known_args()
+    PROGRAM = str(pathlib.Path(options.build).resolve() / "monsoonledge")
+    unittest.main(argv=[sys.argv[0], *rest])
