Add at-most-once claims

ClaimLog records claims by group commit in log segments, in peer mode by acknowledgements of the other members, and recovers units from the logs of former owners.

Header: closeUnit() takes the time; mirrored() returns false if the message must not be acknowledged; hook runEnded.

--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -13,14 +13,8 @@
 #include "ports/ports.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <list>
-#include <map>
-#include <optional>
-#include <set>
-#include <string>
-#include <unordered_map>
+#include <memory>
 #include <vector>
 
 namespace monsoonledge {
@@ -62,6 +56,9 @@
 {
 public:
     ClaimLog(ClaimSettings settings, StorePort &store, TimerPort &timers, LogHook log);
+    ~ClaimLog();
+    ClaimLog(const ClaimLog &) = delete;
+    ClaimLog &operator=(const ClaimLog &) = delete;
 
     /// Hook, peer mode: the members of the domain whose acknowledgement a claim needs now.
     std::function<std::vector<EntryId>()> requiredMirrors;
@@ -76,7 +73,7 @@
     /// Gives up a granted claim that certainly has not run; a later attempt may claim the id again.
     /// Waiters are called with the answer.
     void withdraw(const RequestId &id, const Answer &answer, Time now);
-    /// Calls back when the running request with this id ends.
+    /// Calls back when the running request with this id ends. Without such a request: never.
     void waitFor(const RequestId &id, std::function<void(const Answer &, Time now)> done);
 
     /// Makes a gained unit ready: closes the former owner's log, reads what it claimed, and then
@@ -86,19 +83,21 @@
     /// empty formerOwner makes the unit ready at once. Retries until the store answers.
     void recover(int unit, const EntryRun &formerOwner, bool released, bool claimsKnown, Time now,
                  std::function<void(Time now)> ready);
-    bool isReady(int unit) const { return (ready_ & (1U << unit)) != 0; }
+    bool isReady(int unit) const;
     /// The unit is being released: no new claim is taken for it.
-    void closeUnit(int unit);
-    /// Whether no claim of the unit is running or waiting to be written.
+    void closeUnit(int unit, Time now);
+    /// Whether no claim of the unit is running or waiting to be written, and no recovery of it is
+    /// in progress.
     bool unitIdle(int unit) const;
 
-    /// A new request id that is homed in this domain at a ready unit, and carries its time of issue
-    /// and this run, so that it cannot have been claimed by a former owner. Empty if no unit is
-    /// ready.
+    /// A new request id, "<domain>~<issue time>-<entry hash>.<incarnation>-<n>", that is homed in
+    /// this domain at a ready unit, and carries its time of issue and this run, so that it cannot
+    /// have been claimed by a former owner. Empty if no unit is ready.
     RequestId issueId(Time now);
 
     /// Peer mode: inputs from other members of the domain.
-    void mirrored(const EntryRun &from, const ClaimMessage &message, Time now);
+    /// False: this process has closed the sender's log, so the message must not be acknowledged.
+    bool mirrored(const EntryRun &from, const ClaimMessage &message, Time now);
     void acknowledged(const EntryId &from, std::uint64_t sequence, Time now);
     /// The link to a member is up again: unacknowledged claims are sent once more.
     void peerLinked(const EntryId &entry, Time now);
@@ -112,31 +111,17 @@
     /// Forgets what is older than the retention and removes log segments. Call about once a second.
     void expire(Time now);
 
-    ClaimMode mode() const { return mode_; }
+    /// Hook: whether a run that released units has left the domain, so that its log may be removed
+    /// after the retention period. Without it only logs of dead runs are removed.
+    std::function<bool(const EntryRun &)> runEnded;
+
+    ClaimMode mode() const;
     /// Ids remembered, running or not.
-    std::size_t size() const { return entries_.size(); }
+    std::size_t size() const;
 
 private:
     struct Private;
-
-    enum class State { Writing, Running, Finished, Unknown };
-    struct Entry
-    {
-        State state = State::Writing;
-        int unit = 0;
-        bool answerKnown = false;
-        Answer answer;
-        Time finishedAt{};
-        std::vector<std::function<void(const Answer &, Time now)>> waiters;
-    };
-
-    ClaimSettings settings_;
-    StorePort &store_;
-    TimerPort &timers_;
-    LogHook log_;
-    ClaimMode mode_ = ClaimMode::Store;
-    std::uint32_t ready_ = 0;
-    std::unordered_map<RequestId, Entry> entries_;
+    std::unique_ptr<Private> d_;
 };
 
 } // namespace monsoonledge
