--- a/src/adapters/peercodec.cpp
+++ b/src/adapters/peercodec.cpp
@@ -323,9 +323,10 @@
     a.choice("outcome", m.answer.outcome, Outcome::Unknown);
     a.number("httpStatus", m.answer.httpStatus, 100, 599);
     a.text("contentType", m.answer.contentType, 0, MaxTextBytes);
-    a.text("body", m.answer.body, 0, MaxBodyBytes);
+    a.text("body", m.answer.body, 0, MaxAnswerBytes);
     a.text("reason", m.answer.reason, 0, MaxNameBytes);
     a.text("detail", m.answer.detail, 0, MaxTextBytes);
+    a.flag("attemptNotRun", m.answer.attemptNotRun);
 }
 
 template<typename Archive, typename M> void claimFields(Archive &a, M &m)
--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -97,7 +97,8 @@
         "  1  the operation failed or was refused\n"
         "  2  bad input: settings, sheet or command line; all findings go to standard error\n"
         "  3  the entry process does not respond\n"
-        "  4  an address is in use\n";
+        "  4  an address is in use\n"
+        "  5  another entry process has taken over this one; start it again\n";
 
 void printOptions(std::ostream &out, const std::vector<const char *> &names)
 {
--- a/src/app/processcommands.cpp
+++ b/src/app/processcommands.cpp
@@ -24,7 +24,7 @@
 int runStatus(const CommandContext &context)
 {
     const std::string body = getFromEntry(context, "/v1/status");
-    const Json status = parseObject(body);
+    const Json status = parseResponseBody(body);
     if (context.json) {
         context.out << body << '\n';
         return ExitSuccess;
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,6 +1,7 @@
 #include "app/serve.h"
 
 #include "adapters/adapters.h"
+#include "app/exitcodes.h"
 #include "app/httpapi.h"
 #include "node/node.h"
 
@@ -14,11 +15,6 @@
 
 namespace {
 
-constexpr int ExitOk = 0;
-constexpr int ExitFailed = 1;
-constexpr int ExitAddressInUse = 4;
-constexpr int ExitExpelled = 5;
-
 constexpr Duration DrainPoll = milliseconds(20);
 // Time for the last responses to leave the process before it ends.
 constexpr Duration FlushTime = milliseconds(100);
@@ -104,7 +100,7 @@
               drained ? "all requests ended and all units are released"
                       : "the drain limit passed with requests in flight",
               {{"pending", std::to_string(node_->pending())}}});
-        loop_.after(FlushTime, [this, drained](Time) { stopWith(drained ? ExitOk : ExitFailed); });
+        loop_.after(FlushTime, [this, drained](Time) { stopWith(drained ? ExitSuccess : ExitFailed); });
     }
 
     void stopWith(int status)
@@ -127,7 +123,7 @@
     std::unique_ptr<HttpServer> http_;
     bool stopping_ = false;
     Time stopLimit_{};
-    int status_ = ExitOk;
+    int status_ = ExitSuccess;
 };
 
 } // namespace
--- a/src/app/sheetcommands.cpp
+++ b/src/app/sheetcommands.cpp
@@ -35,7 +35,7 @@
 SheetInForce parseSheetInForce(const std::string &body)
 {
     SheetInForce sheet;
-    sheet.details = parseObject(body);
+    sheet.details = parseResponseBody(body);
     sheet.revision = revisionOf(sheet.details);
     sheet.text = textOf(sheet.details, "text");
     return sheet;
--- a/src/app/text.cpp
+++ b/src/app/text.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-Json parseObject(const std::string &body)
+Json parseResponseBody(const std::string &body)
 {
     Json value = Json::parse(body, nullptr, false);
     if (!value.is_object())
--- a/src/app/text.h
+++ b/src/app/text.h
@@ -12,7 +12,7 @@
 using Json = nlohmann::ordered_json;
 
 /// Parses the body of a response. Throws std::runtime_error if it is no JSON object.
-Json parseObject(const std::string &body);
+Json parseResponseBody(const std::string &body);
 
 /// One value on one line: "yes" and "no" for booleans, "-" for nothing, lists with commas. Control
 /// characters are replaced, since they could change what the terminal shows.
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -65,7 +65,8 @@
 using TeamId = StringId<struct TeamTag>;
 
 constexpr std::size_t MaxRequestIdBytes = 64;
-constexpr std::size_t MaxBodyBytes = 256 * 1024;
+constexpr std::size_t MaxBodyBytes = 256 * 1024; // of a request
+constexpr std::size_t MaxAnswerBytes = 1024 * 1024; // of an answer to a request
 
 /// A whole number that cannot be mixed up with a number of another kind.
 template<typename Tag> struct Number
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -99,7 +99,7 @@
     membership_.unitGained.connect(
             [this](const GainedUnit &gained, Time now) { gainUnit(gained, now); });
     membership_.unitReleased.connect([this](int unit, Time now) {
-        claims_.closeUnit(unit);
+        claims_.closeUnit(unit, now);
         syncUnits(now);
     });
     membership_.memberDied.connect([this](const EntryRun &run, Time now) {
@@ -125,6 +125,10 @@
     claims_.sendMirror = [this](const EntryId &to, const ClaimMessage &message) {
         return ports_.peers.send(to, message);
     };
+    claims_.runEnded = [this](const EntryRun &run) {
+        const Member *member = membership_.record().findMember(run.entry);
+        return !member || member->run != run;
+    };
     claims_.fenced.connect([this](Time now) {
         log(LogLevel::Error, "fenced", "another process closed the claim log of this process");
         expelled.emit(now);
@@ -262,7 +266,7 @@
 
 bool Node::mayFreeUnit(int unit)
 {
-    claims_.closeUnit(unit);
+    claims_.closeUnit(unit, lastTick_);
     if (!claims_.unitIdle(unit))
         return false;
     if (unit == BatchUnit && (batch_.leading() || !batch_.isQuiet()))
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -235,6 +235,7 @@
     void submitToHome(Token token, Time now);
     void claimHere(Token token, int unit, Time now);
     void claimed(Token token, const ClaimResult &result, Time now);
+    void refuseClaimed(Token token, Time now);
     void enqueue(Token token, Time now);
     void dispatch(Time now);
     bool dispatchNext(const ServiceId &service, Time now);
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -28,8 +28,8 @@
                                        Time now) { answerReceived(entry, message, now); });
     port.claimReceived.connect([this](const EntryId &entry, const ClaimMessage &message, Time now) {
         Peer &peer = peers_[entry];
-        claims_.mirrored({entry, peer.last.incarnation}, message, now);
-        ports_.peers.send(entry, ClaimAckMessage{message.sequence});
+        if (claims_.mirrored({entry, peer.last.incarnation}, message, now))
+            ports_.peers.send(entry, ClaimAckMessage{message.sequence});
     });
     port.claimAckReceived.connect(
             [this](const EntryId &entry, const ClaimAckMessage &message, Time now) {
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -133,17 +133,25 @@
         complete(token, result.answer, now);
         return;
     case ClaimStatus::MaybeRun:
-        complete(token,
-                 refusal(Outcome::Unknown, 409, "already-claimed",
-                         "an earlier request with this id may have run"),
-                 now);
+        refuseClaimed(token, now);
         return;
     case ClaimStatus::NotRecorded:
-        refuse(token, "claim-not-recorded", "the claim could not be recorded in time", now);
+        if (claims_.mayHaveRun(pending.request.id, pending.unit, now))
+            refuseClaimed(token, now);
+        else
+            refuse(token, "claim-not-recorded", "the claim could not be recorded in time", now);
         return;
     }
 }
 
+void Node::refuseClaimed(Token token, Time now)
+{
+    complete(token,
+             refusal(Outcome::Unknown, 409, "already-claimed",
+                     "an earlier request with this id may have run"),
+             now);
+}
+
 void Node::enqueue(Token token, Time now)
 {
     Pending &pending = pending_.at(token);
