--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -182,10 +182,14 @@
 /// Throws std::runtime_error that names the address if it cannot be bound. The process with the
 /// smaller entry id connects and the other accepts; both may lose the link at any time. After a
 /// loss the accepting side probes the peer's address, so that a refused connection shows on both
-/// sides.
+/// sides. A Refused that is reported after a call of addPeer() comes from a connect that started
+/// after the call: call it again for each new incarnation that becomes known. send() also returns
+/// false for a message that cannot be encoded. Ignores SIGPIPE in the whole process.
 std::unique_ptr<PeerPort> makePeerLinks(EventLoop &loop, const PeerLinkSettings &settings);
 
 /// Message codec, public for fuzzing and tests. A message is one CBOR map with a "type" field.
+/// Encoding throws std::invalid_argument if a field is over the limits that decoding checks.
+/// Durations are written as 0 to 24 hours, the nearest one if they are outside.
 struct PeerHello
 {
     EntryRun run;
--- a/src/adapters/peercodec.cpp
+++ b/src/adapters/peercodec.cpp
@@ -37,6 +37,9 @@
 constexpr Duration MaxSpan = std::chrono::hours(24);
 // The claim list nests deepest: map, list of claims, one claim.
 constexpr std::size_t MaxDepth = 3;
+// The largest claim list has three items for each claim. The limit bounds the memory of the parsed
+// message, 16 bytes for each item of possibly one byte.
+constexpr std::size_t MaxItems = 3 * MaxClaims + 64;
 constexpr std::uint64_t MaxInt = std::numeric_limits<int>::max();
 constexpr std::uint64_t MaxU64 = std::numeric_limits<std::uint64_t>::max();
 
@@ -48,12 +51,14 @@
 }
 
 /// Returns the number of fields of the top map. Refuses whatever the codec never writes: nesting
-/// beyond MaxDepth, indefinite lengths, tags, lengths beyond the end. json::from_cbor recurses on
-/// nested containers and on indefinite strings, so deep input would overflow the stack there.
+/// beyond MaxDepth, more than MaxItems, indefinite lengths, tags, lengths beyond the end.
+/// json::from_cbor recurses on nested containers and on indefinite strings, so deep input would
+/// overflow the stack there.
 std::size_t checkStructure(const std::string &bytes)
 {
     std::size_t position = 0;
     std::size_t fieldCount = 0;
+    std::size_t items = 0;
     std::vector<std::uint64_t> open{1}; // items still to come at each level
     while (!open.empty()) {
         if (open.back() == 0) {
@@ -61,6 +66,8 @@
             continue;
         }
         --open.back();
+        if (++items > MaxItems)
+            refuse("too many items");
         if (position == bytes.size())
             refuse("truncated");
         const auto head = static_cast<unsigned char>(bytes[position++]);
--- /dev/null
+++ b/tests/unit/peercodec_test.cpp
@@ -0,0 +1,240 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "adapters/adapters.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+
+using namespace monsoonledge;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t Max64 = std::numeric_limits<std::uint64_t>::max();
+
+/// Decodes and encodes again; returns the bytes of the second encoding. Encoding checks every
+/// limit, so it throws if decoding has let something out of range through.
+std::string again(const std::string &bytes)
+{
+    std::string result;
+    const auto encode = [&result](const auto &message) { result = encodePeerMessage(message); };
+    decodePeerMessage(bytes, {encode, encode, encode, encode, encode, encode, encode, encode});
+    return result;
+}
+
+const PeerHello Hello{{EntryId("atitlan-1"), Incarnation{Max64}}, DomainId("atitlan"), 7};
+const Heartbeat Beat{
+        DomainId("d"), EntryId("e"), Incarnation{3}, 4,    5,
+        Revision{6},   0x8001,       true,           true, {11, 12, 13, milliseconds(14)}};
+
+ForwardMessage forwardMessage()
+{
+    ForwardMessage message;
+    message.correlation = Max64;
+    // Ids come from headers of callers, which need not be UTF-8.
+    message.request = {RequestId("izabal~\xff\xfe"),
+                       CallerId("club"),
+                       ServiceId("ledger"),
+                       ClassId("ledger/finish"),
+                       false,
+                       milliseconds(1500),
+                       std::string(70000, '\0')};
+    message.asHome = true;
+    return message;
+}
+
+const AnswerMessage Reply{9, {Outcome::Unknown, 504, "text/plain", "body", "late", "No answer."}};
+const ClaimMessage Claims{8, {{RequestId("r1"), true}, {RequestId(std::string(64, 'r')), false}}};
+const SheetMessage Sheet{Revision{21}, "operator", std::string(MaxStoreValueBytes, 's')};
+
+std::vector<std::string> samples()
+{
+    return {encodePeerMessage(Hello),
+            encodePeerMessage(Beat),
+            encodePeerMessage(forwardMessage()),
+            encodePeerMessage(Reply),
+            encodePeerMessage(Claims),
+            encodePeerMessage(ClaimAckMessage{77}),
+            encodePeerMessage(SheetMessage{{}, "", "text"}),
+            encodePeerMessage(SheetRequestMessage{})};
+}
+
+/// The bytes of a valid message with one field replaced.
+std::string with(const std::string &bytes, const char *key, const json &value)
+{
+    json map = json::from_cbor(bytes);
+    map[key] = value;
+    std::string out;
+    json::to_cbor(map, out);
+    return out;
+}
+
+json binary(std::size_t size)
+{
+    return json::binary(std::vector<std::uint8_t>(size, 'x'));
+}
+
+} // namespace
+
+TEST_CASE("every field survives the way to the other process")
+{
+    for (const std::string &bytes : samples())
+        CHECK(again(bytes) == bytes);
+    int seen = 0;
+    PeerMessageHandlers handlers;
+    handlers.hello = [&](const PeerHello &m) {
+        CHECK((m.run == Hello.run && m.domain == Hello.domain && m.protocol == 7));
+        ++seen;
+    };
+    handlers.heartbeat = [&](const Heartbeat &m) {
+        CHECK((m.domain == Beat.domain && m.entry == Beat.entry && m.incarnation.value == 3));
+        CHECK((m.sequence == 4 && m.acknowledged == 5 && m.sheetRevision.value == 6));
+        CHECK((m.units == 0x8001 && m.storeReachable && m.draining && m.load.ownSlots == 11));
+        CHECK((m.load.running == 12 && m.load.queued == 13));
+        CHECK(m.load.predictedWait == milliseconds(14));
+        ++seen;
+    };
+    handlers.forward = [&](const ForwardMessage &m) {
+        const Request sent = forwardMessage().request;
+        CHECK((m.correlation == Max64 && m.asHome && !m.request.idempotent));
+        CHECK((m.request.id == sent.id && m.request.caller == sent.caller));
+        CHECK((m.request.service == sent.service && m.request.requestClass == sent.requestClass));
+        CHECK((m.request.remaining == sent.remaining && m.request.body == sent.body));
+        ++seen;
+    };
+    handlers.answer = [&](const AnswerMessage &m) {
+        CHECK((m.correlation == 9 && m.answer.outcome == Outcome::Unknown));
+        CHECK((m.answer.httpStatus == 504 && m.answer.contentType == "text/plain"));
+        CHECK((m.answer.body == "body" && m.answer.reason == "late"));
+        CHECK(m.answer.detail == Reply.answer.detail);
+        ++seen;
+    };
+    handlers.claim = [&](const ClaimMessage &m) {
+        REQUIRE((m.sequence == 8 && m.claims.size() == 2));
+        CHECK((m.claims[0].id == RequestId("r1") && m.claims[0].finished));
+        CHECK((m.claims[1].id == Claims.claims[1].id && !m.claims[1].finished));
+        ++seen;
+    };
+    handlers.claimAck = [&](const ClaimAckMessage &m) { seen += m.sequence == 77 ? 1 : 0; };
+    handlers.sheet = [&](const SheetMessage &m) { seen += m.text == "text" ? 1 : 0; };
+    handlers.sheetRequest = [&](const SheetRequestMessage &) { ++seen; };
+    for (const std::string &bytes : samples())
+        decodePeerMessage(bytes, handlers);
+    const ClaimMessage most{1, {8192, {RequestId(std::string(MaxRequestIdBytes, 'r')), true}}};
+    CHECK(!again(encodePeerMessage(most)).empty());
+    CHECK(seen == 8);
+    decodePeerMessage(encodePeerMessage(Sheet), {}); // the largest sheet; no handler is set
+}
+
+TEST_CASE("a message cut at any byte or followed by another byte is refused")
+{
+    for (const std::string &bytes : samples()) {
+        for (std::size_t size = 0; size < bytes.size(); size += size < 1000 ? 1 : 997)
+            CHECK_THROWS_AS(again(bytes.substr(0, size)), std::runtime_error);
+        CHECK_THROWS_AS(again(bytes + '\0'), std::runtime_error);
+    }
+}
+
+TEST_CASE("flipped bytes are refused or yield a message within all limits")
+{
+    Random random(20261204);
+    int refused = 0;
+    for (int round = 0; round < 20000; ++round) {
+        const std::vector<std::string> messages = {
+                encodePeerMessage(Hello), encodePeerMessage(Beat), encodePeerMessage(Reply),
+                encodePeerMessage(Claims), encodePeerMessage(ClaimAckMessage{77})};
+        std::string bytes = messages[random.below(messages.size())];
+        for (std::uint64_t flips = 1 + random.below(4); flips > 0; --flips)
+            bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+        try {
+            again(bytes); // any exception other than runtime_error fails the test
+        } catch (const std::runtime_error &) {
+            ++refused;
+        }
+    }
+    CHECK((refused > 5000 && refused < 20000));
+}
+
+TEST_CASE("hostile structure is refused without deep recursion or large memory")
+{
+    const std::size_t large = 1024 * 1024;
+    const std::string start("\xa1\x64type", 6);
+    // 0x81: list of one, 0xa1: map of one, 0x7f and 0x5f: strings of indefinite length, 0xc1: tag.
+    for (const char nested : {'\x81', '\xa1', '\x7f', '\x5f', '\xc1', '\x9f', '\xbf'}) {
+        CHECK_THROWS_AS(again(std::string(large, nested)), std::runtime_error);
+        CHECK_THROWS_AS(again(start + std::string(large, nested)), std::runtime_error);
+    }
+    // A map, a list and a string that declare 2^63 items or bytes.
+    for (const char head : {'\xbb', '\x9b', '\x5b'}) {
+        const std::string declared = head + std::string("\x80\0\0\0\0\0\0\0", 8);
+        CHECK_THROWS_AS(again(declared), std::runtime_error);
+        CHECK_THROWS_AS(again(start + declared), std::runtime_error);
+    }
+    // A list of a million items of one byte each.
+    CHECK_THROWS_AS(again(start + std::string("\x9a\0\x10\0\0", 5) + std::string(large, '\0')),
+                    std::runtime_error);
+    Random random(7);
+    for (int round = 0; round < 2000; ++round) {
+        std::string bytes(random.below(200), '\0');
+        std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<char>(random.next()); });
+        CHECK_THROWS_AS(again(bytes), std::runtime_error);
+    }
+}
+
+TEST_CASE("fields of another type, out of range, missing, repeated or unknown are refused")
+{
+    const std::string beat = encodePeerMessage(Beat);
+    const std::string forward = encodePeerMessage(forwardMessage());
+    const std::string reply = encodePeerMessage(Reply);
+    const std::string claim = encodePeerMessage(Claims);
+    const auto refuses = [](const std::string &bytes, const char *key,
+                            const std::vector<json> &values) {
+        for (const json &value : values)
+            CHECK_THROWS_AS(again(with(bytes, key, value)), std::runtime_error);
+    };
+    const auto claimOf = [](const std::vector<json> &fields) { return json::array({fields}); };
+    refuses(beat, "type", {"heartbeats", 1, nullptr});
+    refuses(beat, "extra", {1, true});
+    refuses(beat, "entry", {binary(0), binary(257), "text"});
+    refuses(beat, "sequence", {-1, 1.0, nullptr, "1", json::array()});
+    refuses(beat, "draining", {1, nullptr});
+    refuses(beat, "units", {0x10000, -1});
+    refuses(beat, "running", {0x80000000U, Max64});
+    refuses(beat, "predictedWait", {Max64, -1});
+    refuses(forward, "id", {binary(0), binary(MaxRequestIdBytes + 1)});
+    refuses(forward, "body", {binary(MaxBodyBytes + 1), "text"});
+    refuses(reply, "body", {binary(MaxBodyBytes + 1), "text"});
+    refuses(reply, "outcome", {3, -1});
+    refuses(reply, "httpStatus", {99, 600});
+    refuses(claim, "claims", {claimOf({binary(3)}), claimOf({binary(0), true}), json::object()});
+    refuses(claim, "claims", {claimOf({binary(65), true}), claimOf({binary(3), 1})});
+    refuses(claim, "claims", {json(8193, json::array({binary(3), true}))});
+    CHECK(!again(with(forward, "body", binary(MaxBodyBytes))).empty());
+
+    json missing = json::from_cbor(beat);
+    missing.erase("queued");
+    std::string bytes;
+    json::to_cbor(missing, bytes);
+    CHECK_THROWS_AS(again(bytes), std::runtime_error);
+    // The map of a request for the sheet with its only field twice.
+    const std::string field = encodePeerMessage(SheetRequestMessage{}).substr(1);
+    CHECK(!again('\xa1' + field).empty());
+    CHECK_THROWS_AS(again('\xa2' + field + field), std::runtime_error);
+}
+
+TEST_CASE("what the receiver would refuse is not encoded, since it would close the link")
+{
+    ForwardMessage message = forwardMessage();
+    message.request.remaining = -seconds(1); // a passed deadline is no error
+    CHECK(!encodePeerMessage(message).empty());
+    message.request.body.assign(MaxBodyBytes + 1, 'x');
+    CHECK_THROWS_AS(encodePeerMessage(message), std::invalid_argument);
+    message = forwardMessage();
+    message.request.id = RequestId(std::string(MaxRequestIdBytes + 1, 'x'));
+    CHECK_THROWS_AS(encodePeerMessage(message), std::invalid_argument);
+    Heartbeat beat = Beat;
+    beat.load.queued = -1;
+    CHECK_THROWS_AS(encodePeerMessage(beat), std::invalid_argument);
+}
--- a/tests/unit/peerlinks_test.cpp
+++ b/tests/unit/peerlinks_test.cpp
@@ -2,11 +2,12 @@
 #include "adapters/adapters.h"
 
 #include <doctest/doctest.h>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/listener.h>
 
 #include <algorithm>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace monsoonledge;
@@ -76,34 +77,309 @@
     }
 };
 
+/// Two processes whose link is up. The smaller entry id connects.
+struct Pair : Fixture
+{
+    Side a{loop, "a", 23101, 7};
+    Side b{loop, "b", 23102, 9};
+
+    Pair()
+    {
+        a.add(b);
+        b.add(a);
+        REQUIRE(until([&] { return a.saw("up 9") && b.saw("up 7"); }));
+    }
+};
+
 ForwardMessage forward(const std::string &body)
 {
-    ForwardMessage message;
-    message.request.id = RequestId("r");
-    message.request.service = ServiceId("ledger");
-    message.request.requestClass = ClassId("ledger/results");
-    message.request.body = body;
-    return message;
+    const ClassId results("ledger/results");
+    return {1, {RequestId("r"), CallerId(), ServiceId("ledger"), results, true, {}, body}, false};
 }
 
+/// A peer that writes its own bytes, to break the protocol at any point.
+struct RawPeer
+{
+    const int descriptor;
+
+    explicit RawPeer(std::uint16_t port) : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const sockaddr_in address = loopback(port);
+        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                == 0);
+    }
+    ~RawPeer() { ::close(descriptor); }
+
+    static sockaddr_in loopback(std::uint16_t port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+    void write(const std::string &bytes)
+    {
+        // A side that has closed already is checked by isClosed().
+        (void)::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    void handshake()
+    {
+        write("GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+              "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Version: 13\r\n\r\n");
+    }
+    /// A frame with a mask of zeros. Opcodes: 1 text, 2 binary.
+    void frame(const std::string &payload, char opcode = 2)
+    {
+        const auto size = static_cast<unsigned>(payload.size());
+        std::string head{static_cast<char>(0x80 | opcode), static_cast<char>(0x80 | 126),
+                         static_cast<char>(size >> 8U), static_cast<char>(size & 255U)};
+        if (size < 126)
+            head = {static_cast<char>(0x80 | opcode), static_cast<char>(0x80 | size)};
+        write(head + std::string(4, '\0') + payload);
+    }
+    void hello(const char *name, std::uint64_t incarnation, int protocol = 1)
+    {
+        handshake();
+        frame(encodePeerMessage(PeerHello{
+                {EntryId(name), Incarnation{incarnation}}, DomainId("izabal"), protocol}));
+    }
+    bool isClosed()
+    {
+        char bytes[4096];
+        const ssize_t size = recv(descriptor, bytes, sizeof bytes, MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno == ECONNRESET);
+    }
+};
+
+/// Listens but never accepts, like a suspended process.
+struct SuspendedPeer
+{
+    evconnlistener *listener;
+
+    SuspendedPeer(EventLoop &loop, std::uint16_t port, int backlog = 50)
+    {
+        const sockaddr_in address = RawPeer::loopback(port);
+        listener = evconnlistener_new_bind(
+                loop.base(), nullptr, nullptr,
+                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED, backlog,
+                reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        REQUIRE(listener != nullptr);
+    }
+    ~SuspendedPeer() { evconnlistener_free(listener); }
+};
+
+/// A process whose peer "a" is a raw one. Its probes of "a" see a living process.
+struct Server : Fixture
+{
+    SuspendedPeer suspended{loop, 23103};
+    Side b{loop, "b", 23104};
+    RawPeer raw{23104};
+
+    Server()
+    {
+        b.links->addPeer(EntryId("a"), {"127.0.0.1", 23103});
+        raw.hello("a", 1);
+        REQUIRE(until([&] { return b.saw("up 1"); }));
+    }
+};
+
 } // namespace
 
-TEST_CASE_FIXTURE(Fixture, "messages arrive both ways, whole and in order")
+TEST_CASE_FIXTURE(Pair, "messages arrive both ways, whole and in order")
 {
-    Side a(loop, "a", 23101, 7);
-    Side b(loop, "b", 23102, 9);
-    a.add(b);
-    b.add(a);
-    REQUIRE(until([&] { return a.saw("up 9") && b.saw("up 7"); }));
     std::vector<std::string> sent;
     for (int i = 0; i < 20; ++i) {
+        // 7 bodies of 256 KiB are pending at once, which is below maxPendingBytes.
         sent.push_back(std::to_string(i) + std::string(i % 3 == 0 ? MaxBodyBytes - 8 : 10, 'x'));
-        // Up to 7 bodies of 256 KiB are pending at once, below maxPendingBytes.
         REQUIRE(a.links->send(EntryId("b"), forward(sent.back())));
         REQUIRE(b.links->send(EntryId("a"), forward(sent.back())));
     }
+    std::size_t sheetSize = 0;
+    b.links->sheetReceived.connect(
+            [&](const EntryId &, const SheetMessage &m, Time) { sheetSize = m.text.size(); });
+    const SheetMessage sheet{Revision{1}, "operator", std::string(MaxStoreValueBytes, 's')};
+    REQUIRE(a.links->send(EntryId("b"), sheet));
+    // A message over the limits is not sent and does not cost the link.
+    CHECK(!a.links->send(EntryId("b"), forward(std::string(MaxBodyBytes + 1, 'x'))));
     CHECK(a.forwards.empty()); // nothing may be delivered from inside send()
     CHECK(until([&] { return a.forwards.size() == 20 && b.forwards.size() == 20; }));
-    CHECK(a.forwards == sent);
-    CHECK(b.forwards == sent);
+    CHECK(until([&] { return sheetSize == sheet.text.size(); }));
+    CHECK((a.forwards == sent && b.forwards == sent));
+    CHECK(a.events == std::vector<std::string>{"up 9"});
+    CHECK(b.events == std::vector<std::string>{"up 7"});
+}
+
+TEST_CASE_FIXTURE(Pair, "a dead process shows as refused on either side, a restart as newer")
+{
+    // The connecting side sees the death of the accepting one. What was sent last still arrives.
+    REQUIRE(b.links->send(EntryId("a"), forward("last")));
+    b.links.reset();
+    CHECK(until([&] { return a.count("down refused") >= 2; }));
+    CHECK(!a.links->send(EntryId("b"), SheetRequestMessage{}));
+    CHECK(a.forwards == std::vector<std::string>{"last"});
+    CHECK(a.events.at(1) == "down closed");
+    b.settings.self.incarnation.value = 10;
+    b.events.clear();
+    b.start(loop);
+    b.add(a);
+    REQUIRE(until([&] { return a.saw("up 10") && b.saw("up 7"); }));
+    // The accepting side sees the death of the connecting one.
+    a.links.reset();
+    CHECK(until([&] { return b.count("down refused") >= 2; }));
+    CHECK(b.events.at(1) == "down closed");
+    a.settings.self.incarnation.value = 8;
+    a.start(loop);
+    a.add(b);
+    CHECK(until([&] { return b.saw("up 8") && a.count("up 10") == 2; }));
+}
+
+TEST_CASE_FIXTURE(Pair, "a link that was lost while both processes live comes back")
+{
+    // Removal from inside a handler, on the connection that delivers the message.
+    b.links->forwardReceived.connect([&](const EntryId &entry, const ForwardMessage &, Time) {
+        b.links->removePeer(entry);
+        b.add(a);
+    });
+    REQUIRE(a.links->send(EntryId("b"), forward("1")));
+    REQUIRE(a.links->send(EntryId("b"), forward("2")));
+    CHECK(until([&] { return a.count("up 9") == 2 && b.count("up 7") == 2; }));
+    CHECK(b.forwards == std::vector<std::string>{"1"});
+    CHECK((!a.saw("down refused") && !b.saw("down refused")));
+}
+
+TEST_CASE_FIXTURE(Pair, "a newer incarnation replaces the link, an older one never does")
+{
+    Side fresh(loop, "a", 23109, 8);
+    fresh.add(b);
+    REQUIRE(until([&] { return fresh.saw("up 9"); }));
+    CHECK(b.events == std::vector<std::string>{"up 7", "down closed", "up 8"});
+    // The old process tries again and is turned away.
+    CHECK(until([&] { return a.count("down closed") >= 3; }));
+    CHECK(a.count("up 9") == 1);
+    CHECK(b.events.size() == 3);
+    // The same on the connecting side: it has seen incarnation 9 of b.
+    fresh.links->removePeer(EntryId("b"));
+    Side older(loop, "b", 23110, 8);
+    older.add(fresh);
+    fresh.add(older);
+    CHECK(until([&] { return fresh.count("down closed") >= 2; }));
+    CHECK(!fresh.saw("up 8"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "unexpected entries and other protocols get no link")
+{
+    Side b(loop, "b", 23111);
+    Side a(loop, "a", 23112);
+    Side d(loop, "d", 23113);
+    a.links->addPeer(EntryId("c"), b.settings.listen); // b listens there, not c
+    b.add(a);
+    a.add(d); // d does not know a
+    CHECK(until([&] { return a.count("down closed") >= 4; }));
+    CHECK(a.count("down closed") == static_cast<long>(a.events.size()));
+    a.links->removePeer(EntryId("d"));
+    d.add(a);
+    RawPeer otherProtocol(23113);
+    otherProtocol.hello("a", 1, 2);
+    CHECK(until([&] { return otherProtocol.isClosed(); }));
+    CHECK(d.events.empty());
+}
+
+TEST_CASE_FIXTURE(Pair, "garbage on the port disturbs no other link")
+{
+    Random random(5);
+    for (int round = 0; round < 200; ++round) {
+        std::string bytes(random.below(3000), '\0'); // none: a probe of another process
+        std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<char>(random.next()); });
+        RawPeer raw(23102);
+        if (round % 2 == 0)
+            raw.handshake();
+        raw.write(bytes);
+        runFor(milliseconds(2));
+        REQUIRE(a.links->send(EntryId("b"), SheetRequestMessage{})); // against the silence limit
+        REQUIRE(b.links->send(EntryId("a"), SheetRequestMessage{}));
+    }
+    RawPeer early(23102); // a message before the hello
+    early.handshake();
+    early.frame(encodePeerMessage(forward("early")));
+    CHECK(until([&] { return early.isClosed(); }, milliseconds(100)));
+    CHECK(b.forwards.empty());
+    CHECK(a.events == std::vector<std::string>{"up 9"});
+    CHECK(b.events == std::vector<std::string>{"up 7"});
+}
+
+TEST_CASE_FIXTURE(Server, "an invalid message closes the link, and nothing after it is delivered")
+{
+    const std::string good = encodePeerMessage(forward("good"));
+    const std::string hello = encodePeerMessage(PeerHello{b.settings.self, b.settings.domain, 1});
+    long round = 0;
+    for (const std::string &bytes : {std::string("rubbish"), good, hello, good.substr(1)}) {
+        RawPeer next(23104); // replaces the link of the round before
+        next.hello("a", 1);
+        ++round;
+        REQUIRE(until([&] { return b.count("up 1") == round + 1; }));
+        next.frame(good);
+        next.frame(bytes, bytes == good ? 1 : 2); // a valid message in a text frame is invalid
+        next.frame(encodePeerMessage(forward("after")));
+        CHECK(until([&] { return next.isClosed(); }));
+        CHECK(b.count("down closed") == round + 1);
+    }
+    CHECK(b.forwards == std::vector<std::string>(4, "good"));
+}
+
+TEST_CASE_FIXTURE(Server, "silence closes a link as timed out, on either side and before the hello")
+{
+    // The accepting side: a peer that says nothing after its hello.
+    RawPeer mute(23104);
+    const Time start = loop.now();
+    CHECK(until([&] { return b.saw("down timed out"); }));
+    CHECK(loop.now() - start >= milliseconds(250));
+    CHECK(until([&] { return mute.isClosed(); }, milliseconds(400)));
+    // The connecting side: the kernel accepts the connection, the process does not respond.
+    b.links->addPeer(EntryId("c"), {"127.0.0.1", 23103});
+    CHECK(until([&] { return b.count("down timed out") == 2; }));
+    CHECK(b.events.size() == 3); // a suspended process is never reported as refused
+}
+
+TEST_CASE_FIXTURE(Fixture, "a connection attempt without an answer is timed out, not refused")
+{
+    SuspendedPeer full(loop, 23120, 1);
+    RawPeer first(23120); // a backlog of 1 holds two; the kernel drops further connects
+    RawPeer second(23120);
+    Side a(loop, "a", 23121);
+    a.links->addPeer(EntryId("b"), {"127.0.0.1", 23120});
+    a.links->addPeer(EntryId("c"), {"no number", 1});
+    CHECK(until([&] { return a.count("down timed out") >= 4; }));
+    CHECK(a.count("down timed out") == static_cast<long>(a.events.size()));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a refusal from before addPeer() is not reported after it")
+{
+    Side a(loop, "a", 23122);
+    a.links->addPeer(EntryId("b"), {"127.0.0.1", 23123});
+    event_base_loop(loop.base(), EVLOOP_ONCE); // starts the connect, which is refused
+    Side b(loop, "b", 23123, 5);
+    b.add(a);
+    a.add(b); // the new incarnation became known
+    CHECK(until([&] { return a.saw("up 5"); }));
+    CHECK(!a.saw("down refused"));
+}
+
+TEST_CASE_FIXTURE(Server, "too many unsent bytes close the link, and not from inside send()")
+{
+    const std::string body(MaxBodyBytes, 'x');
+    int sent = 0;
+    while (sent < 1000 && b.links->send(EntryId("a"), forward(body)))
+        ++sent;
+    CHECK((sent >= 10 && sent <= 16)); // 4 MiB
+    CHECK(!b.links->send(EntryId("a"), SheetRequestMessage{}));
+    CHECK(b.events.size() == 1);
+    CHECK(until([&] { return b.saw("down closed"); }));
+}
+
+TEST_CASE_FIXTURE(Pair, "an address in use is named in the error")
+{
+    CHECK_THROWS_WITH_AS(Side(loop, "c", 23102),
+                         "cannot listen for peers on 127.0.0.1:23102: Address already in use",
+                         std::runtime_error);
 }
