Do not run a non-idempotent task again before its worker has reported

A task finished on a worker that was cut off; when its lease ran out the leader queued it again, and it finished twice. Ruled out: overlapping runs, there were none. Change: after the lease, only an idempotent task is queued again at once; another waits for a report of the worker or for the worker to leave the host list.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -100,7 +100,8 @@
               drained ? "all requests ended and all units are released"
                       : "the drain limit passed with requests in flight",
               {{"pending", std::to_string(node_->pending())}}});
-        loop_.after(FlushTime, [this, drained](Time) { stopWith(drained ? ExitSuccess : ExitFailed); });
+        loop_.after(FlushTime,
+                    [this, drained](Time) { stopWith(drained ? ExitSuccess : ExitFailed); });
     }
 
     void stopWith(int status)
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -112,6 +112,7 @@
     std::vector<DomainId> domains; // all configured failure domains
     Duration lease = seconds(10); // of a task on its worker
     Duration leaseMargin = seconds(5); // for renewals that arrive late at the worker
+    Duration hostGone = seconds(30); // absence from the host list before a worker counts as dead
     Duration writeInterval = milliseconds(100); // between two writes of the state
     Duration reportInterval = seconds(1); // between two reports of a worker
     int startsBetweenReports = 2; // of one worker: declared sizes may be far off
@@ -152,6 +153,7 @@
     {
         HostInfo host;
         bool listed = true;
+        Time unlistedSince{}; // when it left the host list
         WorkerReport report; // the last good one
         Time reportedAt{};
         Time nextReport{};
@@ -199,6 +201,7 @@
     void taskFailed(BatchTask &task, Worker &worker, Time now);
     void countFailure(const TaskId &task, Worker &worker, Time now);
     void expireLeases(Time now);
+    bool leaseEndedBefore(const BatchTask &task, Time time) const;
     void relieve(Worker &worker, Time now);
     BatchTask *firstToYield(const Worker &worker, bool skipThrottled);
     void setThrottle(BatchTask &task, bool throttled);
--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -3,6 +3,7 @@
 #include "batch/batch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace monsoonledge {
 
@@ -22,8 +23,10 @@
 {
     if (!listing.ok)
         return;
-    for (auto &item : workers_)
-        item.second.listed = false;
+    for (auto &item : workers_) {
+        if (std::exchange(item.second.listed, false))
+            item.second.unlistedSince = now;
+    }
     for (const HostInfo &host : listing.hosts) {
         if (host.kind != HostKind::Worker || host.domain != settings_.domain)
             continue;
--- a/src/batch/workers.cpp
+++ b/src/batch/workers.cpp
@@ -147,8 +147,9 @@
         const bool expected = task.state == TaskState::Running
                               && worker.requestedAt > task.runningSince
                               && task.runningSince > Time();
-        if (expected && seen.count(taskId) == 0)
-            requeue(task, "the worker no longer knows the task");
+        const bool unseen = seen.count(taskId) == 0;
+        if (unseen && (expected || leaseEndedBefore(task, worker.requestedAt)))
+            requeue(task, "the worker does not know the task");
     }
     relieve(worker, now);
     updateCapacity(worker, now);
@@ -200,7 +201,8 @@
         taskFailed(*task, worker, now);
         return;
     case WorkerTaskState::Stopped:
-        if (task->state != TaskState::Evicting)
+        // The stop of an eviction may still be in flight.
+        if (task->state != TaskState::Evicting || leaseEndedBefore(*task, now))
             requeue(*task, "the worker stopped the task");
         return;
     }
@@ -238,14 +240,26 @@
     }
 }
 
+bool BatchScheduler::leaseEndedBefore(const BatchTask &task, Time time) const
+{
+    // A start that has not been sent yet has no lease.
+    return toStart_.count(task.id) == 0
+           && time >= task.leaseSent + settings_.lease + settings_.leaseMargin;
+}
+
 void BatchScheduler::expireLeases(Time now)
 {
     const std::set<TaskId> active = active_;
     for (const TaskId &id : active) {
         BatchTask &task = state_.tasks.at(id);
-        // A start that has not been sent yet has no lease.
-        const bool sent = toStart_.count(id) == 0;
-        if (sent && now >= task.leaseSent + settings_.lease + settings_.leaseMargin)
+        if (!leaseEndedBefore(task, now))
+            continue;
+        // The task does not run any more, but it may have finished unseen. Only an idempotent one
+        // may run again before the worker has reported; the others wait until the worker is gone.
+        const BatchJob *job = sheet_.findJob(task.job);
+        const Worker &worker = workers_.at(task.worker);
+        const bool gone = !worker.listed && now >= worker.unlistedSince + settings_.hostGone;
+        if (gone || (job && job->idempotent))
             requeue(task, "the task's lease on the worker ran out");
     }
 }
--- a/src/claims/claims.cpp
+++ b/src/claims/claims.cpp
@@ -122,7 +122,8 @@
 
 bool ClaimLog::mayHaveRun(const RequestId &id, int unit, Time now) const
 {
-    return d_->entries.count(id) > 0 || d_->fenced || !isReady(unit) || d_->isBlocked(id, unit, now);
+    return d_->entries.count(id) > 0 || d_->fenced || !isReady(unit)
+           || d_->isBlocked(id, unit, now);
 }
 
 void ClaimLog::claim(const RequestId &id, int unit, Time deadline, Time now, ClaimDone done)
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -73,8 +73,9 @@
     /// Gives up a granted claim that certainly has not run; a later attempt may claim the id again.
     /// Waiters are called with the answer.
     void withdraw(const RequestId &id, const Answer &answer, Time now);
-    /// Whether the id is remembered, or may have been claimed by a former owner of the unit. If not,
-    /// it has certainly not run, so that a request may be refused as "not run" without a claim.
+    /// Whether the id is remembered, or may have been claimed by a former owner of the unit. If
+    /// not, it has certainly not run, so that a request may be refused as "not run" without a
+    /// claim.
     bool mayHaveRun(const RequestId &id, int unit, Time now) const;
     /// Calls back when the running request with this id ends. Without such a request: never.
     void waitFor(const RequestId &id, std::function<void(const Answer &, Time now)> done);
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -236,16 +236,16 @@
         if (cut)
             return;
         const std::weak_ptr<bool> guard = alive_;
-        store_.clock_.after(arrival, [this, &store = store_, guard, lost, deliver,
-                                      effect = std::move(effect)] {
-            // A call of a process that has died since still takes effect.
-            if (store.down)
-                return;
-            effect([this, guard, lost, deliver](const StoreValue &value) {
-                if (!guard.expired() && !lost && !cut && !store_.down)
-                    deliver(value, store_.delay());
-            });
-        });
+        store_.clock_.after(
+                arrival, [this, &store = store_, guard, lost, deliver, effect = std::move(effect)] {
+                    // A call of a process that has died since still takes effect.
+                    if (store.down)
+                        return;
+                    effect([this, guard, lost, deliver](const StoreValue &value) {
+                        if (!guard.expired() && !lost && !cut && !store_.down)
+                            deliver(value, store_.delay());
+                    });
+                });
     }
 
     FakeStore &store_;
