--- a/tests/standins/endpoint.cpp
+++ b/tests/standins/endpoint.cpp
@@ -63,7 +63,7 @@
     const std::string id = call.header("x-request-id");
     if (call.path.size() != 3 || call.method != "POST" || id.empty()
         || (!settings_.service.empty() && call.path[1] != settings_.service)) {
-        Reply reply = Reply::error(404, "no such service, or no X-Request-Id");
+        Reply reply = Reply::error(503, "no such service, or no X-Request-Id");
         reply.headers = {{"X-Not-Run", "1"}, {"X-Request-Id", id}};
         ++refused_;
         respond(reply);
