--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -42,7 +42,8 @@
 
 
 def run(arguments):
-    with testbed.Testbed(arguments.build, arguments.seed, program=arguments.program) as bed:
+    with testbed.Testbed(arguments.build, arguments.seed, program=arguments.program,
+                         keep=arguments.keep) as bed:
         print(f"started {len(bed.entries)} entry processes, {len(bed.workers)} workers; "
               f"seed {arguments.seed}")
         bed.put_sheet(arguments.sheet)
@@ -82,10 +83,8 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--build", default=testbed.ROOT / "build", help="the build folder")
-    parser.add_argument("--program", help="the entry process; default: monsoonledge in the build folder")
+    testbed.add_arguments(parser, seed=1)
     parser.add_argument("--sheet", default=testbed.SHEET)
-    parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--requests", type=int, default=3000)
     parser.add_argument("--callers", type=int, default=32)
     parser.add_argument("--kill-entry", action="store_true",
--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -104,11 +104,12 @@
     """The stand-ins and entry processes. Use as a context manager: it stops what it started."""
 
     def __init__(self, build, seed=1, domains=("zilina1", "martin"), entries=2, service_ms=5,
-                 task_speed=600, program=None, timing=None):
+                 task_speed=600, program=None, timing=None, keep=False):
         self.build = pathlib.Path(build).resolve()
         self.program = pathlib.Path(program).resolve() if program else self.build / "monsoonledge"
         self.seed, self.domains, self.entries_per_domain = seed, domains, entries
         self.service_ms, self.task_speed, self.timing = service_ms, task_speed, timing or {}
+        self.keep = keep  # leave the folder with settings and logs in place
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="monsoonledge-"))
         self.processes, self.entries, self.workers = [], [], []
         self.next_port, self.hosts = FIRST_PORT, []
@@ -268,7 +269,10 @@
                 except subprocess.TimeoutExpired:
                     process.kill()
                     failed.append(f"{process.name} (killed, did not stop within 20 s)")
-        shutil.rmtree(self.folder, ignore_errors=True)
+        if not self.keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        elif self.processes:
+            print(f"settings and logs: {self.folder}")
         self.processes = []
         return failed
 
@@ -454,17 +458,23 @@
                for item in items)
 
 
+def add_arguments(parser, seed):
+    parser.add_argument("--build", default=ROOT / "build", help="the build folder")
+    parser.add_argument("--program", help="the entry process; default: monsoonledge in the build folder")
+    parser.add_argument("--seed", type=int, default=seed)
+    parser.add_argument("--keep", action="store_true", help="keep the settings files and logs")
+
+
 def run_test(scenario, seed, **options):
     """Runs one process test: `scenario(bed)` returns all items that were sent, and raises
     AssertionError. The audit must find nothing, and all processes must stop by themselves."""
-    parser = argparse.ArgumentParser(description=scenario.__doc__)
-    parser.add_argument("--build", default=ROOT / "build")
-    parser.add_argument("--seed", type=int, default=seed)
-    parser.add_argument("--program", help="the entry process; default: monsoonledge in the build folder")
+    parser = argparse.ArgumentParser(description=sys.modules["__main__"].__doc__)
+    add_arguments(parser, seed)
     arguments = parser.parse_args()
     print(f"{pathlib.Path(sys.argv[0]).name}: seed {arguments.seed}")
     try:
-        with Testbed(arguments.build, arguments.seed, program=arguments.program, **options) as bed:
+        with Testbed(arguments.build, arguments.seed, program=arguments.program,
+                     keep=arguments.keep, **options) as bed:
             bed.put_sheet()
             try:
                 items = scenario(bed)
