Keep exceptions out of libevent and connections out of resets

Exceptions of callbacks end EventLoop::run() and are thrown from it; a handler that throws gives 500 with outcome unknown. libevent and evhttp are C and may not be unwound.

stopAccepting() frees the socket in the next pass of the loop, so connections that wait in the backlog are served instead of reset. A failed accept() (out of file descriptors) pauses the listener for at most 1 s; before, the loop spun.

The client refuses header values with control characters: a NUL in a request id would have cut it to the id of another request. A call without time left is reported as not connected instead of being sent and timing out.

--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -33,7 +33,8 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Runs until stop() is called.
+    /// Runs until stop() is called. An exception thrown by a callback ends the run and is thrown
+    /// again from here.
     void run();
     void stop();
     /// CLOCK_BOOTTIME: it goes on while the host is suspended.
@@ -44,6 +45,9 @@
     /// Calls back in the loop for each arrival of the signal.
     void onSignal(int signalNumber, std::function<void(Time now)> callback);
 
+    /// Receives the warnings of libevent in this process. Without a hook they are dropped.
+    static void setLogHook(LogHook hook);
+
     event_base *base() const;
 
 private:
@@ -86,7 +90,10 @@
 };
 
 /// Refuses by itself, with a JSON error {"error", "field", "outcome": "not-run"}: bodies and
-/// headers over the limits, differing Content-Length headers, more connections than allowed.
+/// headers over the limits, malformed requests, differing Content-Length headers and whatever else
+/// makes the length of a request ambiguous, more connections than allowed. Such a refusal closes
+/// the connection. A handler that throws, or drops the callback, gives 500 with outcome "unknown".
+/// The server must not be destroyed from inside its handler.
 class HttpServer
 {
 public:
@@ -98,7 +105,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    /// Refuses new connections; requests on open connections are still served, each answered with
+    /// Frees the listening socket in the next pass of the loop, after accepting connections that
+    /// were made before. Requests on open connections are still served, each answered with
     /// "Connection: close".
     void stopAccepting();
     int openConnections() const;
--- a/src/adapters/eventloop.cpp
+++ b/src/adapters/eventloop.cpp
@@ -3,8 +3,10 @@
 
 #include <event2/event.h>
 
+#include <exception>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
 
 #include <csignal>
 #include <ctime>
@@ -19,6 +21,18 @@
 };
 using EventPtr = std::unique_ptr<event, EventDeleter>;
 
+LogHook &libraryLog()
+{
+    static LogHook hook;
+    return hook;
+}
+
+void onLibraryMessage(int severity, const char *message)
+{
+    if (libraryLog() && severity >= EVENT_LOG_WARN)
+        libraryLog()({LogLevel::Warning, "libevent", message, {}});
+}
+
 } // namespace
 
 struct EventLoop::Private
@@ -41,6 +55,18 @@
     TimerId lastId = 0;
     std::unordered_map<TimerId, std::unique_ptr<Timer>> timers;
     std::vector<std::unique_ptr<Signal>> signals;
+    std::exception_ptr failure; // thrown by a callback; run() throws it again
+
+    /// Keeps exceptions from passing through libevent, which is C.
+    static void call(EventLoop *loop, const std::function<void(Time)> &callback)
+    {
+        try {
+            callback(loop->now());
+        } catch (...) {
+            loop->d_->failure = std::current_exception();
+            loop->stop();
+        }
+    }
 
     static void onTimer(evutil_socket_t, short, void *arg)
     {
@@ -48,13 +74,13 @@
         EventLoop *loop = timer->loop;
         const std::function<void(Time)> callback = std::move(timer->callback);
         loop->d_->timers.erase(timer->id);
-        callback(loop->now());
+        call(loop, callback);
     }
 
     static void onSignal(evutil_socket_t, short, void *arg)
     {
         auto *signal = static_cast<Signal *>(arg);
-        signal->callback(signal->loop->now());
+        call(signal->loop, signal->callback);
     }
 };
 
@@ -62,6 +88,8 @@
 {
     // A write to a connection that the peer has closed must return an error, not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // By default libevent writes plain text to standard error, among the JSON lines of the logger.
+    event_set_log_callback(&onLibraryMessage);
     d_->base = event_base_new();
     if (!d_->base)
         throw std::runtime_error("cannot create the event loop");
@@ -77,6 +105,8 @@
 void EventLoop::run()
 {
     event_base_loop(d_->base, EVLOOP_NO_EXIT_ON_EMPTY);
+    if (d_->failure)
+        std::rethrow_exception(std::exchange(d_->failure, nullptr));
 }
 
 void EventLoop::stop()
@@ -123,6 +153,11 @@
     d_->signals.push_back(std::move(signal));
 }
 
+void EventLoop::setLogHook(LogHook hook)
+{
+    libraryLog() = std::move(hook);
+}
+
 event_base *EventLoop::base() const
 {
     return d_->base;
--- a/src/adapters/http.cpp
+++ b/src/adapters/http.cpp
@@ -2,12 +2,16 @@
 
 #include <nlohmann/json.hpp>
 
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 namespace monsoonledge {
 
@@ -79,6 +83,12 @@
     return json;
 }
 
+void setNoDelay(bufferevent *bev)
+{
+    const int on = 1;
+    setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 bool isCertainlyUnsent(HttpFailure failure)
 {
     return failure == HttpFailure::NotConnected || failure == HttpFailure::Refused;
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -10,6 +10,7 @@
 
 #include <sys/time.h>
 
+struct bufferevent;
 struct evkeyvalq;
 
 namespace monsoonledge {
@@ -32,6 +33,10 @@
 /// Parses a JSON object. The result is empty if the text is none.
 std::optional<nlohmann::json> parseObject(const std::string &text);
 
+/// Sends small segments at once. With Nagle's algorithm the last segment of a body waits for the
+/// peer's delayed acknowledgement.
+void setNoDelay(bufferevent *bev);
+
 /// True if the failure guarantees that no byte of the request left this process.
 bool isCertainlyUnsent(HttpFailure failure);
 
--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -113,6 +113,13 @@
     return "connection failed";
 }
 
+bool hasControlCharacter(const std::string &text)
+{
+    return std::any_of(text.begin(), text.end(), [](char c) {
+        return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == 127;
+    });
+}
+
 bool isIpNumber(const std::string &ip)
 {
     std::array<unsigned char, 16> buffer{};
@@ -120,6 +127,29 @@
            || inet_pton(AF_INET6, ip.c_str(), buffer.data()) == 1;
 }
 
+/// Returns why the request cannot be sent, or an empty string.
+std::string findObstacle(const Call &call, Duration timeout)
+{
+    if (timeout <= Duration::zero())
+        return "no time left";
+    // evhttp would look up a host name and block the loop.
+    if (!isIpNumber(call.address.ip))
+        return "not an IP number";
+    for (const auto &[name, value] : call.headers) {
+        // A line break would forge headers, and a NUL cut the value to that of another request.
+        if (hasControlCharacter(value))
+            return "header " + name + " contains a control character";
+    }
+    return {};
+}
+
+std::string hostHeader(const Address &address)
+{
+    if (address.ip.find(':') == std::string::npos)
+        return address.str();
+    return '[' + address.ip + "]:" + std::to_string(address.port);
+}
+
 /// Returns why the response cannot be taken as whole, or an empty string.
 std::string findFault(const Connection &connection, evhttp_request *req,
                       const HttpResponse &response)
@@ -158,6 +188,7 @@
 
     void dispatch(const Address &address);
     std::shared_ptr<Connection> takeIdle(Pool &pool);
+    bool isReusable(const Connection &connection) const;
     std::shared_ptr<Connection> open(Pool &pool, const Address &address);
     void start(const std::shared_ptr<Connection> &connection, const std::shared_ptr<Call> &call);
     void watchConnecting(const std::shared_ptr<Connection> &connection);
@@ -203,27 +234,28 @@
 /// The idle connection used last, or none. Connections that cannot be reused are closed.
 std::shared_ptr<Connection> HttpClient::Private::takeIdle(Pool &pool)
 {
-    const Time now = loop.now();
-    const auto isStale = [now](const std::shared_ptr<Connection> &c) {
-        if (c->call)
-            return false;
-        if (c->dead || now - c->idleSince > MaxIdle)
-            return true;
-        // The peer may have closed the connection without the loop having seen it yet. Any byte
-        // that arrives while no request is pending is not an answer to one.
-        char byte = 0;
-        bufferevent *bev = evhttp_connection_get_bufferevent(c->evcon);
-        const ssize_t n = recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-    };
-    auto &all = pool.connections;
-    all.erase(std::remove_if(all.begin(), all.end(), isStale), all.end());
-    std::shared_ptr<Connection> best;
-    for (const std::shared_ptr<Connection> &c : all) {
-        if (!c->call && (!best || best->idleSince < c->idleSince))
-            best = c;
+    for (;;) {
+        std::shared_ptr<Connection> best;
+        for (const std::shared_ptr<Connection> &c : pool.connections) {
+            if (!c->call && (!best || best->idleSince < c->idleSince))
+                best = c;
+        }
+        if (!best || isReusable(*best))
+            return best;
+        remove(best);
     }
-    return best;
+}
+
+bool HttpClient::Private::isReusable(const Connection &connection) const
+{
+    if (connection.dead || loop.now() - connection.idleSince > MaxIdle)
+        return false;
+    // The peer may have closed the connection without the loop having seen it yet. Any byte that
+    // arrives while no request is pending is not an answer to one.
+    char byte = 0;
+    bufferevent *bev = evhttp_connection_get_bufferevent(connection.evcon);
+    const ssize_t n = recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 std::shared_ptr<Connection> HttpClient::Private::open(Pool &pool, const Address &address)
@@ -262,15 +294,9 @@
         throw std::bad_alloc();
     evhttp_request_set_error_cb(req, &onError);
     evkeyvalq *headers = evhttp_request_get_output_headers(req);
-    evhttp_add_header(headers, "Host", call->address.str().c_str());
-    for (const auto &[name, value] : call->headers) {
-        // evhttp refuses line breaks, which would let a value forge further headers.
-        if (evhttp_add_header(headers, name.c_str(), value.c_str()) != 0) {
-            evhttp_request_free(req);
-            fail(*connection, "header " + name + " contains a line break");
-            return;
-        }
-    }
+    evhttp_add_header(headers, "Host", hostHeader(call->address).c_str());
+    for (const auto &[name, value] : call->headers)
+        evhttp_add_header(headers, name.c_str(), value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(req), call->body.data(), call->body.size());
     const bool isNew = bufferevent_getfd(evhttp_connection_get_bufferevent(connection->evcon)) < 0;
     errno = 0;
@@ -306,6 +332,8 @@
 {
     auto *connection = static_cast<Connection *>(arg);
     const int error = errno;
+    if (what & BEV_EVENT_CONNECTED)
+        setNoDelay(bev);
     if ((what & BEV_EVENT_ERROR) && connection->connectError == 0)
         connection->connectError = error;
     bufferevent_setcb(bev, connection->originalRead, connection->originalWrite,
@@ -486,19 +514,22 @@
     call->body = body;
     call->done = std::move(done);
     call->check = std::move(check);
-    // evhttp would look up a host name and block the loop.
-    const bool usable = isIpNumber(address.ip);
-    call->timer =
-            d_->loop.after(usable ? timeout : Duration::zero(),
-                           [weak = d_->weak_from_this(), weakCall = std::weak_ptr<Call>(call),
-                            keep = usable ? nullptr : call, usable](Time) {
-                               const std::shared_ptr<Private> self = weak.lock();
-                               const std::shared_ptr<Call> timed = weakCall.lock();
-                               if (self && timed)
-                                   self->abandon(timed, usable ? "time-out" : "not an IP number");
-                           });
-    if (!usable)
+    const std::string obstacle = findObstacle(*call, timeout);
+    if (!obstacle.empty()) {
+        d_->loop.after(Duration::zero(), [weak = d_->weak_from_this(), call, obstacle](Time) {
+            if (const std::shared_ptr<Private> self = weak.lock())
+                self->abandon(call, obstacle);
+        });
         return;
+    }
+    const auto onTimeout = [weak = d_->weak_from_this(),
+                            weakCall = std::weak_ptr<Call>(call)](Time) {
+        const std::shared_ptr<Private> self = weak.lock();
+        const std::shared_ptr<Call> timed = weakCall.lock();
+        if (self && timed)
+            self->abandon(timed, "time-out");
+    };
+    call->timer = d_->loop.after(timeout, onTimeout);
     d_->pools[address].waiting.push_back(std::move(call));
     d_->dispatch(address);
 }
--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -31,6 +31,7 @@
 // Connections over the limit still get a refusal as response to their first request, so that the
 // caller learns that nothing ran. Beyond this excess they are closed without one.
 constexpr int MaxRefusedConnections = 256;
+constexpr Duration MaxSweepInterval = seconds(1);
 
 /// One accepted connection.
 struct ServerConnection
@@ -53,17 +54,30 @@
     evhttp_request *req = nullptr; // empty once answered
 };
 
-HttpResponse refusal(int status, const std::string &error, const std::string &field)
+HttpResponse errorResponse(int status, const std::string &error, const std::string &field,
+                           const char *outcome)
 {
+    const nlohmann::json body{{"error", error}, {"field", field}, {"outcome", outcome}};
     HttpResponse response;
     response.status = status;
     response.headers["Content-Type"] = "application/json";
-    response.headers["X-Outcome"] = "not-run";
-    response.body =
-            nlohmann::json{{"error", error}, {"field", field}, {"outcome", "not-run"}}.dump();
+    response.headers["X-Outcome"] = outcome;
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
 }
 
+/// Response to a request that has not reached the handler.
+HttpResponse refusal(int status, const std::string &error, const std::string &field)
+{
+    return errorResponse(status, error, field, "not-run");
+}
+
+/// Response to a request whose handler has failed, possibly after passing it on.
+HttpResponse unknownOutcome(const std::string &error)
+{
+    return errorResponse(500, error, "", "unknown");
+}
+
 std::string methodName(evhttp_cmd_type type)
 {
     switch (type) {
@@ -177,7 +191,8 @@
     HttpServerSettings settings;
     Handler handler;
     evhttp *http = nullptr;
-    evhttp_bound_socket *bound = nullptr; // empty after stopAccepting()
+    evhttp_bound_socket *bound = nullptr; // empty once the listening socket is freed
+    bool stopping = false;
     event *soon = nullptr; // runs onSoon() before the next poll for I/O
     TimerId sweepTimer = 0;
     std::vector<std::unique_ptr<ServerConnection>> fresh; // accepted, not yet adopted
@@ -192,6 +207,7 @@
     void reply(evhttp_request *req, HttpResponse response, bool close);
     void sweep();
 
+    static void onAcceptError(evconnlistener *listener, void *);
     static bufferevent *onAccept(event_base *base, void *arg);
     static void onSoon(evutil_socket_t, short, void *arg);
     static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg);
@@ -207,10 +223,7 @@
     const std::shared_ptr<HttpServer::Private> locked = server.lock();
     if (!req || !locked || locked->pending.erase(req) == 0)
         return;
-    HttpResponse response = refusal(500, "the request was dropped", "");
-    response.headers["X-Outcome"] = "unknown";
-    response.body = R"({"error":"the request was dropped","field":"","outcome":"unknown"})";
-    locked->reply(req, std::move(response), true);
+    locked->reply(req, unknownOutcome("the request was dropped"), true);
 }
 
 } // namespace
@@ -237,6 +250,14 @@
         evconnlistener_free(listener);
         throw std::bad_alloc();
     }
+    evconnlistener_set_error_cb(listener, &onAcceptError);
+}
+
+void HttpServer::Private::onAcceptError(evconnlistener *listener, void *)
+{
+    // Out of file descriptors, for example. The waiting connection keeps the listening socket
+    // readable, so the loop would spin. sweep() enables the listener again.
+    evconnlistener_disable(listener);
 }
 
 /// evhttp asks for the bufferevent of each accepted connection. This is the only notice of a new
@@ -276,6 +297,7 @@
     void *arg = nullptr;
     bufferevent_getcb(connection->bev, nullptr, nullptr, nullptr, &arg);
     connection->evcon = static_cast<evhttp_connection *>(arg);
+    setNoDelay(connection->bev);
     assert(connection->evcon
            && evhttp_connection_get_bufferevent(connection->evcon) == connection->bev);
     evhttp_connection_set_closecb(connection->evcon, &onClosed, this);
@@ -367,15 +389,18 @@
     exchange->server = server->weak_from_this();
     exchange->req = req;
     server->pending.insert(req);
-    server->handler(
-            copyRequest(req),
-            [exchange](const HttpResponse &response) {
-                const std::shared_ptr<Private> locked = exchange->server.lock();
-                evhttp_request *answered = std::exchange(exchange->req, nullptr);
-                if (answered && locked && locked->pending.erase(answered) > 0)
-                    locked->reply(answered, response, false);
-            },
-            server->loop.now());
+    const HttpRespond respond = [exchange](const HttpResponse &response) {
+        const std::shared_ptr<Private> locked = exchange->server.lock();
+        evhttp_request *answered = std::exchange(exchange->req, nullptr);
+        if (answered && locked && locked->pending.erase(answered) > 0)
+            locked->reply(answered, response, false);
+    };
+    try {
+        server->handler(copyRequest(req), respond, server->loop.now());
+    } catch (const std::exception &error) {
+        // Must not pass through evhttp, which is C.
+        respond(unknownOutcome(error.what()));
+    }
 }
 
 void HttpServer::Private::reply(evhttp_request *req, HttpResponse response, bool close)
@@ -383,7 +408,7 @@
     evkeyvalq *headers = evhttp_request_get_output_headers(req);
     for (const auto &[name, value] : response.headers)
         evhttp_add_header(headers, name.c_str(), value.c_str());
-    if (close || !bound)
+    if (close || stopping)
         evhttp_add_header(headers, "Connection", "close");
     evhttp_request_set_on_complete_cb(req, &onSent, this);
     const auto it = connections.find(evhttp_request_get_connection(req));
@@ -420,7 +445,10 @@
     }
     for (evhttp_connection *evcon : expired)
         evhttp_connection_free(evcon);
-    sweepTimer = loop.after(settings.idleTimeout / 4, [weak = weak_from_this()](Time) {
+    if (bound)
+        evconnlistener_enable(evhttp_bound_socket_get_listener(bound));
+    const Duration interval = std::min(settings.idleTimeout / 4, MaxSweepInterval);
+    sweepTimer = loop.after(interval, [weak = weak_from_this()](Time) {
         if (const std::shared_ptr<Private> self = weak.lock())
             self->sweep();
     });
@@ -473,8 +501,14 @@
 
 void HttpServer::stopAccepting()
 {
-    if (d_->bound)
-        evhttp_del_accept_socket(d_->http, std::exchange(d_->bound, nullptr));
+    if (std::exchange(d_->stopping, true))
+        return;
+    // The poll before this timer accepts the connections that wait in the backlog. Closing the
+    // socket at once would reset them.
+    d_->loop.after(Duration::zero(), [weak = d_->weak_from_this()](Time) {
+        if (const std::shared_ptr<Private> self = weak.lock())
+            evhttp_del_accept_socket(self->http, std::exchange(self->bound, nullptr));
+    });
 }
 
 int HttpServer::openConnections() const
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -9,8 +9,11 @@
 
 #include <stdexcept>
 
+#include <ctime>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,13 +21,6 @@
 
 namespace {
 
-/// Ports that differ between test processes that run at the same time.
-Address nextAddress()
-{
-    static int port = 21000 + static_cast<int>(getpid() % 400) * 50;
-    return {"127.0.0.1", static_cast<std::uint16_t>(port++)};
-}
-
 sockaddr_in toSockaddr(const Address &address)
 {
     sockaddr_in result{};
@@ -34,6 +30,22 @@
     return result;
 }
 
+/// A free port below the range from which the system takes ports of clients (32768 and up). Test
+/// processes that run at the same time begin at different ports.
+Address nextAddress()
+{
+    static int port = 21000 + static_cast<int>(getpid() % 100) * 110;
+    for (;;) {
+        Address address{"127.0.0.1", static_cast<std::uint16_t>(port++)};
+        const sockaddr_in at = toSockaddr(address);
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        const bool free = bind(fd, reinterpret_cast<const sockaddr *>(&at), sizeof at) == 0;
+        close(fd);
+        if (free)
+            return address;
+    }
+}
+
 struct Loop : EventLoop
 {
     /// Runs the loop until the condition holds. False if it does not hold within the time.
@@ -159,10 +171,10 @@
     return result;
 }
 
-Request makeRequest()
+Request makeRequest(const std::string &id)
 {
     Request request;
-    request.id = RequestId("r1");
+    request.id = RequestId(id);
     request.service = ServiceId("desk");
     request.requestClass = ClassId("desk/renewal");
     request.idempotent = false;
@@ -170,11 +182,11 @@
 }
 
 RunResult runOn(Loop &loop, EndpointPort &port, const Address &address,
-                Duration timeout = seconds(2))
+                Duration timeout = seconds(2), const std::string &id = "r1")
 {
     RunResult result;
     bool done = false;
-    port.run(address, {EntryId("e"), Incarnation{7}}, makeRequest(), timeout,
+    port.run(address, {EntryId("e"), Incarnation{7}}, makeRequest(id), timeout,
              [&](const RunResult &r, Time) {
                  result = r;
                  done = true;
@@ -284,6 +296,7 @@
     HttpClient client(loop, {1, milliseconds(100), 100});
     CHECK(post(loop, client, nextAddress()).failure == HttpFailure::Refused);
     CHECK(post(loop, client, {"not-an-ip", 80}).failure == HttpFailure::NotConnected);
+    CHECK(post(loop, client, nextAddress(), Duration::zero()).failure == HttpFailure::NotConnected);
 
     // A second request waits for the only connection until its time-out.
     RawServer server(loop, [](RawSocket &, int) {});
@@ -354,6 +367,10 @@
     Loop loop;
     const auto port = makeEndpointClient(loop, 1);
     CHECK(runOn(loop, *port, nextAddress()).status == RunStatus::NotRun);
+    // A line break in an id would forge a header, and a NUL cut the id to that of another request.
+    for (const std::string &id : {std::string("r1\r\nX-Idempotent: 1"), std::string("r1\0x", 4)})
+        CHECK(runOn(loop, *port, nextAddress(), seconds(2), id).detail
+              == "header X-Request-Id contains a control character");
     RawServer silent(loop, [](RawSocket &, int) {});
     CHECK(runOn(loop, *port, silent.address, milliseconds(30)).status == RunStatus::Unknown);
 }
@@ -571,9 +588,12 @@
     Loop loop;
     std::vector<HttpRespond> responds;
     const HttpServerSettings settings{nextAddress()};
-    auto server = std::make_unique<HttpServer>(loop, settings,
-                                               [&](const HttpRequest &, const HttpRespond &respond,
-                                                   Time) { responds.push_back(respond); });
+    auto server = std::make_unique<HttpServer>(
+            loop, settings, [&](const HttpRequest &r, const HttpRespond &respond, Time) {
+                if (r.path == "/throw")
+                    throw std::runtime_error("fault");
+                responds.push_back(respond);
+            });
     const auto request = [&] {
         auto socket = std::make_unique<RawSocket>(loop, settings.address);
         socket->write("GET / HTTP/1.1\r\n\r\n");
@@ -592,6 +612,8 @@
     responds.pop_back();
     CHECK(loop.runUntil([&] { return dropped->closed; }));
     CHECK(contains(dropped->received, "\"outcome\":\"unknown\""));
+    CHECK(contains(exchange(loop, settings.address, "GET /throw HTTP/1.0\r\n\r\n"),
+                   "\"error\":\"fault\""));
 
     const auto late = request();
     server.reset();
@@ -611,7 +633,13 @@
     RawSocket open(loop, settings.address);
     open.write("GET / HTTP/1.1\r\n\r\n");
     CHECK(loop.runUntil([&] { return responds.size() == 1; }));
+    RawSocket queued(loop, settings.address); // connected, but not yet accepted by the loop
+    queued.write("GET / HTTP/1.1\r\n\r\n");
     server.stopAccepting();
+    CHECK(loop.runUntil([&] { return responds.size() == 2; }));
+    responds[1]({200, {}, "late"});
+    CHECK(loop.runUntil([&] { return queued.closed; }));
+    CHECK(contains(queued.received, "late"));
     HttpClient client(loop, {});
     CHECK(post(loop, client, settings.address).failure == HttpFailure::Refused);
     const HttpServer successor(loop, settings, handler);
@@ -645,6 +673,39 @@
     CHECK(server.openConnections() == 0);
 }
 
+TEST_CASE("a server out of file descriptors neither spins nor stops accepting for good")
+{
+    Loop loop;
+    const HttpServerSettings settings{nextAddress()};
+    const HttpServer server(loop, settings,
+                            [](const HttpRequest &, const HttpRespond &respond, Time) {
+                                respond({200, {}, "served"});
+                            });
+    const int first = dup(0);
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const rlimit few{static_cast<rlim_t>(first) + 1, before.rlim_max};
+    close(first);
+    setrlimit(RLIMIT_NOFILE, &few);
+    const RawSocket socket(loop, settings.address); // takes the last descriptor
+    socket.write("GET / HTTP/1.1\r\n\r\n");
+    const std::clock_t cpu = std::clock();
+    loop.runFor(milliseconds(200));
+    // Spinning takes the whole 200 ms; the poll each millisecond takes a few percent.
+    CHECK(std::clock() - cpu < CLOCKS_PER_SEC / 10);
+    CHECK(socket.received.empty());
+    setrlimit(RLIMIT_NOFILE, &before);
+    CHECK(loop.runUntil([&] { return contains(socket.received, "served"); }));
+}
+
+TEST_CASE("an exception in a callback ends the run and is thrown from it")
+{
+    Loop loop;
+    loop.after(Duration::zero(), [](Time) { throw std::runtime_error("fault"); });
+    CHECK_THROWS_AS(loop.run(), std::runtime_error);
+    CHECK(loop.runUntil([] { return true; }));
+}
+
 TEST_CASE("query parameters and paths are decoded, and header names are in lower case")
 {
     Loop loop;
