--- a/src/adapters/peerchannel_p.h
+++ b/src/adapters/peerchannel_p.h
@@ -24,6 +24,10 @@
     sockaddr *get() { return reinterpret_cast<sockaddr *>(&storage); }
 };
 
+/// What a failed connect() says about the peer, by its errno. Only a refusal proves that no process
+/// listens: an unreachable host or network may come back with the same process.
+LinkLoss connectLoss(int error);
+
 enum class PeerChannelKind {
     Connector, // connected by this process, carries a link after the hello exchange
     Acceptor, // connected by the peer, carries a link after the hello exchange
--- a/src/adapters/peerlinks.cpp
+++ b/src/adapters/peerlinks.cpp
@@ -256,7 +256,7 @@
         sendHello(*channel);
     if (replaced) {
         replaced->close();
-        linkDown.emit(entry, LinkLoss::Closed, now);
+        linkDown.emit(entry, replaced->loss(), now);
     }
     if (channel->isUsable()) // a handler of linkDown may have removed the peer
         linkUp.emit(entry, hello.run.incarnation, now);
