--- a/src/adapters/endpointclient.cpp
+++ b/src/adapters/endpointclient.cpp
@@ -66,7 +66,7 @@
 {
 public:
     EndpointClient(EventLoop &loop, int maxConnections)
-        : http_(loop, {maxConnections, ConnectTimeout, MaxBodyBytes}),
+        : http_(loop, {maxConnections, ConnectTimeout, MaxAnswerBytes}),
           statusHttp_(loop, {1, ConnectTimeout, MaxStatusBytes})
     { }
 
