Require the acknowledgement of every linked member in peer mode

A process cut off from the store held an old domain record that named a dead run of its neighbour; it did not wait for the neighbour's new run, although linked to it. When it died, the new run took its claims for known and ran a charge a second time. Ruled out: claims not sent again after a link came up (they are). Change: a linked member is always required.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -279,8 +279,10 @@
             continue;
         const Member *member = membership_.record().findMember(item.first);
         const bool silent = now >= peer.lastHeard + settings_.timing.mirrorDropAfter;
-        const bool died = member && diedAt_.count(member->run) > 0;
-        if ((member || peer.up) && !silent && !died)
+        // The record may be old: a linked process is required although the record still names a dead
+        // run of it.
+        const bool expected = member && diedAt_.count(member->run) == 0;
+        if ((peer.up || expected) && !silent)
             required.push_back(item.first);
     }
     return required;
