Keep unverified slots with their owner, and keep admitting after slow answers

Two faults found by invariant_node_test. Change: a unit is released only when all its slots are verified. Change: the time reserved for running is at most a quarter of the class's deadline, and a request that need not wait is never refused. Ruled out: ejected or lost endpoints, which were all usable at the end.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -90,6 +90,13 @@
     return Duration(static_cast<Duration::rep>(ahead * serviceTime / slots));
 }
 
+Duration Admission::runReserve(const ClassQueue &queue) const
+{
+    // Without the bound, a spell of slow answers would raise the mean above every deadline, and as
+    // nothing would run then, the mean would never fall again.
+    return std::min(queue.serviceTime, queue.definition.deadline / 4);
+}
+
 Duration Admission::predictedWait(const ClassId &id) const
 {
     const ClassQueue *queue = find(id);
@@ -121,7 +128,7 @@
     // Callers take turns, so a caller waits behind its own requests and as many of each other's.
     const int ahead = std::min(queue->queued, (ownQueued + 1) * (others + 1) - 1);
     const Duration wait = waitBehind(*queue, ahead);
-    if (now + wait + queue->serviceTime > deadline)
+    if (wait > Duration::zero() && now + wait + runReserve(*queue) > deadline)
         return Refusal::DeadlineUnreachable;
     const double bound = settings_.callerShareAbove * toMilliseconds(deadline - now);
     const bool busy = toMilliseconds(waitBehind(*queue, queue->queued)) > bound;
@@ -246,7 +253,7 @@
             std::deque<QueuedRequest> &waiting = caller->second.waiting;
             const auto kept = std::stable_partition(
                     waiting.begin(), waiting.end(), [&](const QueuedRequest &request) {
-                        return request.deadline > now + queue.serviceTime;
+                        return request.deadline > now + runReserve(queue);
                     });
             for (auto request = kept; request != waiting.end(); ++request)
                 expired.push_back(request->token);
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -118,6 +118,8 @@
     const ClassQueue *find(const ClassId &id) const;
     const ClassQueue *nextClass(const ServiceId &service) const;
     double guaranteedSlots(const ClassQueue &queue) const;
+    /// Time that must be left before the deadline for a request to be started.
+    Duration runReserve(const ClassQueue &queue) const;
     Duration waitBehind(const ClassQueue &queue, double queuedAhead) const;
     static void dropIdleCaller(ClassQueue &queue, const CallerId &caller);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -263,7 +263,8 @@
 bool Node::mayFreeUnit(int unit)
 {
     claims_.closeUnit(unit, lastTick_);
-    if (!claims_.unitIdle(unit))
+    // The next owner would take slots as free on which requests of a dead owner may still run.
+    if (!claims_.unitIdle(unit) || !endpoints_.isVerified(unit))
         return false;
     if (unit == BatchUnit && (batch_.leading() || !batch_.isQuiet()))
         return false;
@@ -279,8 +280,8 @@
             continue;
         const Member *member = membership_.record().findMember(item.first);
         const bool silent = now >= peer.lastHeard + settings_.timing.mirrorDropAfter;
-        // The record may be old: a linked process is required although the record still names a dead
-        // run of it.
+        // The record may be old: a linked process is required although the record still names a
+        // dead run of it.
         const bool expected = member && diedAt_.count(member->run) == 0;
         if ((peer.up || expected) && !silent)
             required.push_back(item.first);
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -54,6 +54,10 @@
         const bool mayRun = endpoint.running > 0
                             || (endpoint.lost > 0 && now < endpoint.lastLoss + LostRetention);
         const bool unused = !endpoint.listed && !mayRun;
+        if (unused) {
+            for (Unverified &entry : unverified_)
+                entry.pending.erase(item->first);
+        }
         item = unused ? endpoints_.erase(item) : std::next(item);
     }
     indexServices();
@@ -87,6 +91,13 @@
     setUnits(units_);
 }
 
+bool EndpointTable::isVerified(int unit) const
+{
+    return std::none_of(unverified_.begin(), unverified_.end(), [unit](const Unverified &entry) {
+        return ((entry.units >> unit) & 1U) != 0 && !entry.pending.empty();
+    });
+}
+
 void EndpointTable::updateSlots(Endpoint &endpoint)
 {
     UnitMask usable = units_;
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -71,6 +71,9 @@
     /// Slots of these units, taken over from a dead run, count as busy on every endpoint until a
     /// sample taken after `provenAt` plus the settling time shows none of its requests.
     void addUnverified(const EntryRun &dead, UnitMask units, Time provenAt);
+    /// Whether no slot of the unit is waiting for such a sample; until then it must not be
+    /// released.
+    bool isVerified(int unit) const;
     void applyStatus(const HostId &host, const EndpointStatus &status, Time now);
 
     /// Chooses an endpoint with a free own slot: the better of two random candidates. An ejected
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -104,6 +104,18 @@
           == Refusal::DeadlineUnreachable);
 }
 
+TEST_CASE("a spell of slow answers does not make an idle class refuse everything")
+{
+    Bench bench(0, 0);
+    for (int i = 0; i < 200; ++i) {
+        bench.offer(Bulk, "b", Start);
+        bench.fill(1);
+        bench.admission.finish(Bulk, CallerId("b"), seconds(4));
+    }
+    CHECK(bench.offer(Bulk, "b", Start, seconds(2)) == Refusal::None);
+    CHECK(bench.admission.expire(Start).empty());
+}
+
 TEST_CASE("one caller does not take the whole class")
 {
     Bench bench(0, 0);
