--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -33,7 +33,8 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Runs until stop() is called.
+    /// Runs until stop() is called. An exception thrown by a callback ends the run and is thrown
+    /// again from here.
     void run();
     void stop();
     /// CLOCK_BOOTTIME: it goes on while the host is suspended.
@@ -44,6 +45,9 @@
     /// Calls back in the loop for each arrival of the signal.
     void onSignal(int signalNumber, std::function<void(Time now)> callback);
 
+    /// Receives the warnings of libevent in this process. Without a hook they are dropped.
+    static void setLogHook(LogHook hook);
+
     event_base *base() const;
 
 private:
@@ -86,7 +90,10 @@
 };
 
 /// Refuses by itself, with a JSON error {"error", "field", "outcome": "not-run"}: bodies and
-/// headers over the limits, differing Content-Length headers, more connections than allowed.
+/// headers over the limits, malformed requests, differing Content-Length headers and whatever else
+/// makes the length of a request ambiguous, more connections than allowed. Such a refusal closes
+/// the connection. A handler that throws, or drops the callback, gives 500 with outcome "unknown".
+/// The server must not be destroyed from inside its handler.
 class HttpServer
 {
 public:
@@ -98,14 +105,16 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    /// Refuses new connections; requests on open connections are still served, each answered with
+    /// Frees the listening socket in the next pass of the loop, after accepting connections that
+    /// were made before. Requests on open connections are still served, each answered with
     /// "Connection: close".
     void stopAccepting();
     int openConnections() const;
 
+    struct Private; // internal state, used by callbacks of evhttp
+
 private:
-    struct Private;
-    std::unique_ptr<Private> d_;
+    std::shared_ptr<Private> d_;
 };
 
 // [3] HTTP client
@@ -143,14 +152,20 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// `target` is the path with the query, already encoded. Calls back exactly once.
+    /// Returns the reason why a response cannot be used, or an empty string.
+    using Check = std::function<std::string(const HttpResponse &)>;
+
+    /// `target` is the path with the query, already encoded. Calls back exactly once, unless the
+    /// client is destroyed before. A response refused by `check` is Lost, with the reason as its
+    /// detail, and closes the connection.
     void send(const Address &address, const std::string &method, const std::string &target,
               const HttpHeaders &headers, const std::string &body, Duration timeout,
-              std::function<void(const HttpResult &, Time now)> done);
+              std::function<void(const HttpResult &, Time now)> done, Check check = {});
+
+    struct Private; // internal state, used by callbacks of evhttp
 
 private:
-    struct Private;
-    std::unique_ptr<Private> d_;
+    std::shared_ptr<Private> d_;
 };
 
 /// Percent-encodes everything but unreserved characters, for use in a path or query.
@@ -158,12 +173,16 @@
 
 // [4] Clients of the platform
 
+/// A watch waits 10 s in the store and has its own connections. `timeout` applies to each call, and
+/// to a watch on top of its wait.
 std::unique_ptr<StorePort> makeStoreClient(EventLoop &loop, const Address &address,
                                            Duration timeout = seconds(2));
+/// A host that cannot be read from the list is left out. A host in an unknown state is Leaving.
 std::unique_ptr<HostListPort> makeHostListClient(EventLoop &loop, const Address &address,
                                                  Duration timeout = seconds(2));
 /// `maxConnections`: per endpoint, for requests; status samples use one more.
 std::unique_ptr<EndpointPort> makeEndpointClient(EventLoop &loop, int maxConnections = 24);
+/// Throttle orders carry {"percent"} as body; a response may carry {"checkpoint"}.
 std::unique_ptr<WorkerPort> makeWorkerClient(EventLoop &loop, Duration timeout = seconds(2));
 
 // [5] Peer links
@@ -182,10 +201,14 @@
 /// Throws std::runtime_error that names the address if it cannot be bound. The process with the
 /// smaller entry id connects and the other accepts; both may lose the link at any time. After a
 /// loss the accepting side probes the peer's address, so that a refused connection shows on both
-/// sides.
+/// sides. A Refused that is reported after a call of addPeer() comes from a connect that started
+/// after the call: call it again for each new incarnation that becomes known. send() also returns
+/// false for a message that cannot be encoded. Ignores SIGPIPE in the whole process.
 std::unique_ptr<PeerPort> makePeerLinks(EventLoop &loop, const PeerLinkSettings &settings);
 
 /// Message codec, public for fuzzing and tests. A message is one CBOR map with a "type" field.
+/// Encoding throws std::invalid_argument if a field is over the limits that decoding checks.
+/// Durations are written as 0 to 24 hours, the nearest one if they are outside.
 struct PeerHello
 {
     EntryRun run;
--- /dev/null
+++ b/src/adapters/peerlinks.cpp
@@ -0,0 +1,320 @@
+// Links between entry processes. The websockets are in peerchannel.cpp.
+//
+// Sections:
+//   [1] Listener, connection attempts, link states
+//   [2] Hello exchange and messages
+#include "adapters/peerchannel_p.h"
+
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <cassert>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <set>
+#include <stdexcept>
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr int ProtocolVersion = 1;
+// Accepted connections without a hello; each holds a read buffer of 16 KiB.
+constexpr std::size_t MaxUnidentified = 128;
+
+// [1] Listener, connection attempts, link states
+
+class PeerLinks : public PeerPort
+{
+public:
+    PeerLinks(EventLoop &loop, PeerLinkSettings settings);
+    ~PeerLinks() override;
+    PeerLinks(const PeerLinks &) = delete;
+    PeerLinks &operator=(const PeerLinks &) = delete;
+
+    void addPeer(const EntryId &entry, const Address &address) override;
+    void removePeer(const EntryId &entry) override;
+    bool send(const EntryId &to, const Heartbeat &m) override { return transmit(to, m); }
+    bool send(const EntryId &to, const ForwardMessage &m) override { return transmit(to, m); }
+    bool send(const EntryId &to, const AnswerMessage &m) override { return transmit(to, m); }
+    bool send(const EntryId &to, const ClaimMessage &m) override { return transmit(to, m); }
+    bool send(const EntryId &to, const ClaimAckMessage &m) override { return transmit(to, m); }
+    bool send(const EntryId &to, const SheetMessage &m) override { return transmit(to, m); }
+    bool send(const EntryId &to, const SheetRequestMessage &m) override { return transmit(to, m); }
+
+private:
+    void sendHello(PeerChannel &channel);
+    void received(const PeerChannelPtr &channel, const std::string &bytes, Time now);
+    void lost(const PeerChannelPtr &channel, Time now);
+
+    struct Peer
+    {
+        Address address;
+        PeerChannelPtr attempt; // connection attempt or probe
+        PeerChannelPtr link; // carries messages
+        std::optional<TimerId> retry; // starts the next attempt
+    };
+
+    static void onAccept(evconnlistener *listener, evutil_socket_t socket, sockaddr *from,
+                         int fromLength, void *self);
+    static void onAcceptError(evconnlistener *listener, void *self);
+    void listen();
+    void scheduleAttempt(const EntryId &entry, Peer &peer, Duration delay);
+    void startAttempt(const EntryId &entry);
+    void cancelAttempt(Peer &peer);
+    void receivedHello(const PeerChannelPtr &channel, const PeerHello &hello, Time now);
+    template<typename M> bool transmit(const EntryId &to, const M &message);
+
+    PeerChannelContext context_;
+    evconnlistener *listener_ = nullptr;
+    std::optional<TimerId> acceptAgain_;
+    std::map<EntryId, Peer> peers_;
+    std::set<PeerChannelPtr> unidentified_; // accepted, no hello yet
+    std::map<EntryId, Incarnation> latest_; // newest incarnation seen; outlives removePeer
+};
+
+PeerLinks::PeerLinks(EventLoop &loop, PeerLinkSettings settings)
+    : context_(loop, std::move(settings))
+{
+    context_.opened = [this](PeerChannel &channel) { sendHello(channel); };
+    context_.received = [this](const PeerChannelPtr &channel, const std::string &bytes, Time now) {
+        received(channel, bytes, now);
+    };
+    context_.lost = [this](const PeerChannelPtr &channel, Time now) { lost(channel, now); };
+    // libevent writes without MSG_NOSIGNAL; a lost connection shows as an error of the write.
+    std::signal(SIGPIPE, SIG_IGN);
+    listen();
+}
+
+PeerLinks::~PeerLinks()
+{
+    if (acceptAgain_)
+        context_.loop.cancel(*acceptAgain_);
+    evconnlistener_free(listener_);
+    while (!peers_.empty())
+        removePeer(peers_.begin()->first);
+    for (const PeerChannelPtr &channel : unidentified_)
+        channel->close();
+}
+
+void PeerLinks::listen()
+{
+    SocketAddress address(context_.settings.listen);
+    errno = EINVAL;
+    if (address.length != 0)
+        listener_ = evconnlistener_new_bind(
+                context_.loop.base(), onAccept, this,
+                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, SOMAXCONN,
+                address.get(), static_cast<int>(address.length));
+    if (listener_ == nullptr)
+        throw std::runtime_error("cannot listen for peers on " + context_.settings.listen.str()
+                                 + ": " + std::strerror(errno));
+    evconnlistener_set_error_cb(listener_, onAcceptError);
+}
+
+void PeerLinks::onAcceptError(evconnlistener * /*listener*/, void *self)
+{
+    // Out of file descriptors: the waiting connection would make the loop spin. The socket goes on
+    // listening, so that connections are not refused meanwhile.
+    auto *links = static_cast<PeerLinks *>(self);
+    evconnlistener_disable(links->listener_);
+    links->acceptAgain_ =
+            links->context_.loop.after(links->context_.settings.reconnectDelay, [links](Time) {
+                links->acceptAgain_.reset();
+                evconnlistener_enable(links->listener_);
+            });
+}
+
+void PeerLinks::onAccept(evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
+                         int /*fromLength*/, void *self)
+{
+    auto *links = static_cast<PeerLinks *>(self);
+    if (links->unidentified_.size() >= MaxUnidentified) {
+        evutil_closesocket(socket);
+        return;
+    }
+    const auto channel =
+            std::make_shared<PeerChannel>(links->context_, PeerChannelKind::Acceptor, EntryId());
+    links->unidentified_.insert(channel);
+    channel->accept(socket);
+}
+
+void PeerLinks::addPeer(const EntryId &entry, const Address &address)
+{
+    assert(!entry.isEmpty() && entry != context_.settings.self.entry);
+    const auto [found, added] = peers_.try_emplace(entry);
+    Peer &peer = found->second;
+    if (!added && peer.address == address) {
+        // A connect that is under way may have been refused before the caller learned what made it
+        // call again, such as a new incarnation. Only a later refusal says anything about that.
+        if (peer.attempt && !peer.attempt->isConnected()) {
+            cancelAttempt(peer);
+            scheduleAttempt(entry, peer, Duration(0));
+        }
+        return;
+    }
+    peer.address = address;
+    cancelAttempt(peer);
+    if (peer.link)
+        peer.link->fail(LinkLoss::Closed); // the next attempt goes to the new address
+    else
+        scheduleAttempt(entry, peer,
+                        context_.settings.self.entry < entry ? Duration(0)
+                                                             : context_.settings.reconnectDelay);
+}
+
+void PeerLinks::removePeer(const EntryId &entry)
+{
+    const auto found = peers_.find(entry);
+    if (found == peers_.end())
+        return;
+    cancelAttempt(found->second);
+    if (found->second.link)
+        found->second.link->close();
+    peers_.erase(found);
+}
+
+void PeerLinks::scheduleAttempt(const EntryId &entry, Peer &peer, Duration delay)
+{
+    assert(!peer.retry && !peer.attempt);
+    peer.retry = context_.loop.after(delay, [this, entry](Time) { startAttempt(entry); });
+}
+
+void PeerLinks::startAttempt(const EntryId &entry)
+{
+    Peer &peer = peers_.at(entry);
+    peer.retry.reset();
+    const bool connects = context_.settings.self.entry < entry;
+    peer.attempt = std::make_shared<PeerChannel>(
+            context_, connects ? PeerChannelKind::Connector : PeerChannelKind::Probe, entry);
+    peer.attempt->connect(peer.address);
+}
+
+void PeerLinks::cancelAttempt(Peer &peer)
+{
+    if (peer.retry)
+        context_.loop.cancel(*peer.retry);
+    peer.retry.reset();
+    if (peer.attempt)
+        peer.attempt->close();
+    peer.attempt.reset();
+}
+
+void PeerLinks::lost(const PeerChannelPtr &channel, Time now)
+{
+    const LinkLoss loss = channel->loss();
+    channel->close();
+    unidentified_.erase(channel);
+    const auto found = peers_.find(channel->peer());
+    if (found == peers_.end())
+        return;
+    const EntryId entry = found->first;
+    Peer &peer = found->second;
+    if (peer.link == channel)
+        peer.link.reset();
+    else if (peer.attempt == channel)
+        peer.attempt.reset();
+    else
+        return;
+    scheduleAttempt(entry, peer, context_.settings.reconnectDelay);
+    // A probe that does not get through says nothing new: the link was already reported as down.
+    if (channel->kind() != PeerChannelKind::Probe || loss == LinkLoss::Refused)
+        linkDown.emit(entry, loss, now);
+}
+
+// [2] Hello exchange and messages
+
+void PeerLinks::sendHello(PeerChannel &channel)
+{
+    channel.write(encodePeerMessage(
+            PeerHello{context_.settings.self, context_.settings.domain, ProtocolVersion}));
+}
+
+void PeerLinks::receivedHello(const PeerChannelPtr &channel, const PeerHello &hello, Time now)
+{
+    const EntryId entry = hello.run.entry;
+    const auto found = peers_.find(entry);
+    const bool connector = channel->kind() == PeerChannelKind::Connector;
+    const bool expected =
+            found != peers_.end()
+            && (connector ? channel->peer() == entry : entry < context_.settings.self.entry);
+    if (hello.protocol != ProtocolVersion || !expected || hello.run.incarnation < latest_[entry]) {
+        channel->reject();
+        return;
+    }
+    latest_[entry] = hello.run.incarnation;
+    unidentified_.erase(channel);
+    Peer &peer = found->second;
+    const PeerChannelPtr replaced = std::move(peer.link);
+    if (connector)
+        peer.attempt.reset(); // it becomes the link
+    cancelAttempt(peer);
+    peer.link = channel;
+    channel->establish(entry, now);
+    if (!connector)
+        sendHello(*channel);
+    if (replaced) {
+        replaced->close();
+        linkDown.emit(entry, replaced->loss(), now);
+    }
+    if (channel->isUsable()) // a handler of linkDown may have removed the peer
+        linkUp.emit(entry, hello.run.incarnation, now);
+}
+
+void PeerLinks::received(const PeerChannelPtr &channel, const std::string &bytes, Time now)
+{
+    const EntryId entry = channel->peer();
+    bool valid = false; // a message of a type that is expected now
+    const auto relay = [&](auto &signal) {
+        return [&valid, &signal, &entry, now](const auto &message) {
+            valid = true;
+            signal.emit(entry, message, now);
+        };
+    };
+    PeerMessageHandlers handlers;
+    if (channel->isEstablished()) {
+        handlers.heartbeat = relay(heartbeatReceived);
+        handlers.forward = relay(forwardReceived);
+        handlers.answer = relay(answerReceived);
+        handlers.claim = relay(claimReceived);
+        handlers.claimAck = relay(claimAckReceived);
+        handlers.sheet = relay(sheetReceived);
+        handlers.sheetRequest = relay(sheetRequested);
+    } else {
+        handlers.hello = [&](const PeerHello &hello) {
+            valid = true;
+            receivedHello(channel, hello, now);
+        };
+    }
+    try {
+        decodePeerMessage(bytes, handlers);
+    } catch (const std::runtime_error &) {
+        if (valid) // thrown by a handler, not by the decoder
+            throw;
+    }
+    if (!valid)
+        channel->reject();
+}
+
+template<typename M> bool PeerLinks::transmit(const EntryId &to, const M &message)
+{
+    const auto found = peers_.find(to);
+    if (found == peers_.end() || !found->second.link || !found->second.link->isUsable())
+        return false;
+    try {
+        return found->second.link->write(encodePeerMessage(message));
+    } catch (const std::invalid_argument &) {
+        // The peer would close the link on a message over the limits, with every repetition.
+        return false;
+    }
+}
+
+} // namespace
+
+std::unique_ptr<PeerPort> makePeerLinks(EventLoop &loop, const PeerLinkSettings &settings)
+{
+    return std::make_unique<PeerLinks>(loop, settings);
+}
+
+} // namespace monsoonledge
