Leave peer mode also when its last claims were dropped

Cause: ClaimLog returned to store mode only after a successful write with no unwritten claim of peer mode left. If a write succeeded and the rest was then withdrawn or expired, nothing was left to write, and the process stayed in peer mode until its next claim. Ruled out: a lost store answer or a missing probe; no store call was pending, and the last one had succeeded. Change: expire() checks the condition, too, when no write is failing.

--- a/src/claims/claims.cpp
+++ b/src/claims/claims.cpp
@@ -325,9 +325,14 @@
 }
 
 void ClaimLog::Private::onReachable(Time /*now*/)
+{
+    leavePeerMode();
+}
+
+void ClaimLog::Private::leavePeerMode()
 {
     const auto &pending = writer.pending();
-    if (mode == ClaimMode::Store
+    if (mode == ClaimMode::Store || writer.isFailing()
         || std::any_of(pending.begin(), pending.end(),
                        [](const auto &item) { return item.second.granted; }))
         return;
--- a/src/claims/claims_p.h
+++ b/src/claims/claims_p.h
@@ -57,6 +57,7 @@
     void onClosed(Time now);
     void onUnreachable(Time now);
     void onReachable(Time now);
+    void leavePeerMode();
     void settle(const RequestId &id, std::uint64_t number, bool recorded, Time now);
     void end(const RequestId &id, const Answer &answer, bool keep, Time now);
     void remember(const RequestId &id, Entry &entry, Time now);
--- a/src/claims/logwriter_p.h
+++ b/src/claims/logwriter_p.h
@@ -42,6 +42,8 @@
 
     /// The note is written together with or after all claims that are pending now.
     void addNote(UnitNote note, Time now);
+    /// Whether the last write, or one in flight, is without success.
+    bool isFailing() const { return failingSince_.has_value(); }
     /// Records that the unit is given up; a later note of the unit begins a new ownership.
     void markLeft(int unit, Time now);
     /// Whether nothing of the unit waits to be written.
--- a/src/claims/recovery.cpp
+++ b/src/claims/recovery.cpp
@@ -149,6 +149,8 @@
     }
     for (const std::uint64_t number : forgotten)
         d->writer.drop(number);
+    // What kept this run in peer mode may have been dropped or withdrawn instead of written.
+    d->leavePeerMode();
     d->expireMirrored(now);
     d->cleanUp(now);
 }
