--- a/tests/unit/invariant_batch_test.cpp
+++ b/tests/unit/invariant_batch_test.cpp
@@ -1,9 +1,10 @@
 // Batch tasks under seeded schedules of leader deaths, lost orders, unreachable workers, store
-// outages and evictions. SEED=N repeats one schedule, SCHEDULES=N runs more.
+// outages and evictions. See fakes/schedules.h.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "batch/batch.h"
 #include "fakes/fakestore.h"
 #include "fakes/fakeworkers.h"
+#include "fakes/schedules.h"
 
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -133,20 +134,11 @@
     std::uint64_t incarnation = 0;
 };
 
-std::uint64_t environmentNumber(const char *name, std::uint64_t otherwise)
-{
-    const char *text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : otherwise;
-}
-
 } // namespace
 
 TEST_CASE("invariant_2: no task runs in two places; invariant_3: evicted work resumes exactly once")
 {
-    const std::uint64_t only = environmentNumber("SEED", 0);
-    const std::uint64_t schedules = only > 0 ? 1 : environmentNumber("SCHEDULES", 200);
-    for (std::uint64_t i = 0; i < schedules; ++i) {
-        const std::uint64_t seed = only > 0 ? only : 1000 + i;
+    runSchedules(200, [](std::uint64_t seed) {
         CAPTURE(seed);
         World world(seed);
         for (int step = 0; step < 40; ++step) {
@@ -163,7 +155,8 @@
         REQUIRE(world.allDone());
         for (const auto &item : world.fleet.doneCount)
             REQUIRE(item.second == 1);
-    }
+        return std::string();
+    });
 }
 
 TEST_CASE("a worker that fails every task is ejected, and the tasks still finish elsewhere")
--- a/tests/unit/invariant_node_test.cpp
+++ b/tests/unit/invariant_node_test.cpp
@@ -1,9 +1,10 @@
 // Whole entry processes under seeded schedules of kills, suspensions, cuts, outages, endpoint
-// faults and sheet races. SEED=N repeats one schedule, SCHEDULES=N runs more.
+// faults and sheet races. See fakes/schedules.h.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "fakes/fakeendpoints.h"
 #include "fakes/fakepeers.h"
 #include "fakes/fakestore.h"
+#include "fakes/schedules.h"
 #include "node/node.h"
 
 #include <cstdio>
@@ -393,14 +394,9 @@
     node.start(world.clock.now());
 }
 
-std::uint64_t environmentNumber(const char *name, std::uint64_t otherwise)
-{
-    const char *text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : otherwise;
-}
-
 void runSchedule(std::uint64_t seed, std::map<Outcome, int> &outcomes)
 {
+    CAPTURE(seed);
     World world(seed);
     world.clock.advance(seconds(2));
     for (int step = 0; step < 40; ++step) {
@@ -448,14 +444,20 @@
 
 TEST_CASE("invariant_combined: no overload, double run, false refusal, wrong answer or lost sheet")
 {
-    const std::uint64_t only = environmentNumber("SEED", 0);
-    const std::uint64_t schedules = only > 0 ? 1 : environmentNumber("SCHEDULES", 200);
     std::map<Outcome, int> outcomes;
-    for (std::uint64_t i = 0; i < schedules; ++i) {
-        const std::uint64_t seed = only > 0 ? only : 5000 + i;
-        CAPTURE(seed);
+    int schedules = 0;
+    runSchedules(200, [&](std::uint64_t seed) {
         runSchedule(seed, outcomes);
-    }
+        ++schedules;
+        return std::string();
+    });
     MESSAGE("schedules " << schedules << ", unknown " << outcomes[Outcome::Unknown] << ", not run "
                          << outcomes[Outcome::NotRun]);
 }
+
+TEST_CASE("invariant_combined: schedules that failed before")
+{
+    std::map<Outcome, int> outcomes;
+    for (const std::uint64_t seed : {5000, 5021, 5029, 5055, 5060, 5070, 5073, 5094})
+        runSchedule(seed, outcomes);
+}
