Do not send answers to a later run of the forwarding process

A process was killed and started again; its peer answered a request of the earlier run over the new link, and the later run had given the same correlation number to another request, whose caller got the wrong answer. Ruled out: remembered answers of duplicates and the endpoints. Change: an answer goes only to the run that forwarded the request.

Adds make soak.

--- a/Makefile
+++ b/Makefile
@@ -7,11 +7,12 @@
 	libsigc++-3.0-dev libevent-dev libwebsocketpp-dev nlohmann-json3-dev libboost-dev \
 	libboost-program-options-dev libeasyloggingpp-dev doctest-dev libyaml-cpp-dev
 
-.PHONY: help deps build check check-asan bench demo format format-check lint docs-check test clean
+.PHONY: help deps build check check-asan soak bench demo format format-check lint docs-check test clean
 
 help:
 	@echo "make demo        run the whole system on loopback and print a table"
 	@echo "make check       formatter, linter, build, unit and process tests, docs links"
+	@echo "make soak        invariant tests over N=10000 seeded schedules"
 	@echo "make bench       measure the policies in virtual time against bench/bounds.yaml"
 	@echo "make check-asan  unit and process tests with the address and undefined sanitizers"
 	@echo "make format      rewrite the sources in the house style"
@@ -44,6 +45,10 @@
 check-asan:
 	@$(MAKE) BUILD=build-asan CMAKE_FLAGS=-DMONSOONLEDGE_SANITIZE=ON test
 
+N ?= 10000
+soak: build
+	@scripts/soak.sh $(BUILD) $(N) $(JOBS)
+
 bench: build
 	@$(BUILD)/bench/monsoonledge_bench bench/model.yaml bench/bounds.yaml $(BUILD)/bench.json
 
--- a/src/node/forwarding.cpp
+++ b/src/node/forwarding.cpp
@@ -68,8 +68,12 @@
     const Duration remaining = std::min(message.request.remaining, settings_.limits.maxDeadline);
     pending.deadline = now + remaining;
     const std::uint64_t correlation = message.correlation;
-    pending.respond = [this, from, correlation](const Answer &answer, Time) {
-        ports_.peers.send(from, AnswerMessage{correlation, answer});
+    // A later run of the sender counts its requests from the beginning again, so it must not get
+    // the answer of an earlier run's request.
+    const Incarnation sender = peers_[from].last.incarnation;
+    pending.respond = [this, from, sender, correlation](const Answer &answer, Time) {
+        if (peers_[from].last.incarnation == sender)
+            ports_.peers.send(from, AnswerMessage{correlation, answer});
     };
     deadlines_.emplace(pending.deadline, token);
     if (!admission_.knows(message.request.requestClass)) {
