--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -63,6 +63,18 @@
              {"json", "entry", "token"},
              {},
              runStatus},
+            {"tasks",
+             "[--json]",
+             "list the batch tasks of a failure domain; ask its batch leader",
+             {"json", "entry", "token"},
+             {},
+             runTasks},
+            {"member remove",
+             "NAME",
+             "attest that an entry process has ended, so that its share is taken over",
+             {"file", "entry", "token"},
+             {"file"},
+             runMemberRemove},
     };
     return commands;
 }
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -16,7 +16,7 @@
 /// Options and streams of one command. A command ignores the options that it does not offer.
 struct CommandContext
 {
-    std::string file;
+    std::string file; // or the name of a member, for member remove
     std::string against; // sheet diff: compare with this file; empty: with the sheet in force
     std::string author; // sheet put: recorded with the sheet
     std::string token; // sent as a bearer token; empty: none
@@ -34,6 +34,8 @@
 int runSheetPut(const CommandContext &context);
 int runSheetShow(const CommandContext &context);
 int runStatus(const CommandContext &context);
+int runTasks(const CommandContext &context);
+int runMemberRemove(const CommandContext &context);
 
 /// Parses the arguments after the program name and runs the command. Prints errors to `err`.
 int runCommandLine(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err);
