Remember claims of former owners for the longest run, too

Cause: a new owner remembered the claims that it read for the retention period from the time of reading. A request of the former run can still be running on its endpoint then, so the id was forgotten before the retention period after its end was over, and was granted again. Ruled out: a claim missing from the log; the new owner had read it and answered "unknown" before. Change: setting longestRun (60 s, the longest deadline). Claims, mirrored claims, notes and barriers of former owners are kept for retention + longestRun.

--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -28,8 +28,13 @@
     Duration writeInterval = milliseconds(25); // minimum time between two writes of the log
     Duration storeDownAfter = seconds(2); // failing writes before peer mode
     Duration retention = minutes(10); // how long an id is remembered after it finished
+    Duration longestRun = seconds(60); // a request may run for so long after its claim
     std::size_t maxRememberedBytes = 8 * 1024 * 1024; // bodies of remembered answers
     int segmentClaims = 1024; // claims in one segment of the log
+
+    /// How long claims of other runs are remembered. Requests of a dead run may still run on their
+    /// endpoints when its claims are read, and end later.
+    Duration foreignRetention() const { return retention + longestRun; }
 };
 
 enum class ClaimStatus {
@@ -79,8 +84,9 @@
     /// Makes a gained unit ready: closes the former owner's log, reads what it claimed, and then
     /// calls back. `released`: the former owner released the unit; its log is read but not closed.
     /// `claimsKnown`: all claims that the former owner made in peer mode are known here; if false,
-    /// ids of the unit that were not issued by this run get MaybeRun for the retention period. An
-    /// empty formerOwner makes the unit ready at once. Retries until the store answers.
+    /// ids of the unit that were not issued by this run get MaybeRun for the retention period and
+    /// the longest run. An empty formerOwner makes the unit ready at once. Retries until the store
+    /// answers.
     void recover(int unit, const EntryRun &formerOwner, bool released, bool claimsKnown, Time now,
                  std::function<void(Time now)> ready);
     bool isReady(int unit) const;
--- a/src/claims/claims_p.h
+++ b/src/claims/claims_p.h
@@ -69,6 +69,7 @@
     void startRecovery();
     void finishRecovery(const std::vector<Recovery> &batch, const LogReader::Result &result,
                         Time now);
+    void forget(std::deque<std::pair<Time, RequestId>> &list, Time now);
     void expireMirrored(Time now);
     void cleanUp(Time now);
     void listForRemoval(const EntryRun &run, bool olderRunsOfEntry);
@@ -87,6 +88,7 @@
     std::unordered_map<RequestId, Entry> entries;
     std::array<int, UnitCount> active{}; // entries that are Writing or Running
     std::deque<std::pair<Time, RequestId>> ended; // in the order of their end
+    std::deque<std::pair<Time, RequestId>> endedElsewhere; // claims of former owners, likewise
     std::deque<RequestId> bodies; // finished with a remembered answer
     std::size_t bodyBytes = 0;
 
--- a/src/claims/logwriter.cpp
+++ b/src/claims/logwriter.cpp
@@ -286,7 +286,7 @@
 {
     for (std::size_t i = notes_.size(); i-- > 0;) {
         Note &note = notes_[i];
-        if (!note.written || now - note.since < settings_.retention)
+        if (!note.written || now - note.since < settings_.foreignRetention())
             continue;
         const UnitNote plain{note.note.unit, EntryRun(), true, note.note.left};
         if (latestNote(note.note.unit) != &note) {
--- a/src/claims/recovery.cpp
+++ b/src/claims/recovery.cpp
@@ -64,10 +64,10 @@
         Entry entry;
         entry.state = State::Unknown;
         entry.unit = unit;
-        entry.endedAt = now;
+        entry.endedAt = now + settings.longestRun;
         const bool added = entries.emplace(id, std::move(entry)).second;
         if (added)
-            ended.emplace_back(now, id);
+            endedElsewhere.emplace_back(now + settings.longestRun, id);
         return added;
     };
     for (const RequestId &id : result.claims)
@@ -84,7 +84,7 @@
         }
         const bool known = recovery.claimsKnown && (result.incomplete & bit) == 0;
         if (!known)
-            barriers[recovery.unit] = {now + settings.retention, issued};
+            barriers[recovery.unit] = {now + settings.foreignRetention(), issued};
         writer.addNote({recovery.unit, former, known, false}, now);
         --recovering[recovery.unit];
         if ((closing & bit) != 0)
@@ -123,18 +123,8 @@
     Private *d = d_.get();
     if (!d->startedAt)
         d->startedAt = now;
-    while (!d->ended.empty() && now - d->ended.front().first >= d->settings.retention) {
-        const auto [endedAt, id] = d->ended.front();
-        d->ended.pop_front();
-        const auto found = d->entries.find(id);
-        if (found == d->entries.end() || found->second.endedAt != endedAt
-            || found->second.state == Private::State::Writing
-            || found->second.state == Private::State::Running)
-            continue;
-        if (found->second.answerKnown)
-            d->bodyBytes -= found->second.answer.body.size();
-        d->entries.erase(found);
-    }
+    d->forget(d->ended, now);
+    d->forget(d->endedElsewhere, now);
     while (!d->bodies.empty()) {
         const auto found = d->entries.find(d->bodies.front());
         if (found != d->entries.end() && found->second.answerKnown)
@@ -155,14 +145,27 @@
     d->cleanUp(now);
 }
 
-// The sender remembers a claim for the retention period after its end, which is not known here.
-// Twice the period covers requests that run for up to one period.
+void ClaimLog::Private::forget(std::deque<std::pair<Time, RequestId>> &list, Time now)
+{
+    while (!list.empty() && now - list.front().first >= settings.retention) {
+        const auto [endedAt, id] = list.front();
+        list.pop_front();
+        const auto found = entries.find(id);
+        if (found == entries.end() || found->second.endedAt != endedAt
+            || found->second.state == State::Writing || found->second.state == State::Running)
+            continue;
+        if (found->second.answerKnown)
+            bodyBytes -= found->second.answer.body.size();
+        entries.erase(found);
+    }
+}
+
 void ClaimLog::Private::expireMirrored(Time now)
 {
     for (auto run = mirrored.begin(); run != mirrored.end();) {
         auto &claims = run->second;
         for (auto claim = claims.begin(); claim != claims.end();) {
-            const bool old = now - claim->second >= 2 * settings.retention;
+            const bool old = now - claim->second >= settings.foreignRetention();
             claim = old ? claims.erase(claim) : std::next(claim);
         }
         run = claims.empty() ? mirrored.erase(run) : std::next(run);
@@ -178,14 +181,14 @@
     for (auto it = formerRuns.begin(); it != formerRuns.end();) {
         const auto &[since, dead] = it->second;
         const bool gone = dead || (q->runEnded && q->runEnded(it->first));
-        if (now - since < settings.retention || !gone) {
+        if (now - since < settings.foreignRetention() || !gone) {
             ++it;
             continue;
         }
         listForRemoval(it->first, false);
         it = formerRuns.erase(it);
     }
-    if (!ownLogsListed && now - *startedAt >= 2 * settings.retention) {
+    if (!ownLogsListed && now - *startedAt >= 2 * settings.foreignRetention()) {
         ownLogsListed = true;
         listForRemoval(settings.self, true);
     }
--- a/tests/unit/claims_test.cpp
+++ b/tests/unit/claims_test.cpp
@@ -259,7 +259,9 @@
     CHECK(a.claim(issued.str()) == ClaimStatus::Granted);
     CHECK(a.claim("other") == ClaimStatus::MaybeRun);
     CHECK(a.claim(early.str()) == ClaimStatus::MaybeRun);
-    shared.clock.advance(minutes(10));
+    shared.clock.advance(minutes(10)); // claims of b may have run a minute into the period
+    CHECK(a.claim("other2") == ClaimStatus::MaybeRun);
+    shared.clock.advance(minutes(1));
     CHECK(a.claim("other") == ClaimStatus::Granted);
     CHECK(a.claim(early.str()) == ClaimStatus::MaybeRun); // older than the retention period
 }
@@ -298,6 +300,28 @@
     CHECK(b.claim("y") == ClaimStatus::MaybeRun);
 }
 
+TEST_CASE("peer mode ends also if its last claims are withdrawn instead of written")
+{
+    Shared shared;
+    Process a(shared, run("a"));
+    const int before = shared.store.writes;
+    shared.store.down = true;
+    auto first = a.start("w0", seconds(9));
+    shared.clock.advance(seconds(3));
+    for (int i = 1; i < 12; ++i) // more than one segment
+        CHECK(a.claim("w" + std::to_string(i), milliseconds(10)) == ClaimStatus::Granted);
+    shared.store.down = false;
+    while (shared.store.writes == before)
+        shared.clock.advance(milliseconds(1));
+    shared.clock.advance(milliseconds(6)); // the answer; the next write waits for the interval
+    CHECK(a.log.mode() == ClaimMode::Peer);
+    for (int i = 8; i < 12; ++i)
+        a.log.withdraw(RequestId("w" + std::to_string(i)), Answer(), shared.clock.now());
+    shared.clock.advance(seconds(5));
+    a.log.expire(shared.clock.now());
+    CHECK(a.log.mode() == ClaimMode::Store);
+}
+
 TEST_CASE("mirrored claims are known after a takeover, and also to the owner after that")
 {
     Shared shared;
@@ -364,14 +388,14 @@
         CHECK(a.claim("x" + std::to_string(i), milliseconds(50)) == ClaimStatus::Granted);
     Process b(shared, run("b"), false);
     b.recoverAll(run("a", 1), false, true);
-    for (int i = 0; i < 610; ++i) {
+    for (int i = 0; i < 670; ++i) {
         shared.clock.advance(seconds(1));
         b.log.expire(shared.clock.now());
     }
     CHECK(shared.store.values().size() == 2); // the mark and the log of b
     CHECK(a.claim("late") == ClaimStatus::NotRecorded);
     Process again(shared, run("a", 2), false);
-    for (int i = 0; i < 1210; ++i) {
+    for (int i = 0; i < 1330; ++i) {
         shared.clock.advance(seconds(1));
         again.log.expire(shared.clock.now());
     }
--- a/tests/unit/invariant_claims_test.cpp
+++ b/tests/unit/invariant_claims_test.cpp
@@ -54,8 +54,7 @@
 struct Grant
 {
     EntryRun by;
-    Time endedAt{};
-    bool running = true;
+    Time endsAt{}; // the endpoint goes on when the process is suspended or dies
 };
 
 struct World
@@ -85,9 +84,9 @@
     void giveUnits();
     void setLink(int i, int k, bool up);
     void claim();
-    void granted(const RequestId &id, const EntryRun &by);
+    void granted(const RequestId &id, const EntryRun &by, Duration runTime);
     bool mayEnd(const Process &process) const;
-    void killSoon(const Process &process, std::uint64_t oneIn);
+    bool killSoon(const Process &process, std::uint64_t oneIn);
     void tick();
     void act();
     void settle();
@@ -108,6 +107,7 @@
     Unit units[UnitCount];
     std::map<RequestId, std::vector<Grant>> grants;
     std::vector<RequestId> ids;
+    std::vector<RequestId> suspects; // granted shortly before a death; claimed again often
     Duration retention{};
     bool mistakes = false;
     bool settling = false;
@@ -133,6 +133,7 @@
     settings.self = run;
     settings.segmentClaims = 4;
     settings.retention = world.retention;
+    settings.longestRun = seconds(3);
     // A run that was declared dead by mistake is stopped by the closed log only in store mode.
     if (world.mistakes)
         settings.storeDownAfter = std::chrono::hours(1);
@@ -222,14 +223,8 @@
 void World::kill(int i)
 {
     freeUnits(*processes[i]);
-    for (auto &[id, list] : grants) {
-        for (Grant &grant : list) {
-            if (grant.by == processes[i]->run && grant.running) {
-                grant.running = false;
-                grant.endedAt = clock.now();
-            }
-        }
-    }
+    for (Unit &unit : units)
+        unit.claimsKnown[i] = false; // a new run of the entry has no mirrored claims
     for (int k = 0; k < Entries; ++k) {
         if (!processes[k])
             continue;
@@ -269,15 +264,15 @@
     killSoon(*process, 40); // during its recoveries
 }
 
-void World::granted(const RequestId &id, const EntryRun &by)
+void World::granted(const RequestId &id, const EntryRun &by, Duration runTime)
 {
     ++total;
     for (const Grant &grant : grants[id]) {
-        if (grant.running || clock.now() - grant.endedAt < retention)
+        if (clock.now() - grant.endsAt < retention)
             fail("an id was granted twice: " + id.str() + " by " + grant.by.str() + " and "
                  + by.str());
     }
-    grants[id].push_back({by});
+    grants[id].push_back({by, clock.now() + runTime});
 }
 
 void World::claim()
@@ -295,7 +290,9 @@
     const std::size_t span = std::min<std::size_t>(ids.size(), random.below(4) == 0 ? 800 : 8);
     if (span == 0)
         return;
-    const RequestId id = ids[ids.size() - 1 - random.below(span)];
+    const bool suspect = !suspects.empty() && random.below(4) == 0;
+    const RequestId id = suspect ? suspects[random.below(suspects.size())]
+                                 : ids[ids.size() - 1 - random.below(span)];
     const int unit = unitOfRequest(id);
     // A run that was declared dead by mistake believes that it still owns its units.
     Process *process = processes[i].get();
@@ -312,20 +309,19 @@
             return;
         if (now >= deadline)
             fail("granted after the deadline");
-        granted(id, process->run);
-        killSoon(*process, 200); // between the record and the end of the request
+        const Duration runTime = milliseconds(random.below(3000));
+        granted(id, process->run, runTime);
+        if (killSoon(*process, 200)) // between the record and the end of the request
+            suspects.push_back(id);
         peerGrants += process->log.mode() == ClaimMode::Peer ? 1 : 0;
         const bool withdraw = random.below(5) == 0;
-        process->timers.after(milliseconds(random.below(3000)), [=](Time at) {
+        process->timers.after(runTime, [=](Time at) {
             auto &list = grants[id];
-            for (std::size_t k = 0; k < list.size(); ++k) {
-                if (list[k].by != process->run || !list[k].running)
-                    continue;
-                list[k].running = false;
-                list[k].endedAt = at;
-                if (withdraw)
+            for (std::size_t k = list.size(); withdraw && k-- > 0;) {
+                if (list[k].by == process->run) { // the latest grant of this run
                     list.erase(list.begin() + static_cast<std::ptrdiff_t>(k));
-                break;
+                    break;
+                }
             }
             if (withdraw)
                 process->log.withdraw(id, Answer(), at);
@@ -365,14 +361,15 @@
 }
 
 // Deaths at the moments at which something is half done.
-void World::killSoon(const Process &process, std::uint64_t oneIn)
+bool World::killSoon(const Process &process, std::uint64_t oneIn)
 {
     if (mistakes || settling || random.below(oneIn) != 0)
-        return;
+        return false;
     clock.after(milliseconds(random.below(15)), [this, run = process.run] {
         if (find(run) != nullptr)
             kill(indexOf(run.entry));
     });
+    return true;
 }
 
 void World::act()
