--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -29,6 +29,7 @@
     result.writeInterval = settings.timing.claimWriteInterval;
     result.storeDownAfter = settings.timing.storeDownAfter;
     result.retention = settings.timing.claimRetention;
+    result.longestRun = RunLimit;
     result.maxRememberedBytes = static_cast<std::size_t>(settings.limits.maxRememberedBytes);
     return result;
 }
