Kill the entry process of the demo after the first heartbeats

A takeover within about a second of the first link answers "unknown" for the units taken over, because the new owner cannot rule out missing claims.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -48,7 +48,9 @@
               f"seed {arguments.seed}")
         bed.put_sheet(arguments.sheet)
         print("every entry process shows the sheet and is ready")
-        items = testbed.make_items(bed, arguments.requests)
+        # A kill comes after the first heartbeats are acknowledged. Before that, a new owner cannot
+        # rule out missing claims and answers "unknown" for the units that it takes over.
+        items = testbed.make_items(bed, arguments.requests, seconds=6 if arguments.kill_entry else 0)
 
         def progress(finished):
             if finished % 500 == 0:
