Send claims again to a member that was silent before acknowledging it

A process cut off from the store heard nothing from its neighbour for 4 s, although the link stayed up, and granted a claim without it. Then the neighbour was heard again and its heartbeat acknowledged, so it took all claims of the process for known when that died, and ran the request again. Ruled out: a claim lost by the store; required members counted wrongly. Change: after such a silence the pending claims are sent before the next heartbeat, as after a new link. The fake network now delivers messages late when a cut ends before the link is given up, as TCP does; before, it dropped them.

--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -110,6 +110,10 @@
 {
     Peer &peer = peers_[entry];
     const bool unitsChanged = peer.last.units != message.units || !peer.heard;
+    // While the peer was silent, claims may have been granted without it. They go out before the
+    // next heartbeat acknowledges this one, as after a new link.
+    if (now >= peer.lastHeard + settings_.timing.mirrorDropAfter)
+        claims_.peerLinked(entry, now);
     peer.heard = true;
     peer.last = message;
     peer.lastHeard = now;
--- a/tests/fakes/fakepeers.h
+++ b/tests/fakes/fakepeers.h
@@ -8,10 +8,12 @@
 #include "ports/ports.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace monsoonledge {
 
@@ -42,6 +44,7 @@
         std::uint64_t number = 0; // 0: not connected
         std::map<EntryId, Time> lastDelivery; // by receiver, keeps the order
         std::map<EntryId, Time> lastReceived;
+        std::map<EntryId, std::vector<std::function<void(Time)>>> held; // by receiver, while cut
     };
 
     FakeClock &clock_;
@@ -127,27 +130,45 @@
         FakePeerPort *receiver = port(to);
         if (link.number == 0)
             return false;
-        if (isCut(to) || !receiver)
+        if (!receiver)
             return true; // sent, and lost
-        const Time now = timers_.clock().now();
-        Time &last = link.lastDelivery[to];
-        last = std::max(last, now + delay_);
-        receiver->timers_.after(last - now, [receiver, from = self_.entry, message, signal,
-                                             number = link.number](Time at) {
+        const auto arrive = [receiver, from = self_.entry, message, signal,
+                             number = link.number](Time at) {
             Connection &used = receiver->connection(from);
             if (used.number != number)
                 return;
             used.lastReceived[receiver->self_.entry] = at;
             (receiver->*signal).emit(from, message, at);
-        });
+        };
+        std::vector<std::function<void(Time)>> &held = link.held[to];
+        if (isCut(to) || !held.empty())
+            held.push_back(arrive); // TCP sends it again until the link is given up
+        else
+            schedule(link, to, *receiver, arrive);
         return true;
     }
 
+    void schedule(Connection &link, const EntryId &to, FakePeerPort &receiver,
+                  std::function<void(Time)> arrive)
+    {
+        const Time now = timers_.clock().now();
+        Time &last = link.lastDelivery[to];
+        last = std::max(last, now + delay_);
+        receiver.timers_.after(last - now, std::move(arrive));
+    }
+
+    void releaseHeld(Connection &link, const EntryId &to, FakePeerPort &receiver)
+    {
+        for (std::function<void(Time)> &arrive : std::exchange(link.held[to], {}))
+            schedule(link, to, receiver, std::move(arrive));
+    }
+
     /// Ends the connection and tells the other side, after what is in flight to it.
     void close(const EntryId &other, LinkLoss otherSees)
     {
         Connection &link = connection(other);
         const std::uint64_t number = std::exchange(link.number, 0);
+        link.held.clear();
         FakePeerPort *receiver = port(other);
         if (number == 0 || !receiver)
             return;
@@ -184,6 +205,8 @@
             Connection &link = connection(other);
             FakePeerPort *receiver = port(other);
             if (link.number != 0) {
+                if (!isCut(other) && receiver)
+                    releaseHeld(link, other, *receiver);
                 if (now - link.lastReceived[self_.entry] >= seconds(5)) {
                     close(other, LinkLoss::Closed);
                     linkDown.emit(other, LinkLoss::TimedOut, now);
