Add metrics, burn accounting and the burn report

Each entry process keeps latency histograms and counts by class and caller for /metrics, and six hours of good and bad requests for /v1/burn. The command 'report burn' merges the raw sums of several entry processes.

--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -31,6 +31,7 @@
     std::vector<const char *> options; // names in allOptions(); "file" is the positional argument
     std::vector<const char *> required;
     int (*run)(const CommandContext &);
+    bool severalEntries = false; // --entry may be repeated
 };
 
 const std::vector<Command> &allCommands()
@@ -63,6 +64,13 @@
              {"json", "entry", "token"},
              {},
              runStatus},
+            {"report burn",
+             "[--entry IP:PORT ...] [--json | --html FILE]",
+             "print how fast classes use up their error budgets, summed over entry processes",
+             {"entry", "json", "html", "token"},
+             {},
+             runReportBurn,
+             true},
     };
     return commands;
 }
@@ -81,8 +89,10 @@
         {"expect", "N", "revision that the new sheet replaces; refused if another one is in force"},
         {"author", "NAME",
          "recorded with the sheet (default: the environment variable USER, or unknown)"},
-        {"json", nullptr, "print the JSON of the entry process as it is"},
-        {"entry", "IP:PORT", "entry process to talk to (default: 127.0.0.1:8080)"},
+        {"json", nullptr, "print the JSON of the entry process as it is; report burn: the sums"},
+        {"html", "FILE", "write the report to a file, as a page without outside parts"},
+        {"entry", "IP:PORT",
+         "entry process to talk to (default: 127.0.0.1:8080); report burn takes several"},
         {"token", "TOKEN",
          "operator token (default: the environment variable MONSOONLEDGE_TOKEN, which keeps it out "
          "of "
@@ -200,6 +210,8 @@
     for (const char *name : command.options) {
         if (std::string(name) == "json")
             description.add_options()(name, "");
+        else if (command.severalEntries && std::string(name) == "entry")
+            description.add_options()(name, po::value<std::vector<std::string>>(), "");
         else
             description.add_options()(name, po::value<std::string>(), "");
         if (std::string(name) == "file")
@@ -247,6 +259,20 @@
                          + " printable ASCII characters");
 }
 
+std::vector<Address> parseEntries(const std::vector<std::string> &texts)
+{
+    std::vector<Address> entries;
+    for (const std::string &text : texts) {
+        try {
+            entries.push_back(parseIpAddress(text));
+        } catch (const std::invalid_argument &error) {
+            throw UsageError(std::string("--entry: ") + error.what()
+                             + ": write an address such as 127.0.0.1:8080");
+        }
+    }
+    return entries;
+}
+
 void fillContext(const Command &command, const po::variables_map &values, CommandContext &context)
 {
     for (const char *name : command.required) {
@@ -271,13 +297,14 @@
             throw UsageError("--expect is '" + text + "': write a revision number");
         context.expect = number;
     }
+    context.html = textOf(values, "html", nullptr);
+    if (context.json && !context.html.empty())
+        throw UsageError("--json and --html exclude each other: write one of them");
     if (values.count("entry") > 0) {
-        try {
-            context.entry = parseIpAddress(values["entry"].as<std::string>());
-        } catch (const std::invalid_argument &error) {
-            throw UsageError(std::string("--entry: ") + error.what()
-                             + ": write an address such as 127.0.0.1:8080");
-        }
+        context.entries = command.severalEntries
+                                  ? parseEntries(values["entry"].as<std::vector<std::string>>())
+                                  : parseEntries({values["entry"].as<std::string>()});
+        context.entry = context.entries.front();
     }
 }
 
@@ -312,7 +339,8 @@
 
 int runCommandLine(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err)
 {
-    CommandContext context{{}, {}, {}, {}, {"127.0.0.1", 8080}, {}, false, out, err};
+    const Address entry{"127.0.0.1", 8080};
+    CommandContext context{{}, {}, {}, {}, {}, entry, {entry}, {}, false, out, err};
     try {
         return runArguments(arguments, context);
     } catch (const UsageError &error) {
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -20,7 +20,9 @@
     std::string against; // sheet diff: compare with this file; empty: with the sheet in force
     std::string author; // sheet put: recorded with the sheet
     std::string token; // sent as a bearer token; empty: none
-    Address entry{"127.0.0.1", 8080};
+    std::string html; // report burn: write an HTML page to this file; empty: print text
+    Address entry{"127.0.0.1", 8080}; // the first of `entries`
+    std::vector<Address> entries{entry}; // more than one for report burn only
     std::optional<std::uint64_t> expect; // sheet put: revision that the new sheet replaces
     bool json = false;
     std::ostream &out;
@@ -34,6 +36,7 @@
 int runSheetPut(const CommandContext &context);
 int runSheetShow(const CommandContext &context);
 int runStatus(const CommandContext &context);
+int runReportBurn(const CommandContext &context);
 
 /// Parses the arguments after the program name and runs the command. Prints errors to `err`.
 int runCommandLine(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err);
--- a/src/app/httpapi.cpp
+++ b/src/app/httpapi.cpp
@@ -1,5 +1,7 @@
 #include "app/httpapi.h"
 
+#include "app/metricsapi.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -215,7 +217,9 @@
 
 } // namespace
 
-HttpApi::HttpApi(Node &node, LogHook log) : node_(node), log_(std::move(log)) { }
+HttpApi::HttpApi(Node &node, Metrics &metrics, LogHook log)
+    : node_(node), metrics_(metrics), log_(std::move(log))
+{ }
 
 bool HttpApi::authorize(const HttpRequest &request, Role role, const HttpRespond &respond) const
 {
@@ -275,6 +279,16 @@
             wrongMethod("GET");
         else if (authorize(request, Role::ReadOnly, respond))
             respond(jsonResponse(200, taskList(node_)));
+    } else if (path == "/metrics") {
+        if (!get)
+            wrongMethod("GET");
+        else if (authorize(request, Role::ReadOnly, respond))
+            respond(metricsResponse(node_, metrics_));
+    } else if (path == "/v1/burn") {
+        if (!get)
+            wrongMethod("GET");
+        else if (authorize(request, Role::ReadOnly, respond))
+            respond(burnResponse(node_, metrics_, now));
     } else if (path == "/v1/sheet") {
         if (put)
             putSheet(request, respond, now);
--- a/src/app/httpapi.h
+++ b/src/app/httpapi.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "adapters/adapters.h"
+#include "metrics/metrics.h"
 #include "node/node.h"
 
 namespace monsoonledge {
@@ -10,7 +11,7 @@
 class HttpApi
 {
 public:
-    HttpApi(Node &node, LogHook log);
+    HttpApi(Node &node, Metrics &metrics, LogHook log);
 
     void handle(const HttpRequest &request, HttpRespond respond, Time now);
 
@@ -22,6 +23,7 @@
     bool authorize(const HttpRequest &request, Role role, const HttpRespond &respond) const;
 
     Node &node_;
+    Metrics &metrics_;
     LogHook log_;
 };
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -3,6 +3,7 @@
 #include "adapters/adapters.h"
 #include "app/exitcodes.h"
 #include "app/httpapi.h"
+#include "app/metricsapi.h"
 #include "node/node.h"
 
 #include <chrono>
@@ -47,7 +48,8 @@
                 settings, incarnation,
                 NodePorts{*store_, loop_, *hosts_, *endpoints_, *workers_, *peers_, log_},
                 std::random_device()());
-        api_ = std::make_unique<HttpApi>(*node_, log_);
+        connectMetrics(*node_, metrics_, loop_);
+        api_ = std::make_unique<HttpApi>(*node_, metrics_, log_);
         HttpServerSettings http;
         http.address = settings.listen;
         http.maxConnections = settings.limits.maxConnections;
@@ -119,6 +121,7 @@
     std::unique_ptr<EndpointPort> endpoints_;
     std::unique_ptr<WorkerPort> workers_;
     std::unique_ptr<PeerPort> peers_;
+    Metrics metrics_;
     std::unique_ptr<Node> node_;
     std::unique_ptr<HttpApi> api_;
     std::unique_ptr<HttpServer> http_;
