--- a/tests/process/cli_test.py
+++ b/tests/process/cli_test.py
@@ -58,6 +58,16 @@
                           env={**variables, **environment})
 
 
+def burn(entry, total, refused, caller):
+    """A response to GET /v1/burn with one class; all refused requests are of one caller."""
+    causes = {"refused": refused, "unknown": 0, "slow": 0}
+    one = {"class": "desk/urgent", "service": "desk", "objective": 0.99, "latencyTargetMs": 100,
+           "windows": {name: {**causes, "total": total} for name in ("5m", "30m", "1h", "6h")},
+           "callers": [{"caller": caller, "1h": causes, "6h": causes}],
+           "series": [[0, 0, 0, 0]] * 71 + [[total, refused, 0, 0]]}
+    return {"entries": [entry], "notReached": [], "sheetRevision": 3, "classes": [one]}
+
+
 class CommandLineCase(unittest.TestCase):
     def expect(self, result, status, message=""):
         self.assertEqual(result.returncode, status, result.stderr + result.stdout)
@@ -207,6 +217,46 @@
         self.assertEqual(self.entry.requests[-1][2]["authorization"], "Bearer secret-of-operator")
         self.assertEqual(json.loads(self.call("status", "--json").stdout), status)
 
+    def test_burn_report_adds_the_sums_of_all_entries_and_names_the_missing(self):
+        second = Entry()
+        self.addCleanup(second.server_close)
+        self.addCleanup(second.shutdown)
+        self.entry.responses["GET /v1/burn"] = (200, burn("a/1", 900, 10, "x"))
+        second.responses["GET /v1/burn"] = (200, burn("b/1", 100, 20, "x<y\x1b"))
+        both = ["report", "burn", "--entry", self.entry.address, "--entry", second.address]
+        result = run(*both)
+        self.expect(result, OK, "entry processes: a/1,b/1; sheet revision 3\n\nservice desk\n")
+        # 30 of 1,000 are bad, 10 are permitted: burn rate 3, and -200% of the budget is left.
+        self.assertRegex(result.stdout, r"desk/urgent +99.00% +97.00% +-200.00% +3.00 +3.00 +3.00"
+                                        r" +3.00 +1000 +30 +0 +0\n")
+        self.assertRegex(result.stdout, r"desk/urgent +x<y\? +20 +20 +20 +0 +0\n")
+        merged = json.loads(run(*both, "--json").stdout)
+        self.assertEqual(merged["classes"][0]["windows"]["6h"]["total"], 1000)
+        again = run(*both, "--entry", second.address)
+        self.expect(again, OK)
+        self.assertEqual(again.stdout, result.stdout)
+        self.assertIn("counted once", again.stderr)
+        second.responses["GET /v1/burn"] = (200, "<html>")
+        partial = run(*both, "--json")
+        self.assertEqual(partial.returncode, UNREACHABLE)
+        self.assertIn(f"not in the report: {second.address}: ", partial.stderr)
+        partial = json.loads(partial.stdout)
+        self.assertEqual(partial["classes"][0]["windows"]["6h"]["total"], 900)
+        self.assertIn(second.address, partial["notReached"][0])
+
+    def test_burn_report_as_a_page_and_its_wrong_options(self):
+        self.entry.responses["GET /v1/burn"] = (200, burn("a/1", 900, 10, "<script>"))
+        with tempfile.TemporaryDirectory() as folder:
+            page = pathlib.Path(folder) / "burn.html"
+            self.expect(self.call("report", "burn", "--html", str(page)), OK)
+            self.assertIn("&lt;script&gt;", page.read_text())
+            self.assertNotIn("<script", page.read_text())
+        self.expect(self.call("report", "burn", "--html", "/nonexistent/x"), FAILED, "cannot write")
+        self.expect(self.call("report", "burn", "--html", "x", "--json"), BAD_INPUT, "exclude")
+        self.expect(self.call("status", "--entry", self.entry.address), BAD_INPUT, "'status'")
+        self.entry.responses["GET /v1/burn"] = (401, {"error": "no token"})
+        self.expect(self.call("report", "burn"), UNREACHABLE, "no token; set MONSOONLEDGE_TOKEN")
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
