--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -117,6 +117,7 @@
     for (const CallerBurn &caller : burn.callers)
         sum += caller.hours6.bad();
     CHECK(sum == 1002);
+    CHECK(fixture.burn(Start + minutes(360)).callers.empty());
 }
 
 TEST_CASE("the caller with the most bad requests is named although many others came first")
