Measure endpoint choice and retries in four failure domains

The benchmark runs EndpointTable, Admission and RetryBudget in virtual time with lossy links, a slow domain, a noisy worker and a worker that fails fast, beside round robin, least loaded on lagging reports and retries without a budget.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -42,5 +42,6 @@
 double median(std::vector<double> values);
 
 void runFlood(const YAML::Node &model, Report &report);
+void runRouting(const YAML::Node &model, Report &report);
 
 } // namespace monsoonledge::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -84,5 +84,6 @@
     const YAML::Node model = YAML::LoadFile(argv[1]);
     Report report(YAML::LoadFile(argv[2]));
     runFlood(model, report);
+    runRouting(model, report);
     return report.finish(argv[3]) ? 0 : 1;
 }
