--- a/bench/bench.h
+++ b/bench/bench.h
@@ -43,5 +43,6 @@
 
 void runFlood(const YAML::Node &model, Report &report);
 void runRouting(const YAML::Node &model, Report &report);
+void runCost(Report &report);
 
 } // namespace monsoonledge::bench
