Give every share unit its part of the slots of small endpoints

Change: the slots of each endpoint are rotated over the units by a hash of its host id. A refused request no longer earns retries, and the first heartbeat of a link is acknowledged at once: before, a process killed within a second of its start left its ids unknown for ten minutes.

--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -33,10 +33,14 @@
 /// A set of share units; bit u stands for unit u.
 using UnitMask = std::uint32_t;
 
-/// The unit that owns slot `slot` of an endpoint with `slots` slots.
-int unitOfSlot(int slot, int slots);
+/// The unit that owns slot `slot` of an endpoint with `slots` slots. An endpoint has fewer slots
+/// than there are units, or more; its rotation decides which units have none, or one more, so that
+/// over many endpoints every unit has about the same number.
+int unitOfSlot(int slot, int slots, int rotation);
+/// The rotation of an endpoint, from 0 to UnitCount - 1; the same in every process.
+int slotRotation(const HostId &host);
 /// How many of an endpoint's slots belong to the units of the mask.
-int slotsOfUnits(UnitMask units, int slots);
+int slotsOfUnits(UnitMask units, int slots, int rotation);
 /// The unit that is the home of a request id within its failure domain.
 int unitOfRequest(const RequestId &id);
 /// The failure domain that is the home of a request id: the one that the id names in the form
--- a/src/membership/record.cpp
+++ b/src/membership/record.cpp
@@ -7,17 +7,23 @@
 
 namespace monsoonledge {
 
-int unitOfSlot(int slot, int slots)
+int unitOfSlot(int slot, int slots, int rotation)
 {
     assert(slot >= 0 && slot < slots);
-    return static_cast<int>(static_cast<std::int64_t>(slot) * UnitCount / slots);
+    const auto unit = static_cast<int>(static_cast<std::int64_t>(slot) * UnitCount / slots);
+    return (unit + rotation) % UnitCount;
 }
 
-int slotsOfUnits(UnitMask units, int slots)
+int slotRotation(const HostId &host)
+{
+    return static_cast<int>(stableHash(host.str()) % UnitCount);
+}
+
+int slotsOfUnits(UnitMask units, int slots, int rotation)
 {
     int count = 0;
     for (int slot = 0; slot < slots; ++slot)
-        count += static_cast<int>((units >> unitOfSlot(slot, slots)) & 1U);
+        count += static_cast<int>((units >> unitOfSlot(slot, slots, rotation)) & 1U);
     return count;
 }
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -109,6 +109,7 @@
 void Node::heartbeat(const EntryId &entry, const Heartbeat &message, Time now)
 {
     Peer &peer = peers_[entry];
+    const bool firstOnLink = !peer.heard;
     const bool unitsChanged = peer.last.units != message.units || !peer.heard;
     // While the peer was silent, claims may have been granted without it. They go out before the
     // next heartbeat acknowledges this one, as after a new link.
@@ -124,6 +125,10 @@
         peer.acknowledgedSentAt = sent->second;
         peer.sentAt.erase(peer.sentAt.begin(), std::next(sent));
     }
+    // The first heartbeat of a link is acknowledged at once: until then a neighbour does not know
+    // whether it has all claims, and would answer "unknown" for this process's ids if it died.
+    if (firstOnLink && peer.domain == settings_.domain)
+        sendHeartbeat(entry, peer, now);
     if (message.sheetRevision > sheetVersion_.revision)
         ports_.peers.send(entry, SheetRequestMessage());
     else if (message.sheetRevision < sheetVersion_.revision)
--- a/src/node/requests.cpp
+++ b/src/node/requests.cpp
@@ -156,8 +156,6 @@
 {
     Pending &pending = pending_.at(token);
     pending.stage = Stage::Queued;
-    if (pending.attempts == 0)
-        retries_.firstAttempt(pending.request.requestClass, pending.request.caller);
     const Refusal refusal = admission_.offer(
             {token, pending.request.requestClass, pending.request.caller, pending.deadline}, now);
     if (refusal != Refusal::None) {
@@ -199,6 +197,9 @@
     pending.stage = Stage::Running;
     pending.endpoint = host;
     pending.startedAt = now;
+    // A refused request earns no retries, or a flood would pay for retries of the others.
+    if (pending.attempts == 0)
+        retries_.firstAttempt(pending.request.requestClass, pending.request.caller);
     ++pending.attempts;
     pending.request.remaining = pending.deadline - now;
     endpoints_.started(host, now);
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -39,6 +39,7 @@
         }
         if (found == endpoints_.end()) {
             found = endpoints_.emplace(host.id, Endpoint()).first;
+            found->second.rotation = slotRotation(host.id);
             for (Unverified &entry : unverified_)
                 entry.pending.insert(host.id);
         }
@@ -105,7 +106,7 @@
         if (entry.pending.count(endpoint.host.id) > 0)
             usable &= ~entry.units;
     }
-    endpoint.ownSlots = slotsOfUnits(usable, endpoint.host.slots);
+    endpoint.ownSlots = slotsOfUnits(usable, endpoint.host.slots, endpoint.rotation);
     endpoint.needsSample = usable != units_ || endpoint.lost > 0 || endpoint.ejected;
 }
 
@@ -265,7 +266,8 @@
 {
     return std::all_of(endpoints_.begin(), endpoints_.end(), [units](const auto &item) {
         const Endpoint &endpoint = item.second;
-        return endpoint.running + endpoint.lost <= slotsOfUnits(units, endpoint.host.slots);
+        return endpoint.running + endpoint.lost
+               <= slotsOfUnits(units, endpoint.host.slots, endpoint.rotation);
     });
 }
 
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -37,6 +37,7 @@
 struct Endpoint
 {
     HostInfo host;
+    int rotation = 0; // slotRotation() of the host
     bool leaving = false; // by the host list
     bool saidLeaving = false; // by its own answer; the list lags
     bool listed = true; // false: gone from the host list; kept while requests run on it
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -66,11 +66,13 @@
 TEST_CASE("slots are split by unit without overlap or gap, also for slots that 16 does not divide")
 {
     for (const int slots : {1, 8, 16, 24, 33}) {
-        int total = 0;
-        for (int unit = 0; unit < UnitCount; ++unit)
-            total += slotsOfUnits(1U << unit, slots);
-        CHECK(total == slots);
-        CHECK(unitOfSlot(slots - 1, slots) < UnitCount);
+        for (const int rotation : {0, 1, 15}) {
+            int total = 0;
+            for (int unit = 0; unit < UnitCount; ++unit)
+                total += slotsOfUnits(1U << unit, slots, rotation);
+            CHECK(total == slots);
+            CHECK(unitOfSlot(slots - 1, slots, rotation) < UnitCount);
+        }
     }
 }
 
