Show that the invariant tests fail without their mechanisms

invariant_lease_test closes one gap: a new leader that took leases as ended passed 3,000 schedules of invariant_batch_test, whose job is non-idempotent. With that fault the new test shows 3 overlaps.

--- /dev/null
+++ b/tests/unit/invariant_lease_test.cpp
@@ -0,0 +1,82 @@
+// Idempotent tasks are requeued as soon as their lease has certainly ended, so their leases are
+// tested apart from the schedules of invariant_batch_test, whose job is non-idempotent.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "batch/batch.h"
+#include "fakes/fakestore.h"
+#include "fakes/fakeworkers.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+
+using namespace monsoonledge;
+
+namespace {
+
+struct Leader
+{
+    Leader(FakeClock &clock, FakeStore &fakeStore, FakeFleet &fleet, std::uint64_t incarnation)
+        : timers(clock), store(fakeStore, timers), workers(fleet, timers),
+          scheduler(settings(incarnation), store, workers, timers, nullptr)
+    {
+        BatchJob job;
+        job.name = "standings";
+        job.count = 3;
+        job.idempotent = true;
+        job.cores = MilliCores{1500};
+        job.memory = MebiBytes{1000};
+        job.runTime = seconds(60);
+        Sheet sheet;
+        sheet.name = "day";
+        sheet.jobs = {job};
+        scheduler.applySheet(sheet, clock.now());
+        scheduler.applyHosts(fleet.listing, clock.now());
+        scheduler.lead(clock.now());
+        tick(clock.now());
+    }
+
+    static BatchSettings settings(std::uint64_t incarnation)
+    {
+        BatchSettings settings;
+        settings.domain = DomainId("d");
+        settings.domains = {DomainId("d")};
+        settings.self = {EntryId("e"), Incarnation{incarnation}};
+        return settings;
+    }
+
+    void tick(Time now)
+    {
+        scheduler.tick(now);
+        timers.after(milliseconds(50), [this](Time later) { tick(later); });
+    }
+
+    FakeTimers timers;
+    FakeStoreClient store;
+    FakeWorkerClient workers;
+    BatchScheduler scheduler;
+};
+
+} // namespace
+
+TEST_CASE("invariant_2: a new leader waits for leases that the leader before may have renewed")
+{
+    FakeClock clock;
+    FakeStore store(clock, 1);
+    FakeFleet fleet(clock, 5, 2);
+    auto leader = std::make_unique<Leader>(clock, store, fleet, 1);
+    clock.advance(seconds(5));
+    REQUIRE(fleet.runs.size() == 3);
+    // Workers that run a task go out of reach, so only their leases end the runs.
+    for (auto &item : fleet.workers)
+        item.second.reachable = item.second.tasks.empty();
+    leader.reset();
+    leader = std::make_unique<Leader>(clock, store, fleet, 2);
+    for (int step = 0; step < 40; ++step) {
+        clock.advance(milliseconds(500));
+        REQUIRE(fleet.overlaps() == 0);
+    }
+    // Guards against a test in which nothing is requeued.
+    int restarted = 0;
+    for (const auto &item : fleet.runs)
+        restarted += item.second.size() > 1 ? 1 : 0;
+    CHECK(restarted > 0);
+}
