--- a/tests/fakes/fakeendpoints.h
+++ b/tests/fakes/fakeendpoints.h
@@ -23,6 +23,8 @@
         int running = 0;
         std::map<std::string, int> runningByEntry;
         std::optional<Time> leavingSince;
+        bool saysLeaving = true; // whether its status tells that it leaves
+        int started = 0; // requests run so far
         double refuse = 0; // share of requests refused before running
         double loseAnswer = 0; // share of requests that run and whose connection is then lost
         double slow = 0; // share of requests that take up to 4 s
@@ -84,7 +86,7 @@
         status.slots = endpoint.slots;
         status.running = endpoint.running;
         status.runningByEntry = endpoint.runningByEntry;
-        status.leaving = endpoint.leavingSince.has_value();
+        status.leaving = endpoint.leavingSince.has_value() && endpoint.saysLeaving;
         status.sampleAge = milliseconds(1);
         process_.after(milliseconds(2),
                        [status, done = std::move(done)](Time now) { done(status, now); });
@@ -107,6 +109,7 @@
             deliver(result);
             return;
         }
+        ++endpoint.started;
         ++endpoint.running;
         ++endpoint.runningByEntry[sender.str()];
         world.overloads += endpoint.running > endpoint.slots ? 1 : 0;
