Repeat the restoring of a newer sheet until the store has decided it

Cause: a watch reports an older value once. If every process's write of the newer sheet failed then, none wrote again, and the store kept the older sheet. Ruled out: the processes themselves kept the newer revision, and restoring worked for an older value, a removed key and an older value written during an outage.

--- a/src/node/sheets.cpp
+++ b/src/node/sheets.cpp
@@ -72,8 +72,18 @@
 {
     log(LogLevel::Warning, "sheet-restored", "the store holds an older sheet than the one in force",
         {{"revision", std::to_string(sheetVersion_.revision.value)}});
-    ports_.store.compareAndSwap(SheetKey, storeVersion, encodeSheetVersion(sheetVersion_),
-                                [](const StoreValue &, Time) {});
+    ports_.store.compareAndSwap(
+            SheetKey, storeVersion, encodeSheetVersion(sheetVersion_),
+            [this, storeVersion](const StoreValue &value, Time) {
+                if (value.status == StoreStatus::Ok || value.status == StoreStatus::Conflict)
+                    return;
+                // The watch reports a value only once, so the write is repeated until it is
+                // decided.
+                ports_.timers.after(WatchRetryDelay, [this, storeVersion](Time now) {
+                    if (sheetStoreVersion_ == storeVersion)
+                        restoreSheet(storeVersion, now);
+                });
+            });
 }
 
 bool Node::adoptSheet(const SheetVersion &version, const char *source, Time now)
