--- a/src/claims/claims.cpp
+++ b/src/claims/claims.cpp
@@ -197,7 +197,7 @@
     answer.outcome = Outcome::NotRun;
     answer.httpStatus = 503;
     answer.reason = "claim-not-recorded";
-    answer.detail = "The request was not recorded in time and was not run.";
+    answer.detail = "the request was not recorded in time and was not run";
     end(id, answer, false, now);
     if (!guard.expired())
         done({ClaimStatus::NotRecorded, Answer()}, now);
@@ -292,7 +292,7 @@
 
 void ClaimLog::Private::onClosed(Time now)
 {
-    log(LogLevel::Error, "claim-log-closed", "Another process has closed the claim log.");
+    log(LogLevel::Error, "claim-log-closed", "another process has closed the claim log");
     fenced = true;
     ready = 0;
     recoveries.clear();
@@ -314,7 +314,7 @@
 
 void ClaimLog::Private::onUnreachable(Time now)
 {
-    log(LogLevel::Warning, "claim-mode-peer", "The store cannot be reached.");
+    log(LogLevel::Warning, "claim-mode-peer", "the store cannot be reached");
     mode = ClaimMode::Peer;
     std::vector<std::uint64_t> numbers;
     for (const auto &[number, claim] : writer.pending())
@@ -342,7 +342,7 @@
         || std::any_of(pending.begin(), pending.end(),
                        [](const auto &item) { return item.second.granted; }))
         return;
-    log(LogLevel::Info, "claim-mode-store", "The store answers, and all claims are in the log.");
+    log(LogLevel::Info, "claim-mode-store", "the store answers, and all claims are in the log");
     mode = ClaimMode::Store;
     messages.clear();
 }
--- a/src/claims/recovery.cpp
+++ b/src/claims/recovery.cpp
@@ -92,7 +92,7 @@
         else
             ready |= bit;
     }
-    log(LogLevel::Info, "units-recovered", "The claims of " + former.str() + " were read.");
+    log(LogLevel::Info, "units-recovered", "the claims of " + former.str() + " were read");
     const std::weak_ptr<bool> guard = alive;
     for (const Recovery &recovery : batch) {
         if (guard.expired())
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -92,7 +92,7 @@
 void Membership::onFailure()
 {
     if (storeReachable_)
-        log(LogLevel::Warning, "store-unreachable", "The domain record cannot be reached.");
+        log(LogLevel::Warning, "store-unreachable", "the domain record cannot be reached");
     storeReachable_ = false;
 }
 
@@ -196,7 +196,7 @@
     version_ = version;
     haveRecord_ = true;
     if (!storeReachable_)
-        log(LogLevel::Info, "store-reachable", "The domain record was read.");
+        log(LogLevel::Info, "store-reachable", "the domain record was read");
     storeReachable_ = true;
     if (!changed)
         return;
@@ -223,7 +223,7 @@
                 continue;
             const UnitRecord &former = record_.units[unit];
             log(LogLevel::Info, former.released ? "unit-gained" : "unit-taken-over",
-                "A share unit now belongs to this process.",
+                "a share unit now belongs to this process",
                 {{"unit", std::to_string(unit)}, {"former", former.lastOwner.str()}});
             unitGained.emit({unit, former.lastOwner, former.released}, now);
         }
@@ -252,7 +252,7 @@
 {
     if (expelled_)
         return;
-    log(LogLevel::Error, "expelled", "This run was removed from the domain record.");
+    log(LogLevel::Error, "expelled", "this run was removed from the domain record");
     expelled_ = true;
     owned_ = 0;
     releasing_ = 0;
@@ -312,7 +312,7 @@
 void Membership::attestDead(const EntryRun &run, Time now)
 {
     if (run == settings_.self)
-        log(LogLevel::Error, "own-death-attested", "An operator attested the death of this run.");
+        log(LogLevel::Error, "own-death-attested", "an operator attested the death of this run");
     else
         declareDead(run, "attested by an operator", now);
 }
@@ -405,14 +405,14 @@
             return true;
         }
         if (self.incarnation < present->run.incarnation) {
-            log(LogLevel::Error, "newer-incarnation", "A newer run of this entry is registered.",
+            log(LogLevel::Error, "newer-incarnation", "a newer run of this entry is registered",
                 {{"run", present->run.str()}});
             return false;
         }
         // Only the same address proves the older run dead, since this process listens there now.
         if (present->address != settings_.address) {
             log(LogLevel::Warning, "older-run-elsewhere",
-                "An older run of this entry is registered at another address.",
+                "an older run of this entry is registered at another address",
                 {{"run", present->run.str()}, {"address", present->address.str()}});
             return false;
         }
