--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -247,11 +247,12 @@
     std::string level = "info"; // debug, info, warning or error
     DomainId domain;
     EntryId entry;
+    HostId host;
     int repeatsPerMinute = 60; // lines of one event; the rest is counted and reported
 };
 
 /// Writes log events to standard error as JSON lines with the fields time (UTC, RFC 3339), level,
-/// event, domain, entry, message and the event's own fields.
+/// event, domain, entry, host, message and the event's own fields.
 class Logger
 {
 public:
--- a/src/adapters/logger.cpp
+++ b/src/adapters/logger.cpp
@@ -49,6 +49,7 @@
     line["event"] = event.event;
     line["domain"] = settings.domain.str();
     line["entry"] = settings.entry.str();
+    line["host"] = settings.host.str();
     line["message"] = event.message;
     for (const auto &[name, value] : event.fields) {
         // A field with the name of a standard one must not replace it.
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -32,7 +32,8 @@
 {
 public:
     explicit Server(const Settings &settings)
-        : settings_(settings), logger_({settings.logLevel, settings.domain, settings.entry}),
+        : settings_(settings),
+          logger_({settings.logLevel, settings.domain, settings.entry, settings.host}),
           log_([this](const LogEvent &event) { logger_.write(event, loop_.now()); }),
           store_(makeStoreClient(loop_, settings.store)),
           hosts_(makeHostListClient(loop_, settings.hostList)),
--- a/src/node/forwarding.cpp
+++ b/src/node/forwarding.cpp
@@ -7,7 +7,7 @@
 
 EntryId Node::choosePeer(const Pending &pending, Duration localWait, Time now)
 {
-    if (pending.request.requestClass.isEmpty() || localWait <= ForwardMargin)
+    if (localWait <= ForwardMargin)
         return EntryId();
     EntryId best;
     Duration bestCost = localWait - ForwardMargin;
@@ -19,8 +19,7 @@
         // What was forwarded since the peer's last report is not in it yet.
         const Duration service = admission_.serviceTime(pending.request.requestClass);
         const Duration added = service * peer.outstanding / peer.last.load.ownSlots;
-        // An old report may be wrong by as much as it is old.
-        const Duration age = std::min<Duration>(now - peer.lastHeard, milliseconds(50)) / 10;
+        const Duration age = std::min<Duration>((now - peer.lastHeard) / 10, MaxReportAgeCost);
         const Duration cost = 2 * hop + peer.last.load.predictedWait + added + age;
         if (cost < bestCost) {
             bestCost = cost;
--- a/src/node/node_p.h
+++ b/src/node/node_p.h
@@ -23,6 +23,8 @@
 // A forward must save at least this much against the local queue, so that small differences between
 // lagging load reports do not move requests back and forth.
 constexpr Duration ForwardMargin = milliseconds(5);
+// What an old load report of a peer adds to the peer's cost, since it may be wrong by then.
+constexpr Duration MaxReportAgeCost = milliseconds(5);
 constexpr Duration LocalHop = milliseconds(1); // one way, within a failure domain
 constexpr Duration RemoteHop = microseconds(3500); // one way, between failure domains
 
--- a/tests/unit/logger_test.cpp
+++ b/tests/unit/logger_test.cpp
@@ -40,6 +40,7 @@
     LoggerSettings settings;
     settings.domain = DomainId("martin");
     settings.entry = EntryId("e1");
+    settings.host = HostId("h1");
     settings.repeatsPerMinute = 3;
     return settings;
 }
@@ -62,6 +63,7 @@
     CHECK(line["event"] == "odd-input");
     CHECK(line["domain"] == "martin");
     CHECK(line["entry"] == "e1");
+    CHECK(line["host"] == "h1");
     const auto time = line["time"].get<std::string>();
     CHECK(time.size() == 24); // 2026-01-31T12:00:00.000Z
     CHECK(time.back() == 'Z');
