Count own requests only against verified slots before a release

A process had taken over a dead member's units, whose slots were still busy with that member's requests, and released its own other units because its running requests fitted the slots that it kept; those were the busy ones. The next owner overloaded the endpoint. Ruled out: the release of unverified units, which is refused. Change: fits() leaves unverified slots out.

--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -99,13 +99,18 @@
     });
 }
 
-void EndpointTable::updateSlots(Endpoint &endpoint)
+UnitMask EndpointTable::verifiedUnits(const Endpoint &endpoint, UnitMask units) const
 {
-    UnitMask usable = units_;
     for (const Unverified &entry : unverified_) {
         if (entry.pending.count(endpoint.host.id) > 0)
-            usable &= ~entry.units;
+            units &= ~entry.units;
     }
+    return units;
+}
+
+void EndpointTable::updateSlots(Endpoint &endpoint)
+{
+    const UnitMask usable = verifiedUnits(endpoint, units_);
     endpoint.ownSlots = slotsOfUnits(usable, endpoint.host.slots, endpoint.rotation);
     endpoint.needsSample = usable != units_ || endpoint.lost > 0 || endpoint.ejected;
 }
@@ -264,10 +269,12 @@
 
 bool EndpointTable::fits(UnitMask units) const
 {
-    return std::all_of(endpoints_.begin(), endpoints_.end(), [units](const auto &item) {
+    return std::all_of(endpoints_.begin(), endpoints_.end(), [this, units](const auto &item) {
         const Endpoint &endpoint = item.second;
+        // Slots on which requests of a dead member may still run hold none of the own requests.
+        const UnitMask verified = verifiedUnits(endpoint, units);
         return endpoint.running + endpoint.lost
-               <= slotsOfUnits(units, endpoint.host.slots, endpoint.rotation);
+               <= slotsOfUnits(verified, endpoint.host.slots, endpoint.rotation);
     });
 }
 
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -91,7 +91,7 @@
     int usableSlots(const ServiceId &service) const;
     /// Requests of this process on all endpoints.
     int running() const;
-    /// Whether the running and lost requests fit the slots of `units` on every endpoint.
+    /// Whether the running and lost requests fit the verified slots of `units` on every endpoint.
     bool fits(UnitMask units) const;
 
 private:
@@ -103,6 +103,8 @@
         std::set<HostId> pending; // endpoints without a sufficient sample yet
     };
 
+    /// The units whose slots on the endpoint are not waiting for a sample.
+    UnitMask verifiedUnits(const Endpoint &endpoint, UnitMask units) const;
     void updateSlots(Endpoint &endpoint);
     void updateHealth(Endpoint &endpoint, bool failed, Time now);
     bool mayUse(const Endpoint &endpoint, bool idempotent, const std::set<HostId> &exclude,
--- a/tests/unit/invariant_node_test.cpp
+++ b/tests/unit/invariant_node_test.cpp
@@ -75,6 +75,6 @@
 {
     std::map<Outcome, int> outcomes;
     for (const std::uint64_t seed :
-         {151, 1562, 5000, 5021, 5029, 5055, 5060, 5070, 5073, 5094, 5095})
+         {151, 349, 1562, 5000, 5021, 5029, 5055, 5060, 5070, 5073, 5094, 5095})
         runSchedule(seed, outcomes);
 }
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -95,6 +95,18 @@
     CHECK(table.usableSlots(Desk) == 8);
 }
 
+TEST_CASE("invariant_1: own requests must not be counted as fitting slots that are not verified")
+{
+    EndpointTable table = makeTable(1, AllUnits & ~HalfUnits);
+    table.started(HostId("w0"), Start);
+    table.addUnverified(Dead, HalfUnits, Start);
+    table.setUnits(AllUnits);
+    // The units whose slots the request uses may be released only after a sample.
+    CHECK_FALSE(table.fits(HalfUnits));
+    table.applyStatus(HostId("w0"), sample(0, 1), Start + seconds(1));
+    CHECK(table.fits(HalfUnits));
+}
+
 TEST_CASE("invariant_1: a request without an answer blocks its endpoint until it has ended there")
 {
     EndpointTable table = makeTable(1, AllUnits);
