--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -39,6 +39,12 @@
     static const std::vector<Command> commands{
             {"serve", "--config FILE", "run one entry process", {"config"}, {"config"}, runServe},
             {"config check", "FILE", "check a settings file", {"file"}, {"file"}, runConfigCheck},
+            {"platform serve",
+             "",
+             "run one entry process on the users' platform; MONSOONLEDGE_SETTINGS names its file",
+             {},
+             {},
+             runPlatformServe},
             {"sheet check", "FILE", "check a daily sheet", {"file"}, {"file"}, runSheetCheck},
             {"sheet diff",
              "FILE [--against FILE]",
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -31,6 +31,7 @@
 
 int runServe(const CommandContext &context);
 int runConfigCheck(const CommandContext &context);
+int runPlatformServe(const CommandContext &context);
 int runSheetCheck(const CommandContext &context);
 int runSheetDiff(const CommandContext &context);
 int runSheetPut(const CommandContext &context);
--- a/src/app/processcommands.cpp
+++ b/src/app/processcommands.cpp
@@ -1,9 +1,10 @@
-// Commands on one entry process: serve, config check and status.
+// Commands on one entry process: serve, platform serve, config check and status.
 #include "app/client.h"
 #include "app/commands.h"
 #include "app/exitcodes.h"
 #include "app/serve.h"
 #include "app/text.h"
+#include "platform/platform.h"
 #include "settings/settings.h"
 
 namespace monsoonledge {
@@ -13,6 +14,11 @@
     return serve(loadSettings(context.file));
 }
 
+int runPlatformServe(const CommandContext &)
+{
+    return platform::servePlatform();
+}
+
 int runConfigCheck(const CommandContext &context)
 {
     const Settings settings = loadSettings(context.file);
--- /dev/null
+++ b/src/fleet/coordinator.cpp
@@ -0,0 +1,592 @@
+// Sections:
+//   [1] Loading
+//   [2] Input
+//   [3] Records
+//   [4] Orders
+//   [5] Leases of workers
+#include "fleet/fleet.h"
+
+#include "fleet/keys_p.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr Duration TickInterval = milliseconds(100); // for decisions that wait for a time
+constexpr Duration WriteRetryDelay = milliseconds(60);
+constexpr Duration CleanupInterval = seconds(2);
+constexpr std::size_t ChangesPerWrite = (MaxTransactionEntries - 1) / 2;
+constexpr std::size_t RemovalsPerWrite = (MaxTransactionEntries - 1) / 3; // three keys a job
+constexpr Duration RenewRetryDelay = milliseconds(250); // after a failed renewal
+constexpr Duration AwaitSaveLimit = milliseconds(400); // then a renewal does not wait any longer
+constexpr Duration IdleRenewWait = milliseconds(1900); // nothing runs there
+constexpr Duration SilenceBeforeLapse = milliseconds(1500); // then a lease is not renewed any more
+constexpr double WorkerClockRate = 0.975; // a worker's clock may be 2% slow
+constexpr Duration LapseMargin = milliseconds(150);
+constexpr double ReachedShare = 0.4; // of the workers, for a coordinator that stays
+constexpr Duration ReachGrace = seconds(4); // after its start
+constexpr Duration MaxJobAge = seconds(600);
+
+std::int64_t toMillis(Duration duration)
+{
+    return duration.count() / 1000;
+}
+
+} // namespace
+
+// [1] Loading
+
+Coordinator::Coordinator(const FleetSettings &settings, const FleetPorts &ports, JobView &view,
+                         StoreRevision record, Hooks hooks, Time now)
+    : settings_(settings), ports_(ports), view_(view), record_(record), token_{record.value},
+      hooks_(std::move(hooks)), startedAt_(now), lastContact_(now), lastCleanup_(now)
+{
+    jobsLoad_ = std::make_unique<PrefixWatch>(
+            ports_, keys::JobsPrefix, settings_.watchWait, Duration::zero(),
+            PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
+                                   onJobsLoaded(items, later);
+                               },
+                               [](const std::vector<KeyValue> &, Time) {}});
+    registry_ = std::make_unique<PrefixWatch>(
+            ports_, settings_.workerPrefix, settings_.watchWait, settings_.workerPause,
+            PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
+                                   onWorkersLoaded(items, later);
+                               },
+                               [this](const std::vector<KeyValue> &events, Time later) {
+                                   onWorkerEvents(events, later);
+                               }});
+    jobsLoad_->start();
+    registry_->start();
+}
+
+Coordinator::~Coordinator() = default;
+
+void Coordinator::onJobsLoaded(const std::vector<KeyValue> &items, Time now)
+{
+    view_.reset(items);
+    loadedJobs_ = items;
+    areJobsLoaded_ = true;
+    input_ = std::make_unique<PrefixWatch>(
+            ports_, keys::InputPrefix, settings_.watchWait, Duration::zero(),
+            PrefixWatch::Hooks{
+                    [this](const std::vector<KeyValue> &all, Time later) { onInput(all, later); },
+                    [this](const std::vector<KeyValue> &events, Time later) {
+                        onInput(events, later);
+                    }});
+    input_->startAfter(jobsLoad_->revision());
+    startScheduling(now);
+    jobsLoad_.reset(); // the last use of this watch, which calls this function
+}
+
+void Coordinator::onWorkersLoaded(const std::vector<KeyValue> &items, Time now)
+{
+    entries_.clear();
+    areWorkersLoaded_ = true;
+    onWorkerEvents(items, now);
+    startScheduling(now);
+}
+
+void Coordinator::startScheduling(Time now)
+{
+    if (scheduler_ || !areJobsLoaded_ || !areWorkersLoaded_)
+        return;
+    // Until then, a former coordinator that lost the store may have renewed leases.
+    const Duration lostLease =
+            settings_.extendFor + settings_.maxWorkerLease + settings_.maxWorkerLease / 10;
+    scheduler_ = std::make_unique<Scheduler>(settings_.scheduling, lostLease, ports_.log, now);
+    scheduler_->setConfig(hooks_.config(), now);
+    updateWallClock(now);
+    publishWorkers(now);
+    std::unordered_map<JobId, JobProgress> progress;
+    for (const KeyValue &item : loadedJobs_) {
+        const std::optional<JobId> id = keys::parse(keys::ProgressPrefix, item.key);
+        if (!id)
+            continue;
+        revisions_[*id] = item.revision;
+        if (std::optional<JobProgress> decoded = decodeProgress(item.value))
+            progress.emplace(*id, std::move(*decoded));
+        else
+            ports_.log({LogLevel::Error,
+                        "record-unreadable",
+                        "the progress of a job is lost",
+                        {{"key", item.key}}});
+    }
+    for (const KeyValue &item : loadedJobs_) {
+        const std::optional<JobId> id = keys::parse(keys::SpecPrefix, item.key);
+        if (!id)
+            continue;
+        const auto found = progress.find(*id);
+        addSpec(item,
+                found == progress.end() ? std::nullopt : std::optional<JobProgress>(found->second),
+                now);
+    }
+    for (const KeyValue &item : loadedJobs_) {
+        if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key))
+            scheduler_->cancelJob(*id, now);
+    }
+    ports_.log({LogLevel::Info,
+                "coordinator-ready",
+                "jobs and workers are loaded",
+                {{"token", std::to_string(token_.value)},
+                 {"jobs", std::to_string(scheduler_->jobs().size())},
+                 {"workers", std::to_string(scheduler_->workers().size())},
+                 {"loadMs", std::to_string(toMillis(now - startedAt_))}}});
+    loadedJobs_.clear();
+    tick();
+}
+
+// [2] Input
+
+void Coordinator::addSpec(const KeyValue &item, const std::optional<JobProgress> &progress,
+                          Time now)
+{
+    const std::optional<JobSpec> spec = decodeSpec(item.value);
+    if (!spec) {
+        ports_.log(
+                {LogLevel::Error, "record-unreadable", "a job cannot be run", {{"key", item.key}}});
+        return;
+    }
+    view_.setSpec(spec->id, spec->queue);
+    scheduler_->addJob(*spec, progress, scheduler_->timeOf(spec->submitted, MaxJobAge, now), now);
+}
+
+void Coordinator::onInput(const std::vector<KeyValue> &events, Time now)
+{
+    for (const KeyValue &item : events) {
+        if (item.deleted)
+            continue;
+        if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key)) {
+            view_.setCancelled(*id);
+            if (scheduler_)
+                scheduler_->cancelJob(*id, now);
+            else
+                loadedJobs_.push_back(item);
+        } else if (scheduler_) {
+            addSpec(item, std::nullopt, now);
+        } else {
+            loadedJobs_.push_back(item);
+        }
+    }
+    planSoon();
+}
+
+void Coordinator::onWorkerEvents(const std::vector<KeyValue> &events, Time now)
+{
+    for (const KeyValue &item : events) {
+        if (item.deleted) {
+            entries_.erase(item.key);
+            continue;
+        }
+        if (const std::optional<WorkerEntry> entry = ports_.codecs.worker(item.key, item.value)) {
+            entries_[item.key] = *entry;
+            continue;
+        }
+        ports_.log({LogLevel::Warning,
+                    "worker-entry-unreadable",
+                    "an entry of the registry names no worker to use",
+                    {{"key", item.key}}});
+        entries_.erase(item.key);
+    }
+    publishWorkers(now);
+    planSoon();
+}
+
+void Coordinator::publishWorkers(Time now)
+{
+    if (!scheduler_)
+        return;
+    std::vector<WorkerEntry> entries;
+    entries.reserve(entries_.size());
+    for (const auto &[key, entry] : entries_)
+        entries.push_back(entry);
+    scheduler_->setWorkers(entries, now);
+    for (auto it = links_.begin(); it != links_.end();) {
+        const bool isGone = scheduler_->workers().count(it->first) == 0 && !it->second.inFlight;
+        it = isGone ? links_.erase(it) : std::next(it);
+    }
+}
+
+void Coordinator::onConfig(Time now)
+{
+    if (!scheduler_)
+        return;
+    scheduler_->setConfig(hooks_.config(), now);
+    planSoon();
+}
+
+/// The median of the workers' clocks is hard to move, unlike the time of day of one host.
+void Coordinator::updateWallClock(Time now)
+{
+    std::vector<std::uint64_t> clocks;
+    for (const auto &[id, link] : links_) {
+        if (link.clock > 0) {
+            const auto elapsed = static_cast<std::uint64_t>(toMillis(now - link.clockAt));
+            clocks.push_back(link.incarnation.value + link.clock + elapsed);
+        }
+    }
+    if (clocks.empty()) {
+        for (const auto &[key, entry] : entries_) {
+            if (entry.clock > 0)
+                clocks.push_back(entry.incarnation.value + entry.clock);
+        }
+    }
+    if (clocks.empty())
+        return;
+    const auto middle = clocks.begin() + static_cast<std::ptrdiff_t>(clocks.size() / 2);
+    std::nth_element(clocks.begin(), middle, clocks.end());
+    scheduler_->setWallClock({*middle}, now);
+}
+
+// [3] Records
+
+void Coordinator::planSoon()
+{
+    if (isPlanned_ || isDeposed_)
+        return;
+    isPlanned_ = true;
+    ports_.timers.after(settings_.planDelay, [this, alive = std::weak_ptr<int>(alive_)](Time now) {
+        if (alive.expired())
+            return;
+        isPlanned_ = false;
+        run(now);
+    });
+}
+
+void Coordinator::tick()
+{
+    ports_.timers.after(TickInterval, [this, alive = std::weak_ptr<int>(alive_)](Time now) {
+        if (alive.expired() || isDeposed_)
+            return;
+        updateWallClock(now);
+        run(now);
+        removeFinished(now);
+        tick();
+    });
+}
+
+void Coordinator::run(Time now)
+{
+    if (!scheduler_ || isDeposed_)
+        return;
+    if (mayExtend(now))
+        scheduler_->plan(now);
+    writeChanges(now);
+    sendOrders(now);
+    renewLeases(now);
+}
+
+void Coordinator::writeChanges(Time now)
+{
+    while (scheduler_->hasChanges() && writesInFlight_ < settings_.writesInFlight
+           && now >= writeNotBefore_) {
+        auto write = std::make_shared<Write>();
+        write->changes = scheduler_->takeChanges(ChangesPerWrite);
+        if (write->changes.empty()) // the changed jobs are being written
+            return;
+        write->transaction.conditions.push_back({keys::Coordinator, record_});
+        for (const JobChange &change : write->changes) {
+            const std::string key = keys::progress(change.job);
+            write->transaction.conditions.push_back({key, revisions_[change.job]});
+            write->transaction.puts.push_back({key, change.record, LeaseId{}});
+        }
+        ++writesInFlight_;
+        sendWrite(write);
+    }
+}
+
+void Coordinator::sendWrite(const std::shared_ptr<Write> &write)
+{
+    ports_.store.commit(write->transaction, [this, write, alive = std::weak_ptr<int>(alive_)](
+                                                    const KeyValueResult &result, Time now) {
+        if (!alive.expired() && !isDeposed_)
+            onWritten(write, result, now);
+    });
+}
+
+void Coordinator::onWritten(const std::shared_ptr<Write> &write, const KeyValueResult &result,
+                            Time now)
+{
+    switch (result.status) {
+    case KeyValueStatus::Ok:
+        for (const JobChange &change : write->changes) {
+            revisions_[change.job] = result.at;
+            view_.setState(change.job, change.state);
+            scheduler_->onSaved(change.job, change.version, now);
+        }
+        break;
+    case KeyValueStatus::Conflict:
+        onWriteConflict(write, result, now);
+        break;
+    case KeyValueStatus::Unknown:
+        // The same write again: if the first one took effect, its conditions fail and show it.
+        ports_.timers.after(WriteRetryDelay,
+                            [this, write, alive = std::weak_ptr<int>(alive_)](Time) {
+                                if (!alive.expired() && !isDeposed_)
+                                    sendWrite(write);
+                            });
+        return;
+    default:
+        writeNotBefore_ = now + WriteRetryDelay;
+        for (const JobChange &change : write->changes)
+            scheduler_->onSaveFailed(change.job);
+        break;
+    }
+    --writesInFlight_;
+    if (result.status == KeyValueStatus::Ok)
+        run(now);
+    else
+        planSoon();
+}
+
+void Coordinator::onWriteConflict(const std::shared_ptr<Write> &write, const KeyValueResult &result,
+                                  Time now)
+{
+    const auto find = [&](const std::string &key) {
+        return std::find_if(result.items.begin(), result.items.end(),
+                            [&](const KeyValue &item) { return item.key == key; });
+    };
+    const auto record = find(keys::Coordinator);
+    if (record == result.items.end() || record->revision != record_) {
+        depose("the record belongs to another process", now);
+        return;
+    }
+    for (const JobChange &change : write->changes) {
+        const auto current = find(keys::progress(change.job));
+        revisions_[change.job] =
+                current == result.items.end() ? StoreRevision{} : current->revision;
+        if (current != result.items.end() && current->value == change.record) {
+            // An attempt whose answer was lost has written it.
+            view_.setState(change.job, change.state);
+            scheduler_->onSaved(change.job, change.version, now);
+        } else {
+            scheduler_->onSaveFailed(change.job);
+        }
+    }
+}
+
+void Coordinator::removeFinished(Time now)
+{
+    if (!scheduler_ || now - lastCleanup_ < CleanupInterval)
+        return;
+    lastCleanup_ = now;
+    std::vector<JobId> ids = scheduler_->finalBefore(now - settings_.keepFinished);
+    if (ids.empty())
+        return;
+    ids.resize(std::min(ids.size(), RemovalsPerWrite));
+    Transaction transaction;
+    transaction.conditions.push_back({keys::Coordinator, record_});
+    for (const JobId &id : ids) {
+        transaction.removals.push_back(keys::spec(id));
+        transaction.removals.push_back(keys::cancel(id));
+        transaction.removals.push_back(keys::progress(id));
+    }
+    ports_.store.commit(transaction, [this, ids, alive = std::weak_ptr<int>(alive_)](
+                                             const KeyValueResult &result, Time) {
+        if (alive.expired() || result.status != KeyValueStatus::Ok)
+            return; // tried again at the next clean-up
+        for (const JobId &id : ids) {
+            scheduler_->removeJob(id);
+            revisions_.erase(id);
+            view_.remove(id);
+        }
+    });
+}
+
+void Coordinator::depose(const std::string &reason, Time now)
+{
+    if (isDeposed_)
+        return;
+    isDeposed_ = true;
+    ports_.log({LogLevel::Warning,
+                "coordinator-deposed",
+                reason,
+                {{"token", std::to_string(token_.value)}}});
+    // The owner destroys this object, which must not happen inside its own functions.
+    ports_.timers.after(Duration::zero(), [this, alive = std::weak_ptr<int>(alive_)](Time later) {
+        if (!alive.expired())
+            hooks_.deposed(later);
+    });
+    (void)now;
+}
+
+// [4] Orders
+
+void Coordinator::sendOrders(Time now)
+{
+    for (const StartOrder &order : scheduler_->takeStarts())
+        sendStart(order, now);
+    for (const StopOrder &order : scheduler_->takeStops()) {
+        const auto worker = scheduler_->workers().find(order.worker);
+        if (worker == scheduler_->workers().end())
+            continue;
+        ports_.workers.stop(worker->second->entry, order, token_,
+                            [this, order, alive = std::weak_ptr<int>(alive_)](
+                                    const WorkerCall &call, Time later) {
+                                if (alive.expired() || isDeposed_)
+                                    return;
+                                if (call.status == CallStatus::Fenced)
+                                    depose("a worker has seen a newer coordinator", later);
+                                scheduler_->onStopAnswered(order, call.status == CallStatus::Ok,
+                                                           later);
+                                planSoon();
+                            });
+    }
+    for (const PaceOrder &order : scheduler_->takePaces()) {
+        const auto worker = scheduler_->workers().find(order.worker);
+        if (worker == scheduler_->workers().end())
+            continue;
+        // A lost order is repeated by the next change of the pace.
+        ports_.workers.pace(worker->second->entry, order, token_, [](const WorkerCall &, Time) {});
+    }
+}
+
+void Coordinator::sendStart(const StartOrder &order, Time now)
+{
+    const auto found = scheduler_->workers().find(order.worker);
+    const std::uint64_t end =
+            found == scheduler_->workers().end() ? 0 : leaseEnd(order.worker, now);
+    if (end == 0) {
+        scheduler_->onStartAnswered(order, StartOutcome::Refused, now);
+        return;
+    }
+    ports_.workers.start(
+            found->second->entry, order, token_, end,
+            [this, order, alive = std::weak_ptr<int>(alive_)](const WorkerCall &call, Time later) {
+                if (alive.expired() || isDeposed_)
+                    return;
+                StartOutcome outcome = StartOutcome::Refused;
+                switch (call.status) {
+                case CallStatus::Ok:
+                    outcome = StartOutcome::Started;
+                    break;
+                case CallStatus::NoRoom:
+                    outcome = StartOutcome::NoRoom;
+                    break;
+                case CallStatus::OldRun:
+                    outcome = StartOutcome::OldRun;
+                    break;
+                case CallStatus::Unknown:
+                    outcome = StartOutcome::Unknown;
+                    break;
+                case CallStatus::Fenced:
+                    depose("a worker has seen a newer coordinator", later);
+                    return;
+                case CallStatus::Refused:
+                case CallStatus::OtherIncarnation:
+                    break;
+                }
+                if (outcome != StartOutcome::Started) {
+                    ports_.log({LogLevel::Info,
+                                "start-not-confirmed",
+                                call.detail,
+                                {{"job", order.task.job.str()},
+                                 {"worker", order.worker.str()},
+                                 {"run", std::to_string(order.run.value)}}});
+                }
+                scheduler_->onStartAnswered(order, outcome, later);
+                planSoon();
+            });
+}
+
+// [5] Leases of workers
+
+/// The end of a new lease on the worker's clock, or 0 if none may be given.
+std::uint64_t Coordinator::leaseEnd(const WorkerId &id, Time now)
+{
+    const auto worker = scheduler_->workers().find(id);
+    const auto link = links_.find(id);
+    if (worker == scheduler_->workers().end() || link == links_.end() || !mayExtend(now))
+        return 0;
+    const Link &l = link->second;
+    if (l.clock == 0 || l.incarnation != worker->second->entry.incarnation
+        || now - worker->second->lastReport > SilenceBeforeLapse + settings_.renewWait)
+        return 0;
+    const auto elapsed = static_cast<std::uint64_t>(toMillis(now - l.clockAt));
+    const auto lease = static_cast<std::uint64_t>(toMillis(settings_.workerLease));
+    const std::uint64_t end = l.clock + elapsed + lease;
+    // On a slow clock, the lease takes longer than it says.
+    const auto longest =
+            static_cast<std::int64_t>(static_cast<double>(end - l.clock) / WorkerClockRate);
+    scheduler_->onLeaseGiven(id, l.clockAt + milliseconds(longest) + LapseMargin);
+    return end;
+}
+
+void Coordinator::renewLeases(Time now)
+{
+    for (const auto &[id, worker] : scheduler_->workers()) {
+        Link &link = links_[id];
+        if (link.awaitsSave && !scheduler_->hasPendingEnds(id)) {
+            link.awaitsSave = false;
+            link.nextAt = now;
+        }
+        if (!link.inFlight && now >= link.nextAt)
+            renew(worker->entry, link, now);
+    }
+}
+
+void Coordinator::renew(const WorkerEntry &worker, Link &link, Time now)
+{
+    const auto found = scheduler_->workers().find(worker.id);
+    const bool isFirst = link.clock == 0 || link.incarnation != worker.incarnation;
+    Duration wait = found->second->tasks.empty() ? IdleRenewWait : settings_.renewWait;
+    if (isFirst || found->second->suspect)
+        wait = Duration::zero();
+    const std::uint64_t acknowledged = scheduler_->acknowledgeable(worker.id);
+    link.inFlight = true;
+    ports_.workers.renew(worker, token_, leaseEnd(worker.id, now), acknowledged, wait,
+                         [this, id = worker.id, sentAt = now,
+                          alive = std::weak_ptr<int>(alive_)](const WorkerCall &call, Time later) {
+                             if (!alive.expired() && !isDeposed_)
+                                 onRenewed(id, sentAt, call, later);
+                         });
+}
+
+void Coordinator::onRenewed(const WorkerId &id, Time sentAt, const WorkerCall &call, Time now)
+{
+    Link &link = links_[id];
+    link.inFlight = false;
+    if (call.status == CallStatus::Fenced) {
+        depose("a worker has seen a newer coordinator", now);
+        return;
+    }
+    if (call.status != CallStatus::Ok) {
+        ports_.log({LogLevel::Info, "worker-unreachable", call.detail, {{"worker", id.str()}}});
+        link.nextAt = now + RenewRetryDelay;
+        scheduler_->onUnreachable(id);
+        planSoon();
+        return;
+    }
+    link.incarnation = call.report.incarnation;
+    link.clock = call.report.clock;
+    link.clockAt = now;
+    link.nextAt = now;
+    scheduler_->onReport(id, sentAt, call.report, now);
+    if (scheduler_->hasPendingEnds(id)) {
+        link.awaitsSave = true;
+        link.nextAt = now + AwaitSaveLimit;
+    }
+    planSoon();
+}
+
+void Coordinator::onContact(Time sentAt)
+{
+    lastContact_ = std::max(lastContact_, sentAt);
+}
+
+bool Coordinator::reachesWorkers(Time now) const
+{
+    if (!scheduler_ || now - startedAt_ < ReachGrace)
+        return true;
+    std::size_t listed = 0;
+    std::size_t reached = 0;
+    for (const auto &[id, worker] : scheduler_->workers()) {
+        listed += worker->listed ? 1 : 0;
+        reached += worker->listed && now - worker->lastReport < ReachGrace ? 1 : 0;
+    }
+    return static_cast<double>(reached) >= ReachedShare * static_cast<double>(listed);
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/fleet/fleetnode.cpp
@@ -0,0 +1,353 @@
+#include "fleet/fleet.h"
+
+#include "fleet/keys_p.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr Duration ContactLimit = milliseconds(2600); // without an answer, the store counts as away
+constexpr Duration MaxStandDelay = milliseconds(250); // of the weakest host
+constexpr std::uint64_t StandJitterMs = 60;
+constexpr Duration StandRetryDelay = milliseconds(300);
+constexpr Duration KeepRetryDelay = milliseconds(200);
+constexpr Duration ResignPause = seconds(5); // before standing again after resigning
+
+} // namespace
+
+FleetNode::FleetNode(const FleetSettings &settings, const FleetPorts &ports, std::uint64_t seed,
+                     Time now)
+    : settings_(settings), ports_(ports), random_(seed), writer_(ports), lastContact_(now)
+{
+    configWatch_ = std::make_unique<PrefixWatch>(
+            ports_, settings_.configPrefix, settings_.watchWait, Duration::zero(),
+            PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
+                                   onConfigItems(items, later);
+                               },
+                               [this](const std::vector<KeyValue> &items, Time later) {
+                                   onConfigItems(items, later);
+                               }});
+    recordWatch_ = std::make_unique<PrefixWatch>(
+            ports_, keys::Coordinator, settings_.watchWait, Duration::zero(),
+            PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
+                                   hasRecord_ = false;
+                                   onRecordItems(items, later);
+                               },
+                               [this](const std::vector<KeyValue> &items, Time later) {
+                                   onRecordItems(items, later);
+                               }});
+}
+
+FleetNode::~FleetNode() = default;
+
+void FleetNode::log(LogLevel level, const std::string &event, const std::string &message,
+                    std::vector<std::pair<std::string, std::string>> fields)
+{
+    ports_.log({level, event, message, std::move(fields)});
+}
+
+void FleetNode::start(Time now)
+{
+    (void)now;
+    configWatch_->start();
+    recordWatch_->start();
+    followJobs();
+}
+
+void FleetNode::followJobs()
+{
+    const auto apply = [this](const std::vector<KeyValue> &items, Time) {
+        for (const KeyValue &item : items) {
+            if (!view_.apply(item))
+                log(LogLevel::Error, "record-unreadable", "a record of a job cannot be read",
+                    {{"key", item.key}});
+        }
+    };
+    jobsWatch_ = std::make_unique<PrefixWatch>(
+            ports_, keys::JobsPrefix, settings_.watchWait, settings_.followPause,
+            PrefixWatch::Hooks{
+                    [this](const std::vector<KeyValue> &items, Time) { view_.reset(items); },
+                    apply});
+    jobsWatch_->start();
+}
+
+void FleetNode::onConfigItems(const std::vector<KeyValue> &items, Time now)
+{
+    for (const KeyValue &item : items) {
+        if (item.key != settings_.configKey || item.deleted)
+            continue;
+        const std::optional<QueueConfig> config = ports_.codecs.config(item.value);
+        if (!config) {
+            log(LogLevel::Error, "config-unreadable", "the configuration in force stays",
+                {{"revision", std::to_string(item.revision.value)}});
+            continue;
+        }
+        if (config->version <= config_.version)
+            continue;
+        config_ = *config;
+        log(LogLevel::Info, "config-applied", "a configuration is in force",
+            {{"version", std::to_string(config_.version)},
+             {"queues", std::to_string(config_.queues.size())}});
+        if (coordinator_)
+            coordinator_->onConfig(now);
+    }
+}
+
+// Election
+
+void FleetNode::onRecordItems(const std::vector<KeyValue> &items, Time now)
+{
+    for (const KeyValue &item : items)
+        hasRecord_ = !item.deleted;
+    if (!hasRecord_)
+        standLater();
+    (void)now;
+}
+
+/// Strong hosts stand first, so that they usually win.
+void FleetNode::standLater()
+{
+    if (isStanding_ || isDraining_ || coordinator_)
+        return;
+    isStanding_ = true;
+    const double weakness = 1 / (1 + 10 * settings_.cpuShare);
+    const Duration delay = std::chrono::duration_cast<Duration>(MaxStandDelay * weakness)
+                           + milliseconds(static_cast<std::int64_t>(random_.below(StandJitterMs)));
+    ports_.timers.after(delay, [this, alive = std::weak_ptr<int>(alive_)](Time now) {
+        if (!alive.expired())
+            stand(now);
+    });
+}
+
+void FleetNode::stand(Time now)
+{
+    isStanding_ = false;
+    if (hasRecord_ || isDraining_ || coordinator_)
+        return;
+    if (now < notBefore_ || config_.version == 0) {
+        ports_.timers.after(StandRetryDelay, [this, alive = std::weak_ptr<int>(alive_)](Time) {
+            if (!alive.expired() && !hasRecord_)
+                standLater();
+        });
+        return;
+    }
+    isStanding_ = true;
+    ports_.store.grantLease(settings_.leaseTtl,
+                            [this, sentAt = now, alive = std::weak_ptr<int>(alive_)](
+                                    const KeyValueResult &result, Time later) {
+                                if (alive.expired())
+                                    return;
+                                if (result.status == KeyValueStatus::Ok) {
+                                    onLeaseGranted(result.lease, sentAt, later);
+                                    return;
+                                }
+                                isStanding_ = false;
+                                notBefore_ = later + StandRetryDelay;
+                                standLater();
+                            });
+}
+
+void FleetNode::onLeaseGranted(LeaseId lease, Time sentAt, Time now)
+{
+    Transaction transaction;
+    transaction.conditions.push_back({keys::Coordinator, StoreRevision{}});
+    transaction.puts.push_back({keys::Coordinator, settings_.name, lease});
+    ports_.store.commit(transaction, [this, lease, sentAt, alive = std::weak_ptr<int>(alive_)](
+                                             const KeyValueResult &result, Time later) {
+        if (alive.expired())
+            return;
+        isStanding_ = false;
+        if (result.status == KeyValueStatus::Ok && !isDraining_) {
+            lease_ = lease;
+            becomeCoordinator(result.at, sentAt, later);
+            return;
+        }
+        if (result.status == KeyValueStatus::Conflict)
+            hasRecord_ = true; // the watch tells when it goes
+        ports_.store.endLease(lease, [](const KeyValueResult &, Time) {}); // or it lapses
+        notBefore_ = later + StandRetryDelay;
+        if (!hasRecord_)
+            standLater();
+    });
+    (void)now;
+}
+
+void FleetNode::becomeCoordinator(StoreRevision record, Time sentAt, Time now)
+{
+    log(LogLevel::Info, "coordinator-elected", "this process is the coordinator",
+        {{"token", std::to_string(record.value)}});
+    hasRecord_ = true;
+    jobsWatch_.reset(); // the coordinator knows the records without it
+    coordinator_ = std::make_unique<Coordinator>(
+            settings_, ports_, view_, record,
+            Coordinator::Hooks{[this](Time later) { stepDown(later); }, [this] { return config_; }},
+            now);
+    coordinator_->onContact(sentAt);
+    lastContact_ = now;
+    keep();
+}
+
+void FleetNode::keep()
+{
+    ports_.timers.after(settings_.keepInterval, [this, lease = lease_,
+                                                 alive = std::weak_ptr<int>(alive_)](Time sentAt) {
+        if (alive.expired() || !coordinator_ || lease_ != lease)
+            return;
+        if (!coordinator_->reachesWorkers(sentAt)) {
+            log(LogLevel::Warning, "coordinator-resigned", "most workers cannot be reached");
+            notBefore_ = sentAt + ResignPause;
+            stepDown(sentAt);
+            ports_.store.endLease(lease, [](const KeyValueResult &, Time) {}); // or it lapses
+            return;
+        }
+        ports_.store.keepLease(lease, [this, lease, sentAt, alive](const KeyValueResult &result,
+                                                                   Time now) {
+            if (alive.expired() || !coordinator_ || lease_ != lease)
+                return;
+            if (result.status == KeyValueStatus::NotFound) {
+                log(LogLevel::Warning, "coordinator-deposed", "the lease of the record has ended");
+                stepDown(now);
+                return;
+            }
+            if (result.status == KeyValueStatus::Ok) {
+                coordinator_->onContact(sentAt);
+                lastContact_ = now;
+            }
+            keep();
+        });
+    });
+}
+
+void FleetNode::stepDown(Time now)
+{
+    if (!coordinator_)
+        return;
+    coordinator_.reset();
+    lease_ = {};
+    followJobs();
+    // The watch may have shown the loss of the record before.
+    if (!hasRecord_)
+        standLater();
+    (void)now;
+}
+
+void FleetNode::drain(Time now)
+{
+    if (isDraining_)
+        return;
+    isDraining_ = true;
+    if (!coordinator_)
+        return;
+    const LeaseId lease = lease_;
+    stepDown(now);
+    ports_.store.endLease(lease, [](const KeyValueResult &, Time) {}); // or it lapses
+}
+
+// Clients
+
+bool FleetNode::reachesStore(Time now) const
+{
+    Time last = std::max({lastContact_, configWatch_->lastContact(), recordWatch_->lastContact()});
+    if (jobsWatch_)
+        last = std::max(last, jobsWatch_->lastContact());
+    return now - last < ContactLimit;
+}
+
+bool FleetNode::isReady(Time now) const
+{
+    return config_.version > 0 && !isDraining_ && reachesStore(now);
+}
+
+void FleetNode::submit(const JobSpec &spec, Time deadline,
+                       std::function<void(JobAnswer, Time)> done, Time now)
+{
+    if (view_.contains(spec.id)) {
+        done(JobAnswer::Accepted, now);
+        return;
+    }
+    if (!reachesStore(now)) {
+        done(JobAnswer::NotAccepted, now);
+        return;
+    }
+    const auto answered = [this, id = spec.id, queue = spec.queue,
+                           done = std::move(done)](CreateOutcome outcome, Time later) {
+        switch (outcome) {
+        case CreateOutcome::Created:
+        case CreateOutcome::Exists:
+            view_.setSpec(id, queue);
+            done(JobAnswer::Accepted, later);
+            return;
+        case CreateOutcome::NotDone:
+            done(JobAnswer::NotAccepted, later);
+            return;
+        case CreateOutcome::Unknown:
+            done(JobAnswer::Unknown, later);
+            return;
+        }
+    };
+    writer_.create(keys::spec(spec.id), encodeSpec(spec), deadline, answered, now);
+}
+
+void FleetNode::cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
+                       Time now)
+{
+    if (view_.isCancelled(id)) {
+        done(JobAnswer::Accepted, now);
+        return;
+    }
+    if (!view_.contains(id)) { // accepted a moment ago elsewhere, or not at all
+        ports_.store.get(keys::spec(id), [this, id, deadline, done = std::move(done),
+                                          alive = std::weak_ptr<int>(alive_)](
+                                                 const KeyValueResult &result, Time later) {
+            if (alive.expired())
+                return;
+            if (result.status != KeyValueStatus::Ok) {
+                done(result.status == KeyValueStatus::NotFound ? JobAnswer::NotFound
+                                                               : JobAnswer::Unknown,
+                     later);
+                return;
+            }
+            if (const std::optional<JobSpec> spec = decodeSpec(result.items.front().value))
+                view_.setSpec(id, spec->queue);
+            else
+                view_.setSpec(id, {});
+            cancel(id, deadline, done, later);
+        });
+        return;
+    }
+    const auto answered = [this, id, done = std::move(done)](CreateOutcome outcome, Time later) {
+        const bool isWritten =
+                outcome == CreateOutcome::Created || outcome == CreateOutcome::Exists;
+        if (isWritten)
+            view_.setCancelled(id);
+        done(isWritten ? JobAnswer::Accepted : JobAnswer::Unknown, later);
+    };
+    writer_.create(keys::cancel(id), settings_.name, deadline, answered, now);
+}
+
+void FleetNode::state(const JobId &id, StateDone done, Time now)
+{
+    if (const std::optional<JobState> state = view_.state(id)) {
+        done(JobAnswer::Accepted, *state, now);
+        return;
+    }
+    ports_.store.get(keys::spec(id),
+                     [done = std::move(done)](const KeyValueResult &result, Time later) {
+                         switch (result.status) {
+                         case KeyValueStatus::Ok: // accepted a moment ago
+                             done(JobAnswer::Accepted, JobState::Pending, later);
+                             return;
+                         case KeyValueStatus::NotFound:
+                             done(JobAnswer::NotFound, JobState::Pending, later);
+                             return;
+                         default:
+                             done(JobAnswer::Unknown, JobState::Pending, later);
+                             return;
+                         }
+                     });
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/fleet/jobview.cpp
@@ -0,0 +1,113 @@
+#include "fleet/fleet.h"
+
+#include "fleet/keys_p.h"
+
+namespace monsoonledge {
+
+bool JobView::isWaiting(const Entry &entry)
+{
+    return entry.hasSpec && !entry.cancelled && entry.state == JobState::Pending;
+}
+
+/// Changes an entry and keeps the counts of waiting jobs.
+template<typename Change> void JobView::change(const JobId &id, Change apply)
+{
+    Entry &entry = entries_[id];
+    if (isWaiting(entry))
+        --waiting_[entry.queue];
+    apply(entry);
+    if (isWaiting(entry))
+        ++waiting_[entry.queue];
+}
+
+void JobView::setSpec(const JobId &id, const QueueId &queue)
+{
+    change(id, [&](Entry &entry) {
+        entry.hasSpec = true;
+        entry.queue = queue;
+    });
+}
+
+void JobView::setCancelled(const JobId &id)
+{
+    change(id, [](Entry &entry) { entry.cancelled = true; });
+}
+
+void JobView::setState(const JobId &id, JobState state)
+{
+    change(id, [state](Entry &entry) { entry.state = state; });
+}
+
+void JobView::remove(const JobId &id)
+{
+    change(id, [](Entry &entry) { entry.hasSpec = false; });
+    entries_.erase(id);
+}
+
+bool JobView::apply(const KeyValue &item)
+{
+    if (const std::optional<JobId> id = keys::parse(keys::SpecPrefix, item.key)) {
+        if (item.deleted) {
+            remove(*id);
+            return true;
+        }
+        const std::optional<JobSpec> spec = decodeSpec(item.value);
+        if (spec)
+            setSpec(*id, spec->queue);
+        return spec.has_value();
+    }
+    if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key)) {
+        if (!item.deleted)
+            setCancelled(*id);
+        return true;
+    }
+    if (const std::optional<JobId> id = keys::parse(keys::ProgressPrefix, item.key)) {
+        if (item.deleted)
+            return true;
+        const std::optional<JobState> state = decodeState(item.value);
+        if (state)
+            setState(*id, *state);
+        return state.has_value();
+    }
+    return false;
+}
+
+void JobView::reset(const std::vector<KeyValue> &items)
+{
+    entries_.clear();
+    waiting_.clear();
+    for (const KeyValue &item : items)
+        apply(item);
+}
+
+bool JobView::contains(const JobId &id) const
+{
+    const auto it = entries_.find(id);
+    return it != entries_.end() && it->second.hasSpec;
+}
+
+bool JobView::isCancelled(const JobId &id) const
+{
+    const auto it = entries_.find(id);
+    return it != entries_.end() && it->second.cancelled;
+}
+
+std::optional<JobState> JobView::state(const JobId &id) const
+{
+    const auto it = entries_.find(id);
+    if (it == entries_.end() || !it->second.hasSpec)
+        return std::nullopt;
+    const Entry &entry = it->second;
+    // A job that ended before its cancellation was seen stays as it ended.
+    if (entry.cancelled && !isFinal(entry.state))
+        return JobState::Cancelled;
+    return entry.state;
+}
+
+int JobView::backlog(const QueueId &queue) const
+{
+    const auto it = waiting_.find(queue);
+    return it == waiting_.end() ? 0 : it->second;
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/fleet/keys_p.h
@@ -0,0 +1,41 @@
+// Keys of the system's own records in the store. Private to src/fleet.
+#pragma once
+
+#include "jobs/jobs.h"
+
+#include <optional>
+#include <string>
+
+namespace monsoonledge::keys {
+
+inline const std::string Coordinator = "coordinator";
+inline const std::string JobsPrefix = "jobs/"; // everything about jobs
+inline const std::string InputPrefix = "jobs/in/"; // what clients have asked for
+inline const std::string SpecPrefix = "jobs/in/spec/";
+inline const std::string CancelPrefix = "jobs/in/cancel/";
+inline const std::string ProgressPrefix = "jobs/progress/";
+
+inline std::string spec(const JobId &id)
+{
+    return SpecPrefix + id.str();
+}
+
+inline std::string cancel(const JobId &id)
+{
+    return CancelPrefix + id.str();
+}
+
+inline std::string progress(const JobId &id)
+{
+    return ProgressPrefix + id.str();
+}
+
+/// The job of a key with the prefix, or nothing.
+inline std::optional<JobId> parse(const std::string &prefix, const std::string &key)
+{
+    if (key.size() <= prefix.size() || key.compare(0, prefix.size(), prefix) != 0)
+        return std::nullopt;
+    return JobId(key.substr(prefix.size()));
+}
+
+} // namespace monsoonledge::keys
--- /dev/null
+++ b/src/fleet/prefixwatch.cpp
@@ -0,0 +1,110 @@
+#include "fleet/fleet.h"
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr Duration RetryDelay = milliseconds(150); // after a call that failed
+
+} // namespace
+
+PrefixWatch::PrefixWatch(const FleetPorts &ports, std::string prefix, Duration wait, Duration pause,
+                         Hooks hooks)
+    : ports_(ports), prefix_(std::move(prefix)), wait_(wait), pause_(pause),
+      hooks_(std::move(hooks))
+{ }
+
+PrefixWatch::~PrefixWatch() = default;
+
+void PrefixWatch::start()
+{
+    restart();
+}
+
+void PrefixWatch::startAfter(StoreRevision revision)
+{
+    isLoaded_ = true;
+    revision_ = revision;
+    watchNext();
+}
+
+void PrefixWatch::restart()
+{
+    pages_.clear();
+    revision_ = {};
+    loadPage({});
+}
+
+void PrefixWatch::later(Duration delay, void (PrefixWatch::*step)())
+{
+    ports_.timers.after(delay, [this, step, alive = std::weak_ptr<int>(alive_)](Time) {
+        if (!alive.expired())
+            (this->*step)();
+    });
+}
+
+void PrefixWatch::loadPage(const std::string &afterKey)
+{
+    ports_.store.range(
+            prefix_, afterKey,
+            [this, alive = std::weak_ptr<int>(alive_)](const KeyValueResult &result, Time now) {
+                if (!alive.expired())
+                    onPage(result, now);
+            });
+}
+
+void PrefixWatch::onPage(const KeyValueResult &result, Time now)
+{
+    if (result.status != KeyValueStatus::Ok) {
+        later(RetryDelay, &PrefixWatch::restart);
+        return;
+    }
+    lastContact_ = now;
+    // Pages are read one after the other. Watching from the first page's revision on repeats what
+    // changed in between.
+    if (revision_.value == 0)
+        revision_ = result.at;
+    pages_.insert(pages_.end(), result.items.begin(), result.items.end());
+    if (result.hasMore && !result.items.empty()) {
+        loadPage(result.items.back().key);
+        return;
+    }
+    isLoaded_ = true;
+    const std::vector<KeyValue> items = std::move(pages_);
+    pages_.clear();
+    later(Duration::zero(), &PrefixWatch::watchNext);
+    hooks_.loaded(items, now); // may destroy this object
+}
+
+void PrefixWatch::watchNext()
+{
+    ports_.store.watch(
+            prefix_, revision_, wait_,
+            [this, alive = std::weak_ptr<int>(alive_)](const KeyValueResult &result, Time now) {
+                if (!alive.expired())
+                    onEvents(result, now);
+            });
+}
+
+void PrefixWatch::onEvents(const KeyValueResult &result, Time now)
+{
+    if (result.status == KeyValueStatus::Compacted) {
+        ports_.log({LogLevel::Info,
+                    "watch-compacted",
+                    "the store's history is gone; the keys are loaded again",
+                    {{"prefix", prefix_}}});
+        restart();
+        return;
+    }
+    if (result.status != KeyValueStatus::Ok) {
+        later(RetryDelay, &PrefixWatch::watchNext);
+        return;
+    }
+    lastContact_ = now;
+    revision_ = std::max(revision_, result.at);
+    later(result.items.empty() ? Duration::zero() : pause_, &PrefixWatch::watchNext);
+    if (!result.items.empty())
+        hooks_.changed(result.items, now); // may destroy this object
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/jobs/record.cpp
@@ -0,0 +1,180 @@
+#include "jobs/jobs.h"
+
+#include <nlohmann/json.hpp>
+
+namespace monsoonledge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Records are arrays, not maps: they are written many times a second, and their size is paid for in
+// processor time and in bytes between failure domains.
+constexpr int SpecFormat = 1;
+constexpr int ProgressFormat = 1;
+
+enum StepFlag : unsigned {
+    Checkpointing = 1,
+    Gang = 2,
+    Colocated = 4,
+    Speculative = 8,
+    LongRunning = 16,
+    Fills = 32,
+};
+
+std::string toBytes(const Json &json)
+{
+    std::string bytes;
+    Json::to_cbor(json, nlohmann::detail::output_adapter<char>(bytes));
+    return bytes;
+}
+
+std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+unsigned stepFlags(const StepSpec &step)
+{
+    unsigned flags = 0;
+    flags |= step.checkpointing ? Checkpointing : 0U;
+    flags |= step.gang ? Gang : 0U;
+    flags |= step.colocated ? Colocated : 0U;
+    flags |= step.speculative ? Speculative : 0U;
+    flags |= step.longRunning ? LongRunning : 0U;
+    flags |= step.fills ? Fills : 0U;
+    return flags;
+}
+
+Json encodeStep(const StepSpec &step)
+{
+    return Json::array({step.count, step.cpu.value, step.memory.value, step.accelerators,
+                        toMillis(step.estimate), step.after, stepFlags(step), step.requirement,
+                        step.affinity, step.antiAffinity, step.image, toMillis(step.tailTarget),
+                        step.maxUnavailable});
+}
+
+StepSpec decodeStep(const Json &json)
+{
+    StepSpec step;
+    step.count = json.at(0).get<int>();
+    step.cpu.value = json.at(1).get<std::uint64_t>();
+    step.memory.value = json.at(2).get<std::uint64_t>();
+    step.accelerators = json.at(3).get<int>();
+    step.estimate = milliseconds(json.at(4).get<std::int64_t>());
+    step.after = json.at(5).get<std::vector<int>>();
+    const auto flags = json.at(6).get<unsigned>();
+    step.checkpointing = (flags & Checkpointing) != 0;
+    step.gang = (flags & Gang) != 0;
+    step.colocated = (flags & Colocated) != 0;
+    step.speculative = (flags & Speculative) != 0;
+    step.longRunning = (flags & LongRunning) != 0;
+    step.fills = (flags & Fills) != 0;
+    step.requirement = json.at(7).get<std::string>();
+    step.affinity = json.at(8).get<std::string>();
+    step.antiAffinity = json.at(9).get<int>();
+    step.image = json.at(10).get<std::string>();
+    step.tailTarget = milliseconds(json.at(11).get<std::int64_t>());
+    step.maxUnavailable = json.at(12).get<int>();
+    return step;
+}
+
+Json encodeTask(const TaskProgress &task)
+{
+    if (task.phase == TaskPhase::Waiting && task.run.value == 0)
+        return 0; // most tasks of a waiting job
+    return Json::array({static_cast<int>(task.phase), task.run.value, task.failures,
+                        task.worker.str(), task.incarnation.value, task.checkpoint});
+}
+
+TaskProgress decodeTask(const Json &json)
+{
+    TaskProgress task;
+    if (json.is_number())
+        return task;
+    const int phase = json.at(0).get<int>();
+    if (phase < 0 || phase > static_cast<int>(TaskPhase::Failed))
+        throw std::out_of_range("unknown task phase");
+    task.phase = static_cast<TaskPhase>(phase);
+    task.run.value = json.at(1).get<std::uint64_t>();
+    task.failures = json.at(2).get<int>();
+    task.worker = WorkerId(json.at(3).get<std::string>());
+    task.incarnation.value = json.at(4).get<std::uint64_t>();
+    task.checkpoint = json.at(5).get<std::string>();
+    return task;
+}
+
+} // namespace
+
+std::string encodeSpec(const JobSpec &spec)
+{
+    Json steps = Json::array();
+    for (const StepSpec &step : spec.steps)
+        steps.push_back(encodeStep(step));
+    return toBytes(Json::array({SpecFormat, spec.id.str(), spec.queue.str(), spec.payload, steps,
+                                spec.occurrences, spec.firstDue.value, toMillis(spec.interval),
+                                spec.submitted.value}));
+}
+
+std::optional<JobSpec> decodeSpec(const std::string &bytes)
+{
+    try {
+        const Json json = Json::from_cbor(bytes);
+        if (json.at(0).get<int>() != SpecFormat)
+            return std::nullopt;
+        JobSpec spec;
+        spec.id = JobId(json.at(1).get<std::string>());
+        spec.queue = QueueId(json.at(2).get<std::string>());
+        spec.payload = json.at(3).get<std::string>();
+        for (const Json &step : json.at(4))
+            spec.steps.push_back(decodeStep(step));
+        spec.occurrences = json.at(5).get<int>();
+        spec.firstDue.value = json.at(6).get<std::uint64_t>();
+        spec.interval = milliseconds(json.at(7).get<std::int64_t>());
+        spec.submitted.value = json.at(8).get<std::uint64_t>();
+        return spec;
+    } catch (const std::exception &) { // the caller logs the key of the record
+        return std::nullopt;
+    }
+}
+
+std::string encodeProgress(const JobProgress &progress)
+{
+    Json tasks = Json::array();
+    for (const TaskProgress &task : progress.tasks)
+        tasks.push_back(encodeTask(task));
+    return toBytes(Json::array({ProgressFormat, static_cast<int>(progress.state), tasks}));
+}
+
+std::optional<JobState> decodeState(const std::string &progressBytes)
+{
+    // The head of encodeProgress(): an array of three, the format, and the state as a small number.
+    constexpr unsigned char ArrayOfThree = 0x83;
+    if (progressBytes.size() < 4 || static_cast<unsigned char>(progressBytes[0]) != ArrayOfThree
+        || progressBytes[1] != ProgressFormat)
+        return std::nullopt;
+    const auto state = static_cast<unsigned char>(progressBytes[2]);
+    if (state > static_cast<unsigned char>(JobState::Cancelled))
+        return std::nullopt;
+    return static_cast<JobState>(state);
+}
+
+std::optional<JobProgress> decodeProgress(const std::string &bytes)
+{
+    try {
+        const Json json = Json::from_cbor(bytes);
+        const int state = json.at(1).get<int>();
+        if (json.at(0).get<int>() != ProgressFormat || state < 0
+            || state > static_cast<int>(JobState::Cancelled))
+            return std::nullopt;
+        JobProgress progress;
+        progress.state = static_cast<JobState>(state);
+        for (const Json &task : json.at(2))
+            progress.tasks.push_back(decodeTask(task));
+        return progress;
+    } catch (const std::exception &) { // the caller logs the key of the record
+        return std::nullopt;
+    }
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/scheduling/placement.cpp
@@ -0,0 +1,318 @@
+// The next tasks and their workers.
+//
+// Load patterns that the decisions here answer:
+// - More work than fits: jobs whose objective can still be met come first, by their objective; late
+//   jobs take what is left; jobs whose result is worth nothing any more come last. Without this
+//   order, a flood makes every job late.
+// - Floods of filling work: a filling task starts only where idle processors are left for it. More
+//   would slow down all filling tasks of the worker, and end none of them earlier.
+// - Lasting tasks come before everything and may stop others, because their users see each second.
+#include "scheduling/scheduling.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace monsoonledge {
+
+namespace {
+
+bool contains(const std::vector<std::string> &labels, const std::string &label)
+{
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+/// True if a run of the task has failed or stalled on the worker.
+bool hasFailedOn(const ScheduledTask &task, const ScheduledWorker &worker)
+{
+    return std::find(task.failedOn.begin(), task.failedOn.end(), worker.entry.id)
+           != task.failedOn.end();
+}
+
+int countOfStep(const ScheduledWorker &worker, const TaskRef &ref)
+{
+    return static_cast<int>(
+            std::count_if(worker.tasks.begin(), worker.tasks.end(), [&](const ScheduledTask *task) {
+                return task->ref.job == ref.job && task->ref.occurrence == ref.occurrence
+                       && task->ref.step == ref.step;
+            }));
+}
+
+/// The classes in which jobs are served, most urgent first.
+enum class Urgency { Lasting, OnTime, Late, Worthless };
+
+Urgency urgencyOf(const ScheduledJob &job, double lateFactor, Time now)
+{
+    if (job.lasts)
+        return Urgency::Lasting;
+    const Duration allowed = job.objective - job.submittedAt;
+    const auto worthFor = std::chrono::duration_cast<Duration>(allowed * lateFactor);
+    if (now > job.submittedAt + worthFor)
+        return Urgency::Worthless;
+    return now > job.objective ? Urgency::Late : Urgency::OnTime;
+}
+
+} // namespace
+
+double expectedFillShare(const ScheduledWorker &worker, const StepSpec &step,
+                         const SchedulingSettings &settings)
+{
+    const double used = static_cast<double>(worker.cpuUsed) - settings.idleShare * worker.servingCpu
+                        + worker.fillCpu;
+    const double idle = static_cast<double>(worker.entry.cpu.value) - used;
+    const double wanted = std::max(static_cast<double>(step.cpu.value), 1.0);
+    return std::clamp(idle / wanted, 0.0, 1.0);
+}
+
+bool Scheduler::isRunnable(const ScheduledJob &job, const ScheduledTask &task) const
+{
+    if (task.progress.phase != TaskPhase::Waiting)
+        return false;
+    const std::size_t steps = job.spec.steps.size();
+    const std::size_t base = static_cast<std::size_t>(task.ref.occurrence) * steps;
+    for (const int before : stepOf(task).after) {
+        const auto step = static_cast<std::size_t>(before);
+        if (job.doneTasks[base + step] < job.spec.steps[step].count)
+            return false;
+    }
+    return true;
+}
+
+bool Scheduler::isUsable(const ScheduledWorker &worker, Time now) const
+{
+    if (!worker.listed || !worker.known || worker.suspect || worker.entry.draining)
+        return false;
+    if (now - worker.lastReport > settings_.reachableFor || now < worker.noRoomUntil)
+        return false;
+    if (now < worker.setAsideUntil)
+        return false;
+    // After it was set aside, a worker is tried with one task.
+    return worker.failuresInRow < settings_.failuresToSetAside || worker.tasks.empty();
+}
+
+void Scheduler::addDueOccurrences(Time now)
+{
+    if (!wallOffset_)
+        return;
+    const auto steady =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    const std::int64_t wall = *wallOffset_ + steady;
+    for (ScheduledJob *job : active_) {
+        if (job->spec.occurrences == 0 || job->tasksPerOccurrence == 0)
+            continue;
+        const std::int64_t interval = job->spec.interval.count() / 1000;
+        while (static_cast<int>(job->tasks.size())
+               < job->spec.occurrences * job->tasksPerOccurrence) {
+            const auto next =
+                    static_cast<std::int64_t>(job->tasks.size()) / job->tasksPerOccurrence;
+            const std::int64_t due =
+                    static_cast<std::int64_t>(job->spec.firstDue.value) + next * interval;
+            if (wall < due)
+                break;
+            addOccurrence(*job, now);
+        }
+    }
+}
+
+std::vector<ScheduledJob *> Scheduler::orderJobs(Time now)
+{
+    using Key = std::tuple<Urgency, int, Time>;
+    std::vector<std::pair<Key, ScheduledJob *>> keyed;
+    for (ScheduledJob *job : active_) {
+        if (job->waitingTasks == 0)
+            continue;
+        const Urgency urgency = urgencyOf(*job, settings_.lateFactor, now);
+        keyed.emplace_back(Key{urgency, job->queue.priority, job->objective}, job);
+    }
+    std::sort(keyed.begin(), keyed.end(),
+              [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<ScheduledJob *> jobs;
+    jobs.reserve(keyed.size());
+    for (const auto &[key, job] : keyed)
+        jobs.push_back(job);
+    return jobs;
+}
+
+void Scheduler::plan(Time now)
+{
+    checkWorkers(now);
+    addDueOccurrences(now);
+    for (ScheduledJob *job : orderJobs(now))
+        assignJob(*job, now);
+}
+
+void Scheduler::assignJob(ScheduledJob &job, Time now)
+{
+    int refusedStep = -1; // tasks of one step need the same; if one finds no worker, none does
+    for (ScheduledTask &task : job.tasks) {
+        const int step =
+                task.ref.occurrence * static_cast<int>(job.spec.steps.size()) + task.ref.step;
+        if (step == refusedStep || task.notBefore > now || !isRunnable(job, task))
+            continue;
+        if (stepOf(task).gang) {
+            if (task.ref.index == 0)
+                assignGang(job, task.ref.occurrence, task.ref.step, now);
+            continue;
+        }
+        if (ScheduledWorker *worker = choose(task, now)) {
+            assign(task, *worker);
+            continue;
+        }
+        if (task.failedOn.empty())
+            refusedStep = step;
+        if (stepOf(task).longRunning && now - task.waitingSince > settings_.preemptAfter)
+            makeRoom(task, now);
+    }
+}
+
+/// Assigns all tasks of a gang, or none.
+void Scheduler::assignGang(ScheduledJob &job, int occurrence, int step, Time now)
+{
+    std::vector<ScheduledTask *> members;
+    for (ScheduledTask &task : job.tasks) {
+        if (task.ref.occurrence != occurrence || task.ref.step != step)
+            continue;
+        if (task.progress.phase != TaskPhase::Waiting || task.notBefore > now)
+            return; // runs of the last attempt have not all ended
+        members.push_back(&task);
+    }
+    std::vector<ScheduledTask *> reserved;
+    std::vector<ScheduledWorker *> chosen;
+    for (ScheduledTask *task : members) {
+        ScheduledWorker *worker = choose(*task, now);
+        if (!worker)
+            break;
+        reserve(*worker, *task);
+        reserved.push_back(task);
+        chosen.push_back(worker);
+    }
+    for (ScheduledTask *task : reserved)
+        release(*task);
+    if (reserved.size() < members.size())
+        return;
+    RunNumber run{0}; // all members carry the same run number and checkpoint
+    std::string checkpoint;
+    for (const ScheduledTask *task : members) {
+        run = std::max(run, task->progress.run);
+        checkpoint = std::max(checkpoint, task->progress.checkpoint);
+    }
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        members[i]->progress.run = run;
+        members[i]->progress.checkpoint = checkpoint;
+        assign(*members[i], *chosen[i]);
+    }
+}
+
+ScheduledWorker *Scheduler::choose(const ScheduledTask &task, Time now) const
+{
+    const StepSpec &step = stepOf(task);
+    const auto memory = static_cast<std::int64_t>(step.memory.value);
+    const auto cpu = static_cast<std::int64_t>(step.cpu.value);
+    ScheduledWorker *best = nullptr;
+    double bestScore = 0;
+    for (const auto &[id, worker] : workers_) {
+        if (!isUsable(*worker, now) || worker->entry.service != task.job->queue.service)
+            continue;
+        const WorkerEntry &entry = worker->entry;
+        if (worker->memoryUsed + memory > static_cast<std::int64_t>(entry.memory.value)
+            || worker->acceleratorsUsed + step.accelerators > entry.accelerators)
+            continue;
+        if (!step.requirement.empty() && !contains(entry.labels, step.requirement))
+            continue;
+        if (step.antiAffinity > 0 && countOfStep(*worker, task.ref) >= step.antiAffinity)
+            continue;
+        double score = 0;
+        if (step.fills) {
+            const double share = expectedFillShare(*worker, step, settings_);
+            if (share < settings_.minFillShare || worker->pace < 100)
+                continue;
+            // Workers without serving tasks first: nobody is disturbed there.
+            score = static_cast<double>(entry.cpu.value) - static_cast<double>(worker->cpuUsed)
+                    - worker->fillCpu;
+        } else {
+            if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
+                continue;
+            score = static_cast<double>(entry.cpu.value) - static_cast<double>(worker->cpuUsed);
+            // Filling tasks lose the processors that the new task takes.
+            score -= 0.5 * worker->fillCpu;
+        }
+        if (!step.affinity.empty() && contains(entry.labels, step.affinity))
+            score += 1e6;
+        if (hasFailedOn(task, *worker))
+            score -= 1e7;
+        if (!best || score > bestScore) {
+            best = worker.get();
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void Scheduler::assign(ScheduledTask &task, ScheduledWorker &worker)
+{
+    ScheduledJob &job = *task.job;
+    task.progress.phase = TaskPhase::Assigned;
+    ++task.progress.run.value;
+    task.progress.worker = worker.entry.id;
+    task.progress.incarnation = worker.entry.incarnation;
+    task.knowledge = RunKnowledge::Saving;
+    task.stopAnswered = false;
+    --job.waitingTasks;
+    reserve(worker, task);
+    markChanged(job);
+    task.assignedIn = job.version;
+}
+
+/// Stops the tasks on one worker that cost least and make room for a lasting task.
+void Scheduler::makeRoom(const ScheduledTask &task, Time now)
+{
+    const StepSpec &step = stepOf(task);
+    ScheduledWorker *best = nullptr;
+    std::vector<ScheduledTask *> bestVictims;
+    for (const auto &[id, worker] : workers_) {
+        if (!isUsable(*worker, now) || worker->entry.service != task.job->queue.service)
+            continue;
+        if (step.antiAffinity > 0 && countOfStep(*worker, task.ref) >= step.antiAffinity)
+            continue;
+        if (!step.requirement.empty() && !contains(worker->entry.labels, step.requirement))
+            continue;
+        std::int64_t cpuShort = worker->cpuUsed + static_cast<std::int64_t>(step.cpu.value)
+                                - static_cast<std::int64_t>(worker->entry.cpu.value);
+        std::int64_t memoryShort = worker->memoryUsed + static_cast<std::int64_t>(step.memory.value)
+                                   - static_cast<std::int64_t>(worker->entry.memory.value);
+        std::vector<ScheduledTask *> victims;
+        bool isStopping = false;
+        for (ScheduledTask *other : worker->tasks) {
+            const StepSpec &otherStep = stepOf(*other);
+            isStopping = isStopping || other->knowledge == RunKnowledge::Stopping;
+            if (cpuShort <= 0 && memoryShort <= 0)
+                break;
+            if (otherStep.longRunning || other->knowledge != RunKnowledge::Running)
+                continue;
+            if (memoryShort <= 0 && otherStep.fills)
+                continue;
+            if (!otherStep.fills)
+                cpuShort -= static_cast<std::int64_t>(otherStep.cpu.value);
+            memoryShort -= static_cast<std::int64_t>(otherStep.memory.value);
+            victims.push_back(other);
+        }
+        if (isStopping) // room is being made already
+            return;
+        if (cpuShort > 0 || memoryShort > 0)
+            continue;
+        if (!best || victims.size() < bestVictims.size()) {
+            best = worker.get();
+            bestVictims = victims;
+        }
+    }
+    for (ScheduledTask *victim : bestVictims) {
+        log_({LogLevel::Info,
+              "run-preempted",
+              "the run makes room for a task that lasts",
+              {{"job", victim->ref.job.str()},
+               {"worker", best->entry.id.str()},
+               {"for", task.ref.job.str()}}});
+        stopRun(*victim, now);
+    }
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/scheduling/scheduler.cpp
@@ -0,0 +1,409 @@
+// Jobs: their records, their states, and the ends of their runs. Workers are in workers.cpp, the
+// choice of the next task in placement.cpp.
+#include "scheduling/scheduling.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace monsoonledge {
+
+namespace {
+
+std::string describe(const TaskRef &ref)
+{
+    return ref.job.str() + '.' + std::to_string(ref.occurrence) + '.' + std::to_string(ref.step)
+           + '.' + std::to_string(ref.index);
+}
+
+const char *endName(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        return "alone";
+    }
+    return "failed";
+}
+
+} // namespace
+
+Scheduler::Scheduler(SchedulingSettings settings, Duration lostLeaseAfter, LogHook log, Time now)
+    : settings_(settings), lostLeaseAfter_(lostLeaseAfter), log_(std::move(log)), startedAt_(now)
+{ }
+
+void Scheduler::setConfig(const QueueConfig &config, Time now)
+{
+    config_ = config;
+    for (auto &[id, job] : jobs_) {
+        // A removed queue takes no new jobs; those that it has go on under its last configuration.
+        if (const QueueSpec *queue = config.find(job->spec.queue))
+            job->queue = *queue;
+    }
+    (void)now;
+}
+
+void Scheduler::setWallClock(WallMilliseconds wall, Time now)
+{
+    const auto steady =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    wallOffset_ = static_cast<std::int64_t>(wall.value) - steady;
+}
+
+Time Scheduler::timeOf(WallMilliseconds wall, Duration maxAge, Time now) const
+{
+    if (!wallOffset_)
+        return now;
+    const Time time(milliseconds(static_cast<std::int64_t>(wall.value) - *wallOffset_));
+    return std::clamp(time, now - maxAge, now);
+}
+
+const StepSpec &Scheduler::stepOf(const ScheduledTask &task) const
+{
+    return task.job->spec.steps[static_cast<std::size_t>(task.ref.step)];
+}
+
+ScheduledTask *Scheduler::findTask(const TaskRef &ref)
+{
+    const auto it = jobs_.find(ref.job);
+    if (it == jobs_.end())
+        return nullptr;
+    ScheduledJob &job = *it->second;
+    if (ref.occurrence < 0 || ref.step < 0 || ref.index < 0
+        || ref.step >= static_cast<int>(job.spec.steps.size())
+        || ref.index >= job.spec.steps[static_cast<std::size_t>(ref.step)].count)
+        return nullptr;
+    const auto position = static_cast<std::size_t>(ref.occurrence)
+                                  * static_cast<std::size_t>(job.tasksPerOccurrence)
+                          + static_cast<std::size_t>(
+                                  job.stepStart[static_cast<std::size_t>(ref.step)] + ref.index);
+    return position < job.tasks.size() ? &job.tasks[position] : nullptr;
+}
+
+void Scheduler::addOccurrence(ScheduledJob &job, Time now)
+{
+    const int occurrence = static_cast<int>(job.tasks.size()) / std::max(job.tasksPerOccurrence, 1);
+    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+        for (int index = 0; index < job.spec.steps[step].count; ++index) {
+            ScheduledTask task;
+            task.job = &job;
+            task.ref = {job.spec.id, occurrence, static_cast<int>(step), index};
+            task.waitingSince = now;
+            job.tasks.push_back(std::move(task));
+        }
+        job.doneTasks.push_back(0);
+    }
+    job.waitingTasks += job.tasksPerOccurrence;
+}
+
+void Scheduler::addJob(const JobSpec &spec, const std::optional<JobProgress> &progress,
+                       Time submittedAt, Time now)
+{
+    if (jobs_.count(spec.id) > 0)
+        return;
+    auto owned = std::make_unique<ScheduledJob>();
+    ScheduledJob &job = *owned;
+    job.spec = spec;
+    if (const QueueSpec *queue = config_.find(spec.queue)) {
+        job.queue = *queue;
+    } else {
+        job.queue.id = spec.queue;
+        job.queue.maxAttempts = 2; // the queue is gone; a second attempt covers a bad worker
+    }
+    job.submittedAt = submittedAt;
+    for (const StepSpec &step : spec.steps) {
+        job.stepStart.push_back(job.tasksPerOccurrence);
+        job.tasksPerOccurrence += step.count;
+        job.lasts = job.lasts || step.longRunning;
+    }
+    const std::chrono::duration<double, std::micro> allowed =
+            criticalPath(spec) * job.queue.slackFactor;
+    job.objective =
+            submittedAt + std::chrono::duration_cast<Duration>(allowed) + job.queue.targetLatency;
+    job.work = estimatedWork(spec);
+    if (spec.occurrences == 0)
+        addOccurrence(job, now);
+    if (progress) {
+        job.state = progress->state;
+        while (job.tasks.size() < progress->tasks.size() && job.tasksPerOccurrence > 0)
+            addOccurrence(job, now);
+        for (std::size_t i = 0; i < progress->tasks.size() && i < job.tasks.size(); ++i)
+            inherit(job.tasks[i], progress->tasks[i]);
+    }
+    if (isFinal(job.state))
+        job.finalAt = now;
+    else
+        active_.push_back(&job);
+    jobs_.emplace(spec.id, std::move(owned));
+}
+
+/// Continues with a task as a former coordinator recorded it.
+void Scheduler::inherit(ScheduledTask &task, const TaskProgress &progress)
+{
+    ScheduledJob &job = *task.job;
+    task.progress = progress;
+    if (progress.phase == TaskPhase::Waiting)
+        return;
+    --job.waitingTasks;
+    if (progress.phase == TaskPhase::Done) {
+        const std::size_t steps = job.spec.steps.size();
+        ++job.doneTasks[static_cast<std::size_t>(task.ref.occurrence) * steps
+                        + static_cast<std::size_t>(task.ref.step)];
+    }
+    if (progress.phase != TaskPhase::Assigned)
+        return;
+    task.knowledge = RunKnowledge::Inherited;
+    task.sentAt = startedAt_;
+    std::unique_ptr<ScheduledWorker> &worker = workers_[progress.worker];
+    if (!worker) {
+        worker = std::make_unique<ScheduledWorker>();
+        worker->entry.id = progress.worker;
+        worker->entry.incarnation = progress.incarnation;
+        worker->listed = false;
+        worker->lapseAt = startedAt_ + lostLeaseAfter_;
+    }
+    reserve(*worker, task);
+}
+
+void Scheduler::cancelJob(const JobId &id, Time now)
+{
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end() || isFinal(it->second->state))
+        return;
+    finish(*it->second, JobState::Cancelled, now);
+}
+
+/// Ends a job: nothing of it is started any more, and what runs is stopped.
+void Scheduler::finish(ScheduledJob &job, JobState state, Time now)
+{
+    job.state = state;
+    job.finalAt = now;
+    for (ScheduledTask &task : job.tasks) {
+        if (task.progress.phase != TaskPhase::Assigned)
+            continue;
+        if (task.knowledge != RunKnowledge::Saving) // otherwise onSaved() drops it
+            stopRun(task, now);
+    }
+    active_.erase(std::remove(active_.begin(), active_.end(), &job), active_.end());
+    markChanged(job);
+}
+
+void Scheduler::removeJob(const JobId &id)
+{
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end())
+        return;
+    for (ScheduledTask &task : it->second->tasks)
+        release(task);
+    active_.erase(std::remove(active_.begin(), active_.end(), it->second.get()), active_.end());
+    jobs_.erase(it);
+}
+
+void Scheduler::markChanged(ScheduledJob &job)
+{
+    ++job.version;
+    if (job.changed)
+        return;
+    job.changed = true;
+    changes_.push_back(job.spec.id);
+}
+
+/// Recomputes whether the job has ended.
+void Scheduler::updateState(ScheduledJob &job, Time now)
+{
+    if (isFinal(job.state))
+        return;
+    const bool hasAllOccurrences =
+            job.spec.occurrences == 0
+            || static_cast<int>(job.tasks.size()) >= job.tasksPerOccurrence * job.spec.occurrences;
+    int done = 0;
+    for (const int count : job.doneTasks)
+        done += count;
+    if (hasAllOccurrences && done == static_cast<int>(job.tasks.size())) {
+        log_({LogLevel::Info, "job-completed", "all tasks are done", {{"job", job.spec.id.str()}}});
+        finish(job, JobState::Completed, now);
+    }
+}
+
+void Scheduler::makeWaiting(ScheduledTask &task, Duration delay, Time now)
+{
+    release(task);
+    task.knowledge = RunKnowledge::None;
+    task.stopAnswered = false;
+    task.percent = 0;
+    task.pace = 100;
+    task.progress.phase = TaskPhase::Waiting;
+    task.notBefore = now + delay;
+    task.waitingSince = now;
+    ++task.job->waitingTasks;
+    markChanged(*task.job);
+}
+
+/// Applies the end of the task's current run.
+void Scheduler::endRun(ScheduledTask &task, RunEnd end, const std::string &checkpoint, Time now)
+{
+    ScheduledJob &job = *task.job;
+    const StepSpec &step = stepOf(task);
+    log_({LogLevel::Info,
+          "run-ended",
+          "a run of a task has ended",
+          {{"job", job.spec.id.str()},
+           {"task", describe(task.ref)},
+           {"run", std::to_string(task.progress.run.value)},
+           {"worker", task.progress.worker.str()},
+           {"end", endName(end)}}});
+    if (!checkpoint.empty())
+        task.progress.checkpoint = checkpoint;
+    if (end == RunEnd::Done) {
+        release(task);
+        task.knowledge = RunKnowledge::None;
+        task.progress.phase = TaskPhase::Done;
+        ++job.doneTasks[static_cast<std::size_t>(task.ref.occurrence) * job.spec.steps.size()
+                        + static_cast<std::size_t>(task.ref.step)];
+        markChanged(job);
+        if (step.gang) { // one end stands for all members
+            for (ScheduledTask &other : job.tasks) {
+                if (other.ref.occurrence == task.ref.occurrence && other.ref.step == task.ref.step
+                    && other.progress.phase == TaskPhase::Assigned)
+                    endRun(other, RunEnd::Done, {}, now);
+            }
+        }
+        updateState(job, now);
+        return;
+    }
+    Duration delay{};
+    if (end == RunEnd::Failed) {
+        ++task.progress.failures;
+        task.failedOn.push_back(task.progress.worker);
+        delay = settings_.retryDelay * (1 << std::min(task.progress.failures - 1, 5));
+        delay = std::min(delay, settings_.maxRetryDelay);
+    }
+    makeWaiting(task, delay, now);
+    const bool isExhausted = !step.longRunning && task.progress.failures >= job.queue.maxAttempts;
+    if (!isExhausted || isFinal(job.state))
+        return;
+    task.progress.phase = TaskPhase::Failed;
+    --job.waitingTasks;
+    log_({LogLevel::Info,
+          "job-failed",
+          "a task has used up its attempts",
+          {{"job", job.spec.id.str()},
+           {"task", describe(task.ref)},
+           {"failures", std::to_string(task.progress.failures)}}});
+    finish(job, JobState::Failed, now);
+}
+
+void Scheduler::stopRun(ScheduledTask &task, Time now)
+{
+    assert(task.progress.phase == TaskPhase::Assigned);
+    task.knowledge = RunKnowledge::Stopping;
+    task.stopAnswered = false;
+    task.sentAt = now;
+    stops_.push_back({task.ref, task.progress.run, task.progress.worker});
+}
+
+std::vector<JobChange> Scheduler::takeChanges(std::size_t max)
+{
+    std::vector<JobChange> result;
+    std::size_t remaining = changes_.size();
+    while (remaining-- > 0 && result.size() < max) {
+        const JobId id = changes_.front();
+        changes_.pop_front();
+        const auto it = jobs_.find(id);
+        if (it == jobs_.end())
+            continue;
+        ScheduledJob &job = *it->second;
+        if (job.savingVersion != 0) { // one write of a record at a time
+            changes_.push_back(id);
+            continue;
+        }
+        job.changed = false;
+        job.savingVersion = job.version;
+        JobProgress progress;
+        progress.state = job.state;
+        bool hasRun = false;
+        for (const ScheduledTask &task : job.tasks) {
+            progress.tasks.push_back(task.progress);
+            hasRun = hasRun || task.progress.run.value > 0;
+        }
+        if (progress.state == JobState::Pending && hasRun) {
+            progress.state = JobState::Active;
+            job.state = JobState::Active;
+        }
+        result.push_back({id, job.version, encodeProgress(progress), progress.state});
+    }
+    return result;
+}
+
+void Scheduler::onSaved(const JobId &id, std::uint64_t version, Time now)
+{
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end())
+        return;
+    ScheduledJob &job = *it->second;
+    job.savedVersion = std::max(job.savedVersion, version);
+    job.savingVersion = 0;
+    for (ScheduledTask &task : job.tasks) {
+        if (task.knowledge != RunKnowledge::Saving || task.assignedIn > version)
+            continue;
+        const bool isStartable = !isFinal(job.state) && task.worker && task.worker->listed
+                                 && !task.worker->entry.draining
+                                 && task.worker->entry.incarnation == task.progress.incarnation;
+        if (!isStartable) { // no order was sent
+            makeWaiting(task, Duration::zero(), now);
+            continue;
+        }
+        task.knowledge = RunKnowledge::Sent;
+        task.sentAt = now;
+        starts_.push_back({task.ref, task.progress.run, task.progress.worker, job.spec.payload,
+                           task.progress.checkpoint});
+    }
+}
+
+void Scheduler::onSaveFailed(const JobId &id)
+{
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end())
+        return;
+    ScheduledJob &job = *it->second;
+    job.savingVersion = 0;
+    if (!job.changed) {
+        job.changed = true;
+        changes_.push_back(id);
+    }
+}
+
+std::vector<StartOrder> Scheduler::takeStarts()
+{
+    return std::exchange(starts_, {});
+}
+
+std::vector<StopOrder> Scheduler::takeStops()
+{
+    return std::exchange(stops_, {});
+}
+
+std::vector<PaceOrder> Scheduler::takePaces()
+{
+    return std::exchange(paces_, {});
+}
+
+std::vector<JobId> Scheduler::finalBefore(Time time) const
+{
+    std::vector<JobId> result;
+    for (const auto &[id, job] : jobs_) {
+        if (isFinal(job->state) && job->finalAt < time && job->savedVersion == job->version)
+            result.push_back(id);
+    }
+    return result;
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/scheduling/scheduling.h
@@ -0,0 +1,353 @@
+// Scheduling of jobs: which task runs next, on which worker, and what is stopped or slowed down.
+//
+// The scheduler holds the state of all jobs and workers of one coordinator in memory. It does no
+// I/O and reads no clock: events come in as calls, and decisions are taken out as lists of orders.
+// A run is started in three steps, so that a successor knows of every run that may exist:
+//   plan()         assigns a waiting task to a worker and marks its job as changed;
+//   takeChanges()  hands out the records of changed jobs for the store;
+//   onSaved()      releases the orders that depended on a record.
+//
+// Sections:
+//   [1] Workers as reported
+//   [2] Orders
+//   [3] Settings
+//   [4] State
+//   [5] Scheduler
+#pragma once
+
+#include "jobs/jobs.h"
+#include "ports/ports.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace monsoonledge {
+
+// [1] Workers as reported
+
+/// What a worker says about itself in the service registry.
+struct WorkerEntry
+{
+    WorkerId id;
+    WorkerIncarnation incarnation;
+    ServiceId service;
+    Address address;
+    DomainId domain;
+    bool draining = false;
+    Duration remaining{}; // while draining: it stays at least this long
+    MilliCores cpu;
+    MebiBytes memory;
+    int accelerators = 0;
+    std::vector<std::string> labels; // kind and rack
+    std::uint64_t clock = 0; // its own clock in ms when it wrote the entry; 0: not said
+};
+
+enum class RunEnd {
+    Done,
+    Failed, // by its own fault or the worker's
+    Stopped, // by an order
+    Lapsed, // the worker's lease ran out
+    Broken, // another member of the gang ended
+    Alone, // the other members of the gang did not come in time
+};
+
+struct RunningTask
+{
+    TaskRef task;
+    RunNumber run;
+    std::string checkpoint;
+    int percent = 0; // progress; of a task that lasts: 100 while it is at work
+    double usage = 0; // tail latency in ms of a task that serves, otherwise cores in use
+};
+
+struct FinishedTask
+{
+    std::uint64_t number = 0; // position in the worker's list of ends
+    TaskRef task;
+    RunNumber run;
+    RunEnd end = RunEnd::Failed;
+    std::string checkpoint;
+};
+
+/// Answer of a worker to a renewal of its lease.
+struct RunReport
+{
+    std::uint64_t clock = 0; // the worker's own clock in milliseconds
+    WorkerIncarnation incarnation;
+    std::vector<RunningTask> running;
+    std::vector<FinishedTask> finished; // those after the acknowledged position
+};
+
+// [2] Orders
+
+struct StartOrder
+{
+    TaskRef task;
+    RunNumber run;
+    WorkerId worker;
+    std::string payload;
+    std::string checkpoint;
+};
+
+struct StopOrder
+{
+    TaskRef task;
+    RunNumber run;
+    WorkerId worker;
+};
+
+struct PaceOrder
+{
+    TaskRef task;
+    RunNumber run;
+    WorkerId worker;
+    int percent = 100; // share of its speed at which the task may work
+};
+
+enum class StartOutcome {
+    Started,
+    NoRoom, // refused; did not run and will not
+    OldRun, // refused, because this or a higher run was stopped there
+    Refused, // refused for another reason; did not run and will not
+    Unknown, // no answer: it may run now or later
+};
+
+/// A record to be written.
+struct JobChange
+{
+    JobId job;
+    std::uint64_t version = 0; // counts the changes of the job in this process
+    std::string record; // encoded JobProgress
+    JobState state = JobState::Pending;
+};
+
+// [3] Settings
+
+struct SchedulingSettings
+{
+    Duration reachableFor = milliseconds(2500); // without a report for longer, it gets no new task
+    Duration retryDelay = milliseconds(100); // after a failed run, doubled with each further one
+    Duration maxRetryDelay = seconds(2);
+    Duration startLag = milliseconds(300); // a run unseen for this long after its start is lost
+    int failuresToSetAside = 3; // runs in a row that fail on a worker
+    Duration setAsideFor = seconds(4);
+    double maxSetAside = 0.34; // share of the workers
+    Duration stallTime = seconds(4); // without progress, a task counts as stalled
+    double stallFactor = 3; // of the estimate, without progress
+    double idleShare = 0.5; // of a serving task's processors that filling tasks are expected to get
+    double minFillShare = 0.75; // of its processors that must be idle before a filling task starts
+    double paceTail = 0.8; // of the tail target, above which filling tasks are slowed down
+    double resumeTail = 0.55; // of the tail target, below which they are sped up again
+    Duration paceInterval = milliseconds(700); // between two changes on one worker
+    double lateFactor = 3; // objectives after which the result of a job is worth nothing
+    Duration preemptAfter = milliseconds(700); // wait of a lasting task before others make room
+};
+
+// [4] State
+
+struct ScheduledJob;
+struct ScheduledWorker;
+
+/// How far the current run of a task is known to have got.
+enum class RunKnowledge {
+    None, // no current run
+    Saving, // assigned; the record is not known to be stored
+    Sent, // the start order is out
+    Running, // the worker has confirmed it
+    Uncertain, // the start order was not answered
+    Inherited, // recorded by a former coordinator
+    Stopping, // a stop order is out
+};
+
+struct ScheduledTask
+{
+    ScheduledJob *job = nullptr;
+    TaskRef ref;
+    TaskProgress progress;
+    RunKnowledge knowledge = RunKnowledge::None;
+    ScheduledWorker *worker = nullptr; // of the current run, if that worker is known
+    std::uint64_t assignedIn = 0; // version of the job that first holds the current run
+    Time sentAt{}; // of the start order or the last stop order
+    bool stopAnswered = false; // the worker has carried out the stop order
+    Time confirmedAt{}; // when the worker last showed the run
+    Time startedAt{}; // when the run was confirmed first
+    Time waitingSince{};
+    Time notBefore{}; // earliest time of the next run
+    Time progressAt{}; // when `percent` last changed
+    int percent = 0;
+    int pace = 100; // percent
+    double usage = 0;
+    std::vector<WorkerId> failedOn;
+};
+
+struct ScheduledJob
+{
+    JobSpec spec;
+    QueueSpec queue; // as configured when last seen
+    JobState state = JobState::Pending;
+    std::deque<ScheduledTask> tasks; // by occurrence, step and index; addresses stay valid
+    std::vector<int> stepStart; // index of a step's first task within an occurrence
+    int tasksPerOccurrence = 0;
+    int waitingTasks = 0;
+    Time submittedAt{};
+    Time objective{}; // a result after this time is late
+    double work = 0; // estimated core-seconds
+    std::uint64_t version = 0;
+    std::uint64_t savedVersion = 0;
+    std::uint64_t savingVersion = 0; // handed out and not answered; 0: none
+    bool changed = false; // in the list of changes
+    bool lasts = false; // has a step that runs until the job is cancelled
+    std::vector<int> doneTasks; // by occurrence and step
+    Time finalAt{};
+};
+
+/// An end that may be acknowledged once the record of its job is stored.
+struct PendingEnd
+{
+    std::uint64_t number = 0;
+    JobId job;
+    std::uint64_t version = 0;
+};
+
+struct ScheduledWorker
+{
+    WorkerEntry entry;
+    bool listed = true; // in the registry
+    bool known = false; // has answered in this incarnation
+    bool suspect = false; // the last call to it failed
+    Time lastReport{};
+    Time lapseAt{}; // by then every lease that was given has run out
+    std::uint64_t acknowledged = 0; // position in the list of ends that may be forgotten
+    std::deque<PendingEnd> pendingEnds;
+    std::uint64_t lastEnd = 0; // highest end that was applied
+    std::vector<ScheduledTask *> tasks; // that have or may have a run here
+    std::int64_t cpuUsed = 0; // thousandths, of tasks that do not fill
+    std::int64_t memoryUsed = 0;
+    int acceleratorsUsed = 0;
+    double servingCpu = 0; // thousandths, part of cpuUsed that belongs to serving tasks
+    double fillCpu = 0; // thousandths, asked for by filling tasks
+    int failuresInRow = 0; // of different jobs
+    JobId lastFailedJob;
+    Time setAsideUntil{};
+    Duration setAsideFor{};
+    Time noRoomUntil{}; // after a refusal
+    Time pacedAt{};
+    int pace = 100; // percent, of the filling tasks
+};
+
+// [5] Scheduler
+
+class Scheduler
+{
+public:
+    /// `lostLeaseAfter`: how long after the start of this coordinator the runs of a former one may
+    /// still exist on a worker that cannot be reached.
+    Scheduler(SchedulingSettings settings, Duration lostLeaseAfter, LogHook log, Time now);
+
+    void setConfig(const QueueConfig &config, Time now);
+
+    /// Adds a job. `progress` is empty for a new one.
+    void addJob(const JobSpec &spec, const std::optional<JobProgress> &progress, Time submittedAt,
+                Time now);
+    void cancelJob(const JobId &id, Time now);
+    /// Forgets a job whose record was removed.
+    void removeJob(const JobId &id);
+
+    /// Replaces the list of workers.
+    void setWorkers(const std::vector<WorkerEntry> &entries, Time now);
+    /// A report that answers a renewal sent at `sentAt`.
+    void onReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now);
+    /// A call to the worker failed; it gets no new task before its next report.
+    void onUnreachable(const WorkerId &id);
+    /// All leases given to the worker end at `lapseAt`.
+    void onLeaseGiven(const WorkerId &id, Time lapseAt);
+    void onStartAnswered(const StartOrder &order, StartOutcome outcome, Time now);
+    /// `stopped`: the worker has carried out the order.
+    void onStopAnswered(const StopOrder &order, bool stopped, Time now);
+
+    /// Decides. Call it after events, not more often than every few milliseconds.
+    void plan(Time now);
+    /// The time of day, by which repeated jobs become due.
+    void setWallClock(WallMilliseconds wall, Time now);
+    /// The steady time of a time of day in the past; `now` if the time of day is not known.
+    Time timeOf(WallMilliseconds wall, Duration maxAge, Time now) const;
+
+    /// At most `max` records to write. Each is answered by onSaved() or onSaveFailed().
+    std::vector<JobChange> takeChanges(std::size_t max);
+    void onSaved(const JobId &id, std::uint64_t version, Time now);
+    /// The record was not written; the change is handed out again.
+    void onSaveFailed(const JobId &id);
+
+    std::vector<StartOrder> takeStarts();
+    std::vector<StopOrder> takeStops();
+    std::vector<PaceOrder> takePaces();
+
+    /// Position in the worker's list of ends that may be acknowledged.
+    std::uint64_t acknowledgeable(const WorkerId &id) const;
+    /// True if ends wait for their records.
+    bool hasPendingEnds(const WorkerId &id) const;
+    /// Jobs that ended before `time`.
+    std::vector<JobId> finalBefore(Time time) const;
+
+    const std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> &jobs() const { return jobs_; }
+    const std::map<WorkerId, std::unique_ptr<ScheduledWorker>> &workers() const { return workers_; }
+    bool hasChanges() const { return !changes_.empty(); }
+
+private:
+    ScheduledTask *findTask(const TaskRef &ref);
+    const StepSpec &stepOf(const ScheduledTask &task) const;
+    void addOccurrence(ScheduledJob &job, Time now);
+    void addDueOccurrences(Time now);
+    void finish(ScheduledJob &job, JobState state, Time now);
+    void inherit(ScheduledTask &task, const TaskProgress &progress);
+    void markChanged(ScheduledJob &job);
+    void updateState(ScheduledJob &job, Time now);
+    bool isRunnable(const ScheduledJob &job, const ScheduledTask &task) const;
+
+    void reserve(ScheduledWorker &worker, ScheduledTask &task);
+    void release(ScheduledTask &task);
+    void makeWaiting(ScheduledTask &task, Duration delay, Time now);
+    void applyEnd(ScheduledWorker &worker, const FinishedTask &end, Time now);
+    void endRun(ScheduledTask &task, RunEnd end, const std::string &checkpoint, Time now);
+    void noteEnd(ScheduledWorker &worker, const JobId &job, RunEnd end, Time now);
+    void applyRunning(ScheduledWorker &worker, const RunningTask &running, Time now);
+    void findLostRuns(ScheduledWorker &worker, Time sentAt, Time now);
+    void loseWorkerRuns(ScheduledWorker &worker, Time now);
+    void stopRun(ScheduledTask &task, Time now);
+
+    void checkWorkers(Time now);
+    void checkStalled(ScheduledWorker &worker, Time now);
+    void paceFilling(ScheduledWorker &worker, Time now);
+    void drainWorker(ScheduledWorker &worker, Time now);
+    bool isUsable(const ScheduledWorker &worker, Time now) const;
+    std::vector<ScheduledJob *> orderJobs(Time now);
+    void assignJob(ScheduledJob &job, Time now);
+    void assignGang(ScheduledJob &job, int occurrence, int step, Time now);
+    ScheduledWorker *choose(const ScheduledTask &task, Time now) const;
+    void assign(ScheduledTask &task, ScheduledWorker &worker);
+    void makeRoom(const ScheduledTask &task, Time now);
+
+    SchedulingSettings settings_;
+    Duration lostLeaseAfter_;
+    LogHook log_;
+    Time startedAt_;
+    std::optional<std::int64_t> wallOffset_; // time of day less the steady clock, in ms
+    QueueConfig config_;
+    std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> jobs_;
+    std::map<WorkerId, std::unique_ptr<ScheduledWorker>> workers_;
+    std::vector<ScheduledJob *> active_; // not final
+    std::deque<JobId> changes_;
+    std::vector<StartOrder> starts_;
+    std::vector<StopOrder> stops_;
+    std::vector<PaceOrder> paces_;
+};
+
+/// Share of a worker's idle processors that a task which fills would get there, at most 1.
+double expectedFillShare(const ScheduledWorker &worker, const StepSpec &step,
+                         const SchedulingSettings &settings);
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/scheduling/workers.cpp
@@ -0,0 +1,408 @@
+// Workers: their lists of runs, their loss, and the pace of filling tasks on them.
+#include "scheduling/scheduling.h"
+
+#include <algorithm>
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr Duration StopRetryDelay = seconds(1);
+constexpr std::size_t MaxListedEnds = 500; // a worker's list of ends is cut at this length
+
+} // namespace
+
+void Scheduler::setWorkers(const std::vector<WorkerEntry> &entries, Time now)
+{
+    for (auto &[id, worker] : workers_)
+        worker->listed = false;
+    for (const WorkerEntry &entry : entries) {
+        std::unique_ptr<ScheduledWorker> &worker = workers_[entry.id];
+        if (!worker) {
+            worker = std::make_unique<ScheduledWorker>();
+            worker->lapseAt = startedAt_ + lostLeaseAfter_;
+        } else if (entry.incarnation < worker->entry.incarnation) {
+            worker->listed = true; // the entry is older than what the worker itself has said
+            continue;
+        } else if (entry.incarnation != worker->entry.incarnation) {
+            loseWorkerRuns(*worker, now); // a restarted worker runs nothing of before
+            worker->known = false;
+            worker->acknowledged = 0;
+            worker->lastEnd = 0;
+            worker->pendingEnds.clear();
+            worker->failuresInRow = 0;
+        }
+        worker->entry = entry;
+        worker->listed = true;
+    }
+    for (auto it = workers_.begin(); it != workers_.end();) {
+        const bool isObsolete = !it->second->listed && it->second->tasks.empty();
+        it = isObsolete ? workers_.erase(it) : std::next(it);
+    }
+}
+
+void Scheduler::reserve(ScheduledWorker &worker, ScheduledTask &task)
+{
+    const StepSpec &step = stepOf(task);
+    task.worker = &worker;
+    worker.tasks.push_back(&task);
+    worker.memoryUsed += static_cast<std::int64_t>(step.memory.value);
+    worker.acceleratorsUsed += step.accelerators;
+    if (step.fills) {
+        worker.fillCpu += static_cast<double>(step.cpu.value);
+        return;
+    }
+    worker.cpuUsed += static_cast<std::int64_t>(step.cpu.value);
+    if (step.longRunning)
+        worker.servingCpu += static_cast<double>(step.cpu.value);
+}
+
+void Scheduler::release(ScheduledTask &task)
+{
+    ScheduledWorker *worker = std::exchange(task.worker, nullptr);
+    if (!worker)
+        return;
+    const StepSpec &step = stepOf(task);
+    worker->tasks.erase(std::remove(worker->tasks.begin(), worker->tasks.end(), &task),
+                        worker->tasks.end());
+    worker->memoryUsed -= static_cast<std::int64_t>(step.memory.value);
+    worker->acceleratorsUsed -= step.accelerators;
+    if (step.fills) {
+        worker->fillCpu -= static_cast<double>(step.cpu.value);
+        return;
+    }
+    worker->cpuUsed -= static_cast<std::int64_t>(step.cpu.value);
+    if (step.longRunning)
+        worker->servingCpu -= static_cast<double>(step.cpu.value);
+}
+
+void Scheduler::onLeaseGiven(const WorkerId &id, Time lapseAt)
+{
+    const auto it = workers_.find(id);
+    if (it != workers_.end())
+        it->second->lapseAt = std::max(it->second->lapseAt, lapseAt);
+}
+
+void Scheduler::onUnreachable(const WorkerId &id)
+{
+    const auto it = workers_.find(id);
+    if (it != workers_.end())
+        it->second->suspect = true;
+}
+
+void Scheduler::onReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now)
+{
+    const auto it = workers_.find(id);
+    if (it == workers_.end())
+        return;
+    ScheduledWorker &worker = *it->second;
+    if (report.incarnation != worker.entry.incarnation) {
+        if (report.incarnation < worker.entry.incarnation)
+            return; // a late answer of a former life
+        loseWorkerRuns(worker, now);
+        worker.acknowledged = 0;
+        worker.lastEnd = 0;
+        worker.pendingEnds.clear();
+        worker.entry.incarnation = report.incarnation;
+    }
+    worker.known = true;
+    worker.suspect = false;
+    worker.lastReport = now;
+    for (const FinishedTask &end : report.finished)
+        applyEnd(worker, end, now);
+    for (const RunningTask &running : report.running)
+        applyRunning(worker, running, now);
+    if (report.finished.size() < MaxListedEnds)
+        findLostRuns(worker, sentAt, now);
+    checkStalled(worker, now);
+    paceFilling(worker, now);
+}
+
+void Scheduler::applyEnd(ScheduledWorker &worker, const FinishedTask &end, Time now)
+{
+    if (end.number <= worker.lastEnd)
+        return; // listed again
+    worker.lastEnd = end.number;
+    PendingEnd pending{end.number, end.task.job, 0};
+    ScheduledTask *task = findTask(end.task);
+    noteEnd(worker, end.task.job, end.end, now);
+    if (task) {
+        const bool isCurrent = task->progress.phase == TaskPhase::Assigned
+                               && task->progress.run == end.run
+                               && task->progress.worker == worker.entry.id;
+        if (isCurrent) {
+            endRun(*task, end.end, end.checkpoint, now);
+        } else if (end.end == RunEnd::Done && task->progress.phase == TaskPhase::Waiting
+                   && end.run == task->progress.run) {
+            // The run was given up, and nothing has been started since.
+            --task->job->waitingTasks;
+            task->progress.phase = TaskPhase::Assigned;
+            endRun(*task, end.end, end.checkpoint, now);
+        }
+        pending.version = task->job->version;
+    }
+    worker.pendingEnds.push_back(pending);
+}
+
+/// Sets a worker aside that fails runs of different jobs one after the other.
+void Scheduler::noteEnd(ScheduledWorker &worker, const JobId &job, RunEnd end, Time now)
+{
+    if (end == RunEnd::Done) {
+        worker.failuresInRow = 0;
+        worker.setAsideFor = {};
+        return;
+    }
+    if (end != RunEnd::Failed || job == worker.lastFailedJob)
+        return;
+    worker.lastFailedJob = job;
+    ++worker.failuresInRow;
+    if (worker.failuresInRow < settings_.failuresToSetAside || now < worker.setAsideUntil)
+        return;
+    worker.setAsideFor = worker.setAsideFor == Duration::zero()
+                                 ? settings_.setAsideFor
+                                 : std::min(worker.setAsideFor * 2, settings_.setAsideFor * 4);
+    worker.setAsideUntil = now + worker.setAsideFor;
+    log_({LogLevel::Warning,
+          "worker-set-aside",
+          "runs of several jobs have failed on the worker one after the other",
+          {{"worker", worker.entry.id.str()},
+           {"failures", std::to_string(worker.failuresInRow)},
+           {"forMs", std::to_string(worker.setAsideFor.count() / 1000)}}});
+}
+
+void Scheduler::applyRunning(ScheduledWorker &worker, const RunningTask &running, Time now)
+{
+    ScheduledTask *task = findTask(running.task);
+    const bool isCurrent = task && task->progress.phase == TaskPhase::Assigned
+                           && task->progress.run == running.run
+                           && task->progress.worker == worker.entry.id;
+    if (!isCurrent) {
+        stops_.push_back({running.task, running.run, worker.entry.id});
+        return;
+    }
+    task->confirmedAt = now;
+    task->usage = running.usage;
+    if (!running.checkpoint.empty())
+        task->progress.checkpoint = running.checkpoint;
+    if (running.percent != task->percent) {
+        task->percent = running.percent;
+        task->progressAt = now;
+    }
+    switch (task->knowledge) {
+    case RunKnowledge::Sent:
+    case RunKnowledge::Uncertain:
+    case RunKnowledge::Inherited:
+        task->knowledge = RunKnowledge::Running;
+        task->startedAt = now;
+        task->progressAt = now;
+        break;
+    case RunKnowledge::Stopping:
+        if (now - task->sentAt > StopRetryDelay)
+            stopRun(*task, now);
+        break;
+    case RunKnowledge::None:
+    case RunKnowledge::Saving:
+    case RunKnowledge::Running:
+        break;
+    }
+}
+
+/// Finds runs that the worker should show, and does not.
+void Scheduler::findLostRuns(ScheduledWorker &worker, Time sentAt, Time now)
+{
+    const std::vector<ScheduledTask *> tasks = worker.tasks; // changed below
+    for (ScheduledTask *task : tasks) {
+        if (task->confirmedAt == now || task->progress.phase != TaskPhase::Assigned)
+            continue;
+        switch (task->knowledge) {
+        case RunKnowledge::None:
+        case RunKnowledge::Saving:
+        case RunKnowledge::Sent:
+            break;
+        case RunKnowledge::Running:
+            if (sentAt > task->startedAt)
+                endRun(*task, RunEnd::Lapsed, {}, now);
+            break;
+        case RunKnowledge::Uncertain:
+            // The order may still arrive. A stop makes the worker refuse it.
+            if (sentAt > task->sentAt)
+                stopRun(*task, now);
+            break;
+        case RunKnowledge::Inherited:
+            // The worker now refuses the orders of the former coordinator.
+            endRun(*task, RunEnd::Lapsed, {}, now);
+            break;
+        case RunKnowledge::Stopping:
+            if (task->stopAnswered && sentAt > task->sentAt)
+                endRun(*task, RunEnd::Stopped, {}, now);
+            else if (!task->stopAnswered && now - task->sentAt > StopRetryDelay)
+                stopRun(*task, now);
+            break;
+        }
+    }
+}
+
+void Scheduler::onStartAnswered(const StartOrder &order, StartOutcome outcome, Time now)
+{
+    ScheduledTask *task = findTask(order.task);
+    const bool isCurrent =
+            task && task->progress.phase == TaskPhase::Assigned && task->progress.run == order.run;
+    if (!isCurrent || task->knowledge != RunKnowledge::Sent)
+        return; // a report or a stop order came first
+    switch (outcome) {
+    case StartOutcome::Started:
+        task->knowledge = RunKnowledge::Running;
+        task->startedAt = now;
+        task->progressAt = now;
+        task->confirmedAt = now;
+        return;
+    case StartOutcome::Unknown:
+        task->knowledge = RunKnowledge::Uncertain;
+        task->sentAt = now;
+        if (task->worker)
+            task->worker->suspect = true;
+        return;
+    case StartOutcome::NoRoom:
+        if (task->worker)
+            task->worker->noRoomUntil = now + settings_.startLag;
+        break;
+    case StartOutcome::OldRun:
+    case StartOutcome::Refused:
+        break;
+    }
+    makeWaiting(*task, settings_.retryDelay, now);
+}
+
+void Scheduler::onStopAnswered(const StopOrder &order, bool stopped, Time now)
+{
+    ScheduledTask *task = findTask(order.task);
+    const bool isCurrent = task && task->progress.phase == TaskPhase::Assigned
+                           && task->progress.run == order.run
+                           && task->knowledge == RunKnowledge::Stopping;
+    if (!isCurrent)
+        return;
+    // The next report shows whether the run was there. Without an answer, it repeats the order.
+    task->stopAnswered = stopped;
+    if (stopped)
+        task->sentAt = now;
+}
+
+void Scheduler::loseWorkerRuns(ScheduledWorker &worker, Time now)
+{
+    const std::vector<ScheduledTask *> tasks = worker.tasks; // changed below
+    for (ScheduledTask *task : tasks) {
+        if (task->progress.phase == TaskPhase::Assigned && task->knowledge != RunKnowledge::Saving)
+            endRun(*task, RunEnd::Lapsed, {}, now);
+    }
+}
+
+void Scheduler::checkWorkers(Time now)
+{
+    for (auto &[id, worker] : workers_) {
+        const bool isSilent = now - worker->lastReport > settings_.reachableFor;
+        if (isSilent && !worker->tasks.empty() && now > worker->lapseAt) {
+            log_({LogLevel::Warning,
+                  "worker-lost",
+                  "the worker cannot be reached and its lease has run out",
+                  {{"worker", id.str()},
+                   {"runs", std::to_string(worker->tasks.size())},
+                   {"listed", worker->listed ? "yes" : "no"}}});
+            loseWorkerRuns(*worker, now);
+        }
+        if (worker->entry.draining && !isSilent)
+            drainWorker(*worker, now);
+    }
+}
+
+/// Moves work away that the leaving worker would not finish.
+void Scheduler::drainWorker(ScheduledWorker &worker, Time now)
+{
+    const std::vector<ScheduledTask *> tasks = worker.tasks;
+    for (ScheduledTask *task : tasks) {
+        if (task->knowledge != RunKnowledge::Running)
+            continue;
+        const StepSpec &step = stepOf(*task);
+        const Duration left = step.estimate - (now - task->startedAt);
+        if (step.longRunning || (step.checkpointing && left > worker.entry.remaining))
+            stopRun(*task, now);
+    }
+}
+
+void Scheduler::checkStalled(ScheduledWorker &worker, Time now)
+{
+    for (ScheduledTask *task : std::vector<ScheduledTask *>(worker.tasks)) {
+        const StepSpec &step = stepOf(*task);
+        if (task->knowledge != RunKnowledge::Running || step.longRunning || step.gang
+            || task->pace < 100)
+            continue;
+        const auto estimated =
+                std::chrono::duration_cast<Duration>(step.estimate * settings_.stallFactor / 10);
+        if (now - task->progressAt < std::max(settings_.stallTime, estimated))
+            continue;
+        log_({LogLevel::Warning,
+              "run-stalled",
+              "the run makes no progress and is stopped",
+              {{"job", task->ref.job.str()},
+               {"worker", worker.entry.id.str()},
+               {"percent", std::to_string(task->percent)}}});
+        noteEnd(worker, task->ref.job, RunEnd::Failed, now);
+        task->failedOn.push_back(worker.entry.id);
+        stopRun(*task, now);
+    }
+}
+
+/// Slows filling tasks down while a serving task beside them misses its tail target, and speeds
+/// them up again in smaller steps.
+void Scheduler::paceFilling(ScheduledWorker &worker, Time now)
+{
+    if (now - worker.pacedAt < settings_.paceInterval)
+        return;
+    double worst = 0; // tail in relation to its target
+    bool hasFilling = false;
+    for (const ScheduledTask *task : worker.tasks) {
+        const StepSpec &step = stepOf(*task);
+        hasFilling = hasFilling || step.fills;
+        if (step.tailTarget > Duration::zero() && task->knowledge == RunKnowledge::Running)
+            worst = std::max(worst, task->usage / toMilliseconds(step.tailTarget));
+    }
+    int pace = worker.pace;
+    if (worst > settings_.paceTail && hasFilling)
+        pace = worst > 1 ? pace / 3 : pace * 2 / 3;
+    else if (worst < settings_.resumeTail)
+        pace = std::min(100, pace + 20);
+    if (pace == worker.pace)
+        return;
+    worker.pace = pace;
+    worker.pacedAt = now;
+    for (ScheduledTask *task : worker.tasks) {
+        if (!stepOf(*task).fills || task->knowledge != RunKnowledge::Running)
+            continue;
+        task->pace = pace;
+        paces_.push_back({task->ref, task->progress.run, worker.entry.id, pace});
+    }
+}
+
+std::uint64_t Scheduler::acknowledgeable(const WorkerId &id) const
+{
+    const auto it = workers_.find(id);
+    if (it == workers_.end())
+        return 0;
+    ScheduledWorker &worker = *it->second;
+    while (!worker.pendingEnds.empty()) {
+        const PendingEnd &end = worker.pendingEnds.front();
+        const auto job = jobs_.find(end.job);
+        if (job != jobs_.end() && job->second->savedVersion < end.version)
+            break;
+        worker.acknowledged = end.number;
+        worker.pendingEnds.pop_front();
+    }
+    return worker.acknowledged;
+}
+
+bool Scheduler::hasPendingEnds(const WorkerId &id) const
+{
+    const auto it = workers_.find(id);
+    return it != workers_.end() && !it->second->pendingEnds.empty();
+}
+
+} // namespace monsoonledge
