Learn which images disturb each other and place filling tasks by it

Cause: every filling task slowed down stays where it is at 3% of its speed, and new ones go to the same workers.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -6,6 +6,9 @@
 //   order, a flood makes every job late.
 // - Floods of filling work: a filling task starts only where idle processors are left for it. More
 //   would slow down all filling tasks of the worker, and end none of them earlier.
+// - Filling beside serving work: a filling task goes only beside serving tasks that it is known not
+//   to disturb. Serving tasks of one image are put together, because then most images of filling
+//   tasks find workers where all serving tasks bear them.
 // - Lasting tasks come before everything and may stop others, because their users see each second.
 #include "scheduling/scheduling.h"
 
@@ -225,9 +228,16 @@
             const double share = expectedFillShare(*worker, step, settings_);
             if (share < settings_.minFillShare || worker->pace < 100)
                 continue;
-            // Workers without serving tasks first: nobody is disturbed there.
+            const double tail = expectedTail(*worker, task);
+            if (tail > settings_.plannedTail)
+                continue;
             score = static_cast<double>(entry.cpu.value) - static_cast<double>(worker->cpuUsed)
-                    - worker->fillCpu;
+                    + settings_.idleShare * worker->servingCpu - worker->fillCpu
+                    - tail * static_cast<double>(entry.cpu.value);
+        } else if (step.tailTarget > Duration::zero()) {
+            if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
+                continue;
+            score = servingScore(*worker, step);
         } else {
             if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
                 continue;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -283,7 +283,8 @@
     if (end == RunEnd::Failed) {
         ++task.progress.failures;
         task.failedOn.push_back(task.progress.worker);
-        delay = settings_.retryDelay * (1 << std::min(task.progress.failures - 1, 5));
+        if (task.progress.failures > 1)
+            delay = settings_.retryDelay * (1 << std::min(task.progress.failures, 6));
         delay = std::min(delay, settings_.maxRetryDelay);
     }
     makeWaiting(task, delay, now);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -11,8 +11,9 @@
 //   [1] Workers as reported
 //   [2] Orders
 //   [3] Settings
-//   [4] State
-//   [5] Scheduler
+//   [4] Interference
+//   [5] State
+//   [6] Scheduler
 #pragma once
 
 #include "jobs/jobs.h"
@@ -130,7 +131,7 @@
 struct SchedulingSettings
 {
     Duration reachableFor = milliseconds(2500); // without a report for longer, it gets no new task
-    Duration retryDelay = milliseconds(100); // after a failed run, doubled with each further one
+    Duration retryDelay = milliseconds(50); // after the second failed run, doubled with each more
     Duration maxRetryDelay = seconds(2);
     Duration startLag = milliseconds(300); // a run unseen for this long after its start is lost
     int failuresToSetAside = 3; // runs in a row that fail on a worker
@@ -140,14 +141,52 @@
     double stallFactor = 3; // of the estimate, without progress
     double idleShare = 0.5; // of a serving task's processors that filling tasks are expected to get
     double minFillShare = 0.75; // of its processors that must be idle before a filling task starts
-    double paceTail = 0.8; // of the tail target, above which filling tasks are slowed down
-    double resumeTail = 0.55; // of the tail target, below which they are sped up again
+    double plannedTail = 0.75; // of the tail target, that filling tasks may bring it up to
+    double evictTail = 0.95; // of the tail target, above which disturbing tasks are moved away
+    double paceTail = 1.05; // of the tail target, above which all filling tasks are slowed down
+    double resumeTail = 0.75; // of the tail target, below which they are sped up again
     Duration paceInterval = milliseconds(700); // between two changes on one worker
+    Duration usageLag = milliseconds(600); // figures of usage and tails cover about this time
     double lateFactor = 3; // objectives after which the result of a job is worth nothing
     Duration preemptAfter = milliseconds(700); // wait of a lasting task before others make room
 };
 
-// [4] State
+// [4] Interference
+
+/// Use of a worker by the filling tasks of one image.
+struct FillLoad
+{
+    std::string image;
+    double share = 0; // of the worker's processors
+    bool isSettled = true; // the figures cover it already
+};
+
+/// Learns how much filling tasks raise the tail of the serving tasks beside them. Some pairs of
+/// images disturb each other by a multiple of the target, others not at all, so the estimate is kept
+/// for each pair: the rise of the tail, in relation to its target, per share of the worker used.
+class InterferenceModel
+{
+public:
+    /// One figure of a serving task: its tail in relation to its target.
+    void observe(const std::string &servingImage, double tail, const std::vector<FillLoad> &fills);
+    /// Expected rise for a pair, per share of the worker used.
+    double pressure(const std::string &fillImage, const std::string &servingImage) const;
+
+private:
+    struct Pair
+    {
+        double pressure = UnknownPressure;
+        int calmSamples = 0;
+    };
+    static constexpr double UnknownPressure = 2; // lets one filling task in, to learn from it
+
+    std::map<std::pair<std::string, std::string>, Pair> pairs_; // by filling and serving image
+};
+
+/// Tail of an undisturbed serving task in relation to its target.
+constexpr double UndisturbedTail = 0.4;
+
+// [5] State
 
 struct ScheduledJob;
 struct ScheduledWorker;
@@ -239,7 +278,7 @@
     int pace = 100; // percent, of the filling tasks
 };
 
-// [5] Scheduler
+// [6] Scheduler
 
 class Scheduler
 {
@@ -321,7 +360,11 @@
 
     void checkWorkers(Time now);
     void checkStalled(ScheduledWorker &worker, Time now);
+    void learnInterference(const ScheduledWorker &worker, Time now);
+    void evictDisturbing(ScheduledWorker &worker, Time now);
     void paceFilling(ScheduledWorker &worker, Time now);
+    double expectedTail(const ScheduledWorker &worker, const ScheduledTask &fill) const;
+    double servingScore(const ScheduledWorker &worker, const StepSpec &step) const;
     void drainWorker(ScheduledWorker &worker, Time now);
     bool isUsable(const ScheduledWorker &worker, Time now) const;
     std::vector<ScheduledJob *> orderJobs(Time now);
@@ -337,6 +380,7 @@
     Time startedAt_;
     std::optional<std::int64_t> wallOffset_; // time of day less the steady clock, in ms
     QueueConfig config_;
+    InterferenceModel interference_;
     std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> jobs_;
     std::map<WorkerId, std::unique_ptr<ScheduledWorker>> workers_;
     std::vector<ScheduledJob *> active_; // not final
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -1,4 +1,4 @@
-// Workers: their lists of runs, their loss, and the pace of filling tasks on them.
+// Workers: their lists of runs, and their loss.
 #include "scheduling/scheduling.h"
 
 #include <algorithm>
@@ -115,6 +115,8 @@
     if (report.finished.size() < MaxListedEnds)
         findLostRuns(worker, sentAt, now);
     checkStalled(worker, now);
+    learnInterference(worker, now);
+    evictDisturbing(worker, now);
     paceFilling(worker, now);
 }
 
@@ -351,37 +353,6 @@
     }
 }
 
-/// Slows filling tasks down while a serving task beside them misses its tail target, and speeds
-/// them up again in smaller steps.
-void Scheduler::paceFilling(ScheduledWorker &worker, Time now)
-{
-    if (now - worker.pacedAt < settings_.paceInterval)
-        return;
-    double worst = 0; // tail in relation to its target
-    bool hasFilling = false;
-    for (const ScheduledTask *task : worker.tasks) {
-        const StepSpec &step = stepOf(*task);
-        hasFilling = hasFilling || step.fills;
-        if (step.tailTarget > Duration::zero() && task->knowledge == RunKnowledge::Running)
-            worst = std::max(worst, task->usage / toMilliseconds(step.tailTarget));
-    }
-    int pace = worker.pace;
-    if (worst > settings_.paceTail && hasFilling)
-        pace = worst > 1 ? pace / 3 : pace * 2 / 3;
-    else if (worst < settings_.resumeTail)
-        pace = std::min(100, pace + 20);
-    if (pace == worker.pace)
-        return;
-    worker.pace = pace;
-    worker.pacedAt = now;
-    for (ScheduledTask *task : worker.tasks) {
-        if (!stepOf(*task).fills || task->knowledge != RunKnowledge::Running)
-            continue;
-        task->pace = pace;
-        paces_.push_back({task->ref, task->progress.run, worker.entry.id, pace});
-    }
-}
-
 std::uint64_t Scheduler::acknowledgeable(const WorkerId &id) const
 {
     const auto it = workers_.find(id);
