--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -9,7 +9,9 @@
 // - Filling beside serving work: a filling task goes only beside serving tasks that it is known not
 //   to disturb. Serving tasks of one image are put together, because then most images of filling
 //   tasks find workers where all serving tasks bear them.
-// - Lasting tasks come before everything and may stop others, because their users see each second.
+// - Lasting jobs that reserve nearly all processors: the tasks of a lasting job that runs already are
+//   restarted before everything else and may stop others, because their users see each second. A new
+//   one takes only what jobs with an objective leave, because it stays for long.
 #include "scheduling/scheduling.h"
 
 #include <algorithm>
@@ -41,12 +43,12 @@
 }
 
 /// The classes in which jobs are served, most urgent first.
-enum class Urgency { Lasting, OnTime, Late, Worthless };
+enum class Urgency { LastingRestart, OnTime, LastingNew, Late, Worthless };
 
 Urgency urgencyOf(const ScheduledJob &job, double lateFactor, Time now)
 {
     if (job.lasts)
-        return Urgency::Lasting;
+        return job.state == JobState::Pending ? Urgency::LastingNew : Urgency::LastingRestart;
     const Duration allowed = job.objective - job.submittedAt;
     const auto worthFor = std::chrono::duration_cast<Duration>(allowed * lateFactor);
     if (now > job.submittedAt + worthFor)
@@ -162,7 +164,8 @@
         }
         if (task.failedOn.empty())
             refusedStep = step;
-        if (stepOf(task).longRunning && now - task.waitingSince > settings_.preemptAfter)
+        if (stepOf(task).longRunning && task.progress.run.value > 0
+            && now - task.waitingSince > settings_.preemptAfter)
             makeRoom(task, now);
     }
 }
@@ -241,9 +244,8 @@
         } else {
             if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
                 continue;
-            score = static_cast<double>(entry.cpu.value) - static_cast<double>(worker->cpuUsed);
-            // Filling tasks lose the processors that the new task takes.
-            score -= 0.5 * worker->fillCpu;
+            // Best fit: large gaps are kept for large tasks.
+            score = static_cast<double>(worker->cpuUsed) - static_cast<double>(entry.cpu.value);
         }
         if (!step.affinity.empty() && contains(entry.labels, step.affinity))
             score += 1e6;
