--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -98,7 +98,7 @@
             settings_.extendFor + settings_.maxWorkerLease + settings_.maxWorkerLease / 10;
     scheduler_ = std::make_unique<Scheduler>(settings_.scheduling, lostLease, ports_.log, now);
     scheduler_->setConfig(hooks_.config(), now);
-    updateWallClock(now);
+    scheduler_->setWallClock(ports_.wallNow(), now);
     publishWorkers(now);
     std::unordered_map<JobId, JobProgress> progress;
     for (const KeyValue &item : loadedJobs_) {
@@ -217,29 +217,6 @@
     planSoon();
 }
 
-/// The median of the workers' clocks is hard to move, unlike the time of day of one host.
-void Coordinator::updateWallClock(Time now)
-{
-    std::vector<std::uint64_t> clocks;
-    for (const auto &[id, link] : links_) {
-        if (link.clock > 0) {
-            const auto elapsed = static_cast<std::uint64_t>(toMillis(now - link.clockAt));
-            clocks.push_back(link.incarnation.value + link.clock + elapsed);
-        }
-    }
-    if (clocks.empty()) {
-        for (const auto &[key, entry] : entries_) {
-            if (entry.clock > 0)
-                clocks.push_back(entry.incarnation.value + entry.clock);
-        }
-    }
-    if (clocks.empty())
-        return;
-    const auto middle = clocks.begin() + static_cast<std::ptrdiff_t>(clocks.size() / 2);
-    std::nth_element(clocks.begin(), middle, clocks.end());
-    scheduler_->setWallClock({*middle}, now);
-}
-
 // [3] Records
 
 void Coordinator::planSoon()
@@ -260,7 +237,7 @@
     ports_.timers.after(TickInterval, [this, alive = std::weak_ptr<int>(alive_)](Time now) {
         if (alive.expired() || isDeposed_)
             return;
-        updateWallClock(now);
+        scheduler_->setWallClock(ports_.wallNow(), now);
         run(now);
         removeFinished(now);
         tick();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -191,6 +191,7 @@
     RunPort &workers;
     TimerPort &timers;
     FleetCodecs codecs;
+    std::function<WallMilliseconds()> wallNow; // the time of day of this host, which may jump
     LogHook log;
 };
 
@@ -397,7 +398,6 @@
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCall &call, Time now);
     std::uint64_t leaseEnd(const WorkerId &id, Time now);
     bool mayExtend(Time now) const { return now - lastContact_ < settings_.extendFor; }
-    void updateWallClock(Time now);
     void depose(const std::string &reason, Time now);
 
     FleetSettings settings_;
