--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -15,19 +15,31 @@
 constexpr double KnownCalmWeight = 0.05; // of the blame
 constexpr double LearnDown = 0.5;
 constexpr double LearnUp = 0.7;
+constexpr double MaxSensitivity = 10; // more does not matter: such a pair is kept apart anyway
 constexpr double DisturbingRise = 0.2; // by one filling task, that makes it worth moving
 
 } // namespace
 
-void InterferenceModel::observe(const std::string &servingImage, double tail,
-                                const std::vector<FillLoad> &fills)
+ImageIndex InterferenceModel::indexOf(const std::string &image)
+{
+    const auto it = std::find(names_.begin(), names_.end(), image);
+    if (it != names_.end())
+        return static_cast<ImageIndex>(it - names_.begin());
+    names_.push_back(image);
+    pairs_.resize(names_.size());
+    for (std::vector<Pair> &row : pairs_)
+        row.resize(names_.size());
+    return names_.size() - 1;
+}
+
+void InterferenceModel::observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills)
 {
     const double rise = tail - UndisturbedTail;
     if (tail < CalmTail) {
         for (const FillLoad &fill : fills) {
             if (fill.share < SmallestShare || !fill.isSettled)
                 continue;
-            Pair &pair = pairs_[{fill.image, servingImage}];
+            Pair &pair = pairs_[fill.image][serving];
             const double bound = std::max(rise, SmallestRise) / fill.share;
             ++pair.calmSamples;
             if (pair.pressure > bound)
@@ -38,28 +50,20 @@
     double expected = 0;
     double blame = 0;
     const auto weightOf = [&](const FillLoad &fill) {
-        const Pair &pair = pairs_[{fill.image, servingImage}];
-        const bool isCalm = pair.calmSamples >= KnownCalmSamples
-                            && pair.pressure < KnownCalmPressure;
+        const Pair &pair = pairs_[fill.image][serving];
+        const bool isCalm =
+                pair.calmSamples >= KnownCalmSamples && pair.pressure < KnownCalmPressure;
         return isCalm ? KnownCalmWeight : 1;
     };
     for (const FillLoad &fill : fills) {
-        expected += pairs_[{fill.image, servingImage}].pressure * fill.share;
+        expected += pairs_[fill.image][serving].pressure * fill.share;
         blame += weightOf(fill) * fill.share;
     }
     if (rise <= expected || blame < SmallestShare)
         return;
-    for (const FillLoad &fill : fills) {
-        Pair &pair = pairs_[{fill.image, servingImage}];
-        pair.pressure += LearnUp * (rise - expected) * weightOf(fill) / blame;
-    }
-}
-
-double InterferenceModel::pressure(const std::string &fillImage,
-                                   const std::string &servingImage) const
-{
-    const auto it = pairs_.find({fillImage, servingImage});
-    return it == pairs_.end() ? UnknownPressure : it->second.pressure;
+    for (const FillLoad &fill : fills)
+        pairs_[fill.image][serving].pressure +=
+                LearnUp * (rise - expected) * weightOf(fill) / blame;
 }
 
 void Scheduler::learnInterference(const ScheduledWorker &worker, Time now)
@@ -72,9 +76,9 @@
             continue;
         const bool isSettled = now - task->startedAt > settings_.usageLag;
         auto it = std::find_if(fills.begin(), fills.end(),
-                               [&](const FillLoad &fill) { return fill.image == step.image; });
+                               [&](const FillLoad &fill) { return fill.image == task->image; });
         if (it == fills.end())
-            it = fills.insert(fills.end(), {step.image, 0, true});
+            it = fills.insert(fills.end(), {task->image, 0, true});
         // A young run has no figure yet; what it asked for stands in.
         it->share += (isSettled ? task->usage : static_cast<double>(step.cpu.value)) / cpu;
         it->isSettled = it->isSettled && isSettled;
@@ -85,7 +89,8 @@
         const StepSpec &step = stepOf(*task);
         const bool isAtWork = task->knowledge == RunKnowledge::Running && task->percent == 100;
         if (step.tailTarget > Duration::zero() && isAtWork)
-            interference_.observe(step.image, task->usage / toMilliseconds(step.tailTarget), fills);
+            interference_.observe(task->image, task->usage / toMilliseconds(step.tailTarget),
+                                  fills);
     }
 }
 
@@ -94,25 +99,37 @@
 double Scheduler::expectedTail(const ScheduledWorker &worker, const ScheduledTask &fill) const
 {
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
+    const auto added = static_cast<double>(stepOf(fill).cpu.value);
     double worst = 0;
-    for (const ScheduledTask *task : worker.tasks) {
-        const StepSpec &serving = stepOf(*task);
-        if (serving.tailTarget <= Duration::zero())
+    for (ImageIndex serving = 0; serving < worker.servingByImage.size(); ++serving) {
+        if (worker.servingByImage[serving] == 0)
             continue;
-        const auto riseOf = [&](const StepSpec &step) {
-            return interference_.pressure(step.image, serving.image)
-                   * static_cast<double>(step.cpu.value) / cpu;
-        };
-        double tail = UndisturbedTail + riseOf(stepOf(fill));
-        for (const ScheduledTask *other : worker.tasks) {
-            if (stepOf(*other).fills)
-                tail += riseOf(stepOf(*other));
+        double rise = interference_.pressure(fill.image, serving) * added;
+        for (ImageIndex image = 0; image < worker.fillByImage.size(); ++image) {
+            if (worker.fillByImage[image] > 0)
+                rise += interference_.pressure(image, serving) * worker.fillByImage[image];
         }
-        worst = std::max(worst, tail);
+        worst = std::max(worst, UndisturbedTail + rise / cpu);
     }
     return worst;
 }
 
+/// How few images of filling tasks the worker's serving tasks bear: their mean pressure there.
+double Scheduler::sensitivity(const ScheduledWorker &worker) const
+{
+    double sum = 0;
+    int pairs = 0;
+    for (ImageIndex serving = 0; serving < worker.servingByImage.size(); ++serving) {
+        if (worker.servingByImage[serving] == 0)
+            continue;
+        for (ImageIndex fill = 0; fill < interference_.imageCount(); ++fill) {
+            sum += std::min(interference_.pressure(fill, serving), MaxSensitivity);
+            ++pairs;
+        }
+    }
+    return pairs > 0 ? sum / pairs : 0;
+}
+
 /// Moves filling tasks away that are known to disturb a serving task over its target. Their
 /// checkpoints go with them.
 void Scheduler::evictDisturbing(ScheduledWorker &worker, Time now)
@@ -127,7 +144,7 @@
             const StepSpec &step = stepOf(*task);
             if (!step.fills || task->knowledge != RunKnowledge::Running)
                 continue;
-            const double rise = interference_.pressure(step.image, servingStep.image)
+            const double rise = interference_.pressure(task->image, serving->image)
                                 * static_cast<double>(step.cpu.value) / cpu;
             if (rise < DisturbingRise)
                 continue;
@@ -144,8 +161,8 @@
     }
 }
 
-/// Slows all filling tasks down while a serving task beside them misses its target all the same, and
-/// speeds them up again in smaller steps.
+/// Slows all filling tasks down while a serving task beside them misses its target all the same,
+/// and speeds them up again in smaller steps.
 void Scheduler::paceFilling(ScheduledWorker &worker, Time now)
 {
     if (now - worker.pacedAt < settings_.paceInterval)
@@ -176,15 +193,12 @@
 }
 
 /// Puts serving tasks of one image together, on as few workers as possible.
-double Scheduler::servingScore(const ScheduledWorker &worker, const StepSpec &step) const
+double Scheduler::servingScore(const ScheduledWorker &worker, const ScheduledTask &task) const
 {
     double same = 0;
     double other = 0;
-    for (const ScheduledTask *task : worker.tasks) {
-        const StepSpec &otherStep = stepOf(*task);
-        if (otherStep.tailTarget > Duration::zero())
-            (otherStep.image == step.image ? same : other) += 1;
-    }
+    for (ImageIndex image = 0; image < worker.servingByImage.size(); ++image)
+        (image == task.image ? same : other) += worker.servingByImage[image];
     return 100 * (same - 2 * other) + static_cast<double>(worker.cpuUsed) / 1000;
 }
 
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -9,9 +9,10 @@
 // - Filling beside serving work: a filling task goes only beside serving tasks that it is known not
 //   to disturb. Serving tasks of one image are put together, because then most images of filling
 //   tasks find workers where all serving tasks bear them.
-// - Lasting jobs that reserve nearly all processors: the tasks of a lasting job that runs already are
-//   restarted before everything else and may stop others, because their users see each second. A new
-//   one takes only what jobs with an objective leave, because it stays for long.
+// - Lasting jobs that reserve nearly all processors: the tasks of a lasting job that runs already
+// are
+//   restarted before everything else and may stop others, because their users see each second. A
+//   new one takes only what jobs with an objective leave, because it stays for long.
 #include "scheduling/scheduling.h"
 
 #include <algorithm>
@@ -21,6 +22,9 @@
 
 namespace {
 
+// Filling tasks go first to workers where few others may go.
+constexpr double SensitivityWeight = 0.2;
+
 bool contains(const std::vector<std::string> &labels, const std::string &label)
 {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -45,15 +49,15 @@
 /// The classes in which jobs are served, most urgent first.
 enum class Urgency { LastingRestart, OnTime, LastingNew, Late, Worthless };
 
-Urgency urgencyOf(const ScheduledJob &job, double lateFactor, Time now)
+Urgency urgencyOf(const ScheduledJob &job, Time objective, double lateFactor, Time now)
 {
     if (job.lasts)
         return job.state == JobState::Pending ? Urgency::LastingNew : Urgency::LastingRestart;
-    const Duration allowed = job.objective - job.submittedAt;
+    const Duration allowed = objective - job.submittedAt;
     const auto worthFor = std::chrono::duration_cast<Duration>(allowed * lateFactor);
     if (now > job.submittedAt + worthFor)
         return Urgency::Worthless;
-    return now > job.objective ? Urgency::Late : Urgency::OnTime;
+    return now > objective ? Urgency::Late : Urgency::OnTime;
 }
 
 } // namespace
@@ -125,8 +129,9 @@
     for (ScheduledJob *job : active_) {
         if (job->waitingTasks == 0)
             continue;
-        const Urgency urgency = urgencyOf(*job, settings_.lateFactor, now);
-        keyed.emplace_back(Key{urgency, job->queue.priority, job->objective}, job);
+        const Time objective = objectiveOf(*job);
+        const Urgency urgency = urgencyOf(*job, objective, settings_.lateFactor, now);
+        keyed.emplace_back(Key{urgency, job->queue.priority, objective}, job);
     }
     std::sort(keyed.begin(), keyed.end(),
               [](const auto &a, const auto &b) { return a.first < b.first; });
@@ -236,11 +241,13 @@
                 continue;
             score = static_cast<double>(entry.cpu.value) - static_cast<double>(worker->cpuUsed)
                     + settings_.idleShare * worker->servingCpu - worker->fillCpu
-                    - tail * static_cast<double>(entry.cpu.value);
+                    - tail * static_cast<double>(entry.cpu.value)
+                    + SensitivityWeight * sensitivity(*worker)
+                              * static_cast<double>(entry.cpu.value);
         } else if (step.tailTarget > Duration::zero()) {
             if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
                 continue;
-            score = servingScore(*worker, step);
+            score = servingScore(*worker, task);
         } else {
             if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
                 continue;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -97,6 +97,7 @@
             task.job = &job;
             task.ref = {job.spec.id, occurrence, static_cast<int>(step), index};
             task.waitingSince = now;
+            task.image = interference_.indexOf(job.spec.steps[step].image);
             job.tasks.push_back(std::move(task));
         }
         job.doneTasks.push_back(0);
@@ -124,10 +125,7 @@
         job.tasksPerOccurrence += step.count;
         job.lasts = job.lasts || step.longRunning;
     }
-    const std::chrono::duration<double, std::micro> allowed =
-            criticalPath(spec) * job.queue.slackFactor;
-    job.objective =
-            submittedAt + std::chrono::duration_cast<Duration>(allowed) + job.queue.targetLatency;
+    job.chain = criticalPath(spec);
     job.work = estimatedWork(spec);
     if (spec.occurrences == 0)
         addOccurrence(job, now);
@@ -263,6 +261,7 @@
     if (!checkpoint.empty())
         task.progress.checkpoint = checkpoint;
     if (end == RunEnd::Done) {
+        learnDuration(task, now);
         release(task);
         task.knowledge = RunKnowledge::None;
         task.progress.phase = TaskPhase::Done;
@@ -302,6 +301,30 @@
     finish(job, JobState::Failed, now);
 }
 
+/// Estimates of one queue are off by a common factor, beside what they are off one by one.
+void Scheduler::learnDuration(const ScheduledTask &task, Time now)
+{
+    constexpr double LearnRate = 0.03;
+    constexpr double MaxFactor = 5;
+    const StepSpec &step = stepOf(task);
+    const bool isMeasured = task.knowledge == RunKnowledge::Running && task.pace == 100
+                            && task.progress.checkpoint.empty() && step.estimate > Duration::zero();
+    if (!isMeasured)
+        return;
+    const double ratio = toMilliseconds(now - task.startedAt) / toMilliseconds(step.estimate);
+    double &factor = durationFactors_.try_emplace(task.job->spec.queue, 1).first->second;
+    factor += LearnRate * (std::min(ratio, MaxFactor) - factor);
+}
+
+/// A result after this time is late.
+Time Scheduler::objectiveOf(const ScheduledJob &job) const
+{
+    const auto it = durationFactors_.find(job.spec.queue);
+    const double factor = job.queue.slackFactor * (it == durationFactors_.end() ? 1 : it->second);
+    return job.submittedAt + std::chrono::duration_cast<Duration>(job.chain * factor)
+           + job.queue.targetLatency;
+}
+
 void Scheduler::stopRun(ScheduledTask &task, Time now)
 {
     assert(task.progress.phase == TaskPhase::Assigned);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -140,8 +140,8 @@
     Duration stallTime = seconds(4); // without progress, a task counts as stalled
     double stallFactor = 3; // of the estimate, without progress
     double idleShare = 0.5; // of a serving task's processors that filling tasks are expected to get
-    double minFillShare = 0.75; // of its processors that must be idle before a filling task starts
-    double plannedTail = 0.75; // of the tail target, that filling tasks may bring it up to
+    double minFillShare = 0.6; // of its processors that must be idle before a filling task starts
+    double plannedTail = 0.85; // of the tail target, that filling tasks may bring it up to
     double evictTail = 0.95; // of the tail target, above which disturbing tasks are moved away
     double paceTail = 1.05; // of the tail target, above which all filling tasks are slowed down
     double resumeTail = 0.75; // of the tail target, below which they are sped up again
@@ -153,24 +153,34 @@
 
 // [4] Interference
 
+/// Position of an image in the tables of the model.
+using ImageIndex = std::size_t;
+
 /// Use of a worker by the filling tasks of one image.
 struct FillLoad
 {
-    std::string image;
+    ImageIndex image = 0;
     double share = 0; // of the worker's processors
     bool isSettled = true; // the figures cover it already
 };
 
 /// Learns how much filling tasks raise the tail of the serving tasks beside them. Some pairs of
-/// images disturb each other by a multiple of the target, others not at all, so the estimate is kept
-/// for each pair: the rise of the tail, in relation to its target, per share of the worker used.
+/// images disturb each other by a multiple of the target, others not at all, so the estimate is
+/// kept for each pair: the rise of the tail, in relation to its target, per share of the worker
+/// used.
 class InterferenceModel
 {
 public:
+    /// The index of an image, which is added if it is new.
+    ImageIndex indexOf(const std::string &image);
+    std::size_t imageCount() const { return names_.size(); }
     /// One figure of a serving task: its tail in relation to its target.
-    void observe(const std::string &servingImage, double tail, const std::vector<FillLoad> &fills);
+    void observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills);
     /// Expected rise for a pair, per share of the worker used.
-    double pressure(const std::string &fillImage, const std::string &servingImage) const;
+    double pressure(ImageIndex fill, ImageIndex serving) const
+    {
+        return pairs_[fill][serving].pressure;
+    }
 
 private:
     struct Pair
@@ -180,7 +190,8 @@
     };
     static constexpr double UnknownPressure = 2; // lets one filling task in, to learn from it
 
-    std::map<std::pair<std::string, std::string>, Pair> pairs_; // by filling and serving image
+    std::vector<std::string> names_;
+    std::vector<std::vector<Pair>> pairs_; // by filling and serving image
 };
 
 /// Tail of an undisturbed serving task in relation to its target.
@@ -221,6 +232,7 @@
     int pace = 100; // percent
     double usage = 0;
     std::vector<WorkerId> failedOn;
+    ImageIndex image = 0;
 };
 
 struct ScheduledJob
@@ -233,7 +245,7 @@
     int tasksPerOccurrence = 0;
     int waitingTasks = 0;
     Time submittedAt{};
-    Time objective{}; // a result after this time is late
+    Duration chain{}; // the longest chain of estimates
     double work = 0; // estimated core-seconds
     std::uint64_t version = 0;
     std::uint64_t savedVersion = 0;
@@ -269,6 +281,8 @@
     int acceleratorsUsed = 0;
     double servingCpu = 0; // thousandths, part of cpuUsed that belongs to serving tasks
     double fillCpu = 0; // thousandths, asked for by filling tasks
+    std::vector<int> servingByImage; // number of serving tasks
+    std::vector<double> fillByImage; // thousandths, asked for by filling tasks
     int failuresInRow = 0; // of different jobs
     JobId lastFailedJob;
     Time setAsideUntil{};
@@ -364,7 +378,10 @@
     void evictDisturbing(ScheduledWorker &worker, Time now);
     void paceFilling(ScheduledWorker &worker, Time now);
     double expectedTail(const ScheduledWorker &worker, const ScheduledTask &fill) const;
-    double servingScore(const ScheduledWorker &worker, const StepSpec &step) const;
+    double sensitivity(const ScheduledWorker &worker) const;
+    double servingScore(const ScheduledWorker &worker, const ScheduledTask &task) const;
+    void learnDuration(const ScheduledTask &task, Time now);
+    Time objectiveOf(const ScheduledJob &job) const;
     void drainWorker(ScheduledWorker &worker, Time now);
     bool isUsable(const ScheduledWorker &worker, Time now) const;
     std::vector<ScheduledJob *> orderJobs(Time now);
@@ -378,6 +395,7 @@
     Duration lostLeaseAfter_;
     LogHook log_;
     Time startedAt_;
+    std::map<QueueId, double> durationFactors_; // real to estimated durations
     std::optional<std::int64_t> wallOffset_; // time of day less the steady clock, in ms
     QueueConfig config_;
     InterferenceModel interference_;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -10,6 +10,14 @@
 constexpr Duration StopRetryDelay = seconds(1);
 constexpr std::size_t MaxListedEnds = 500; // a worker's list of ends is cut at this length
 
+/// The entry of an image, added if the table is shorter.
+template<typename Value> Value &at(std::vector<Value> &table, ImageIndex image)
+{
+    if (table.size() <= image)
+        table.resize(image + 1);
+    return table[image];
+}
+
 } // namespace
 
 void Scheduler::setWorkers(const std::vector<WorkerEntry> &entries, Time now)
@@ -48,13 +56,17 @@
     worker.tasks.push_back(&task);
     worker.memoryUsed += static_cast<std::int64_t>(step.memory.value);
     worker.acceleratorsUsed += step.accelerators;
+    const auto cpu = static_cast<double>(step.cpu.value);
     if (step.fills) {
-        worker.fillCpu += static_cast<double>(step.cpu.value);
+        worker.fillCpu += cpu;
+        at(worker.fillByImage, task.image) += cpu;
         return;
     }
     worker.cpuUsed += static_cast<std::int64_t>(step.cpu.value);
     if (step.longRunning)
-        worker.servingCpu += static_cast<double>(step.cpu.value);
+        worker.servingCpu += cpu;
+    if (step.tailTarget > Duration::zero())
+        ++at(worker.servingByImage, task.image);
 }
 
 void Scheduler::release(ScheduledTask &task)
@@ -67,13 +79,17 @@
                         worker->tasks.end());
     worker->memoryUsed -= static_cast<std::int64_t>(step.memory.value);
     worker->acceleratorsUsed -= step.accelerators;
+    const auto cpu = static_cast<double>(step.cpu.value);
     if (step.fills) {
-        worker->fillCpu -= static_cast<double>(step.cpu.value);
+        worker->fillCpu -= cpu;
+        at(worker->fillByImage, task.image) -= cpu;
         return;
     }
     worker->cpuUsed -= static_cast<std::int64_t>(step.cpu.value);
     if (step.longRunning)
-        worker->servingCpu -= static_cast<double>(step.cpu.value);
+        worker->servingCpu -= cpu;
+    if (step.tailTarget > Duration::zero())
+        --at(worker->servingByImage, task.image);
 }
 
 void Scheduler::onLeaseGiven(const WorkerId &id, Time lapseAt)
