--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t RemovalsPerWrite = (MaxTransactionEntries - 1) / 3; // three keys a job
 constexpr Duration RenewRetryDelay = milliseconds(250); // after a failed renewal
 constexpr Duration AwaitSaveLimit = milliseconds(400); // then a renewal does not wait any longer
+constexpr Duration PressedRenewWait = milliseconds(350); // serving tasks near their targets
 constexpr Duration IdleRenewWait = milliseconds(1900); // nothing runs there
 constexpr Duration SilenceBeforeLapse = milliseconds(1500); // then a lease is not renewed any more
 constexpr double WorkerClockRate = 0.975; // a worker's clock may be 2% slow
@@ -509,6 +510,8 @@
     const auto found = scheduler_->workers().find(worker.id);
     const bool isFirst = link.clock == 0 || link.incarnation != worker.incarnation;
     Duration wait = found->second->tasks.empty() ? IdleRenewWait : settings_.renewWait;
+    if (scheduler_->isPressed(worker.id))
+        wait = PressedRenewWait;
     if (isFirst || found->second->suspect)
         wait = Duration::zero();
     const std::uint64_t acknowledged = scheduler_->acknowledgeable(worker.id);
--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -1,25 +1,37 @@
 // Filling tasks beside serving tasks: what they do to each other, and what is done about it.
+//
+// Load patterns that the decisions here answer:
+// - Pairs of images that disturb each other: a filling task starts where it gets most done, with
+// the
+//   pace at which every serving task beside it stays under its target.
+// - Loads of serving tasks that swing within seconds: the pace follows the load.
+// - Filling tasks that can only crawl where they are: they move with their checkpoints.
 #include "scheduling/scheduling.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace monsoonledge {
 
 namespace {
 
-constexpr double CalmTail = 0.7; // of its target: nothing disturbs the task
-constexpr double SmallestShare = 0.015; // of a worker, from which a figure tells anything
-constexpr double SmallestRise = 0.05; // noise of the figures
-constexpr double KnownCalmPressure = 1; // at most this, of pairs that are known to be calm
-constexpr int KnownCalmSamples = 3;
-constexpr double KnownCalmWeight = 0.05; // of the blame
-constexpr double LearnDown = 0.5;
-constexpr double LearnUp = 0.7;
-constexpr double MaxSensitivity = 10; // more does not matter: such a pair is kept apart anyway
-constexpr double DisturbingRise = 0.2; // by one filling task, that makes it worth moving
+constexpr double UnloadedTail = 1.0 / 6; // of its target, of a serving task without any load
+constexpr double MaxUtilization = 0.97;
+constexpr double UnknownPressure =
+        1; // of a pair without figures: one task may start and be watched
+constexpr double MaxPressure = 12;
+constexpr double LoadRate = 0.4; // of each figure, in the estimate of a task's own load
+constexpr double LoadDrift = 0.02; // toward the usual load, so that pressure is not taken for load
+constexpr double PressureRate = 0.2; // of each figure, in the estimate of a pair
+constexpr double ShareNoise = 0.004; // squared share of a worker below which figures say little
+constexpr double FeltRise = 0.02; // smaller rises of the utilization are not worth a pace
+constexpr double MinPace = 0.05;
+constexpr int SmallestPaceChange = 12; // percent; each change is a call to the worker
 
 } // namespace
 
+// The model
+
 ImageIndex InterferenceModel::indexOf(const std::string &image)
 {
     const auto it = std::find(names_.begin(), names_.end(), image);
@@ -27,169 +39,216 @@
         return static_cast<ImageIndex>(it - names_.begin());
     names_.push_back(image);
     pairs_.resize(names_.size());
-    for (std::vector<Pair> &row : pairs_)
-        row.resize(names_.size());
+    for (std::vector<double> &row : pairs_)
+        row.resize(names_.size(), UnknownPressure);
     return names_.size() - 1;
 }
 
-void InterferenceModel::observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills)
+double InterferenceModel::utilizationOf(double tail)
 {
-    const double rise = tail - UndisturbedTail;
-    if (tail < CalmTail) {
-        for (const FillLoad &fill : fills) {
-            if (fill.share < SmallestShare || !fill.isSettled)
-                continue;
-            Pair &pair = pairs_[fill.image][serving];
-            const double bound = std::max(rise, SmallestRise) / fill.share;
-            ++pair.calmSamples;
-            if (pair.pressure > bound)
-                pair.pressure += LearnDown * (bound - pair.pressure);
-        }
-        return;
+    if (tail <= UnloadedTail)
+        return 0;
+    return std::min(1 - UnloadedTail / tail, MaxUtilization);
+}
+
+void InterferenceModel::observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills,
+                                double &load)
+{
+    double expected = load;
+    double squares = ShareNoise;
+    for (const FillLoad &fill : fills) {
+        expected += pairs_[fill.image][serving] * fill.share;
+        squares += fill.share * fill.share;
     }
-    double expected = 0;
-    double blame = 0;
-    const auto weightOf = [&](const FillLoad &fill) {
-        const Pair &pair = pairs_[fill.image][serving];
-        const bool isCalm =
-                pair.calmSamples >= KnownCalmSamples && pair.pressure < KnownCalmPressure;
-        return isCalm ? KnownCalmWeight : 1;
-    };
+    const double error = utilizationOf(tail) - expected;
     for (const FillLoad &fill : fills) {
-        expected += pairs_[fill.image][serving].pressure * fill.share;
-        blame += weightOf(fill) * fill.share;
+        double &pressure = pairs_[fill.image][serving];
+        pressure += PressureRate * error * fill.share / squares;
+        pressure = std::clamp(pressure, 0.0, MaxPressure);
     }
-    if (rise <= expected || blame < SmallestShare)
-        return;
-    for (const FillLoad &fill : fills)
-        pairs_[fill.image][serving].pressure +=
-                LearnUp * (rise - expected) * weightOf(fill) / blame;
+    load += LoadRate * error + LoadDrift * (UsualServingLoad - load);
+    load = std::clamp(load, 0.0, MaxUtilization);
 }
 
-void Scheduler::learnInterference(const ScheduledWorker &worker, Time now)
+// Decisions
+
+/// How much pressure a serving task bears.
+struct Scheduler::ServingSlack
+{
+    ImageIndex image = 0;
+    double slack = 0; // utilization that is left for filling tasks
+    double pressed = 0; // utilization that the filling tasks there take at full pace
+};
+
+void Scheduler::learnInterference(ScheduledWorker &worker, Time now)
 {
     std::vector<FillLoad> fills;
+    bool areSettled = true; // otherwise the figures cover a part of a run's time only
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
     for (const ScheduledTask *task : worker.tasks) {
-        const StepSpec &step = stepOf(*task);
-        if (!step.fills || task->knowledge != RunKnowledge::Running)
+        if (!stepOf(*task).fills || task->knowledge != RunKnowledge::Running)
             continue;
-        const bool isSettled = now - task->startedAt > settings_.usageLag;
+        areSettled = areSettled && now - task->startedAt >= settings_.usageLag;
         auto it = std::find_if(fills.begin(), fills.end(),
                                [&](const FillLoad &fill) { return fill.image == task->image; });
         if (it == fills.end())
-            it = fills.insert(fills.end(), {task->image, 0, true});
-        // A young run has no figure yet; what it asked for stands in.
-        it->share += (isSettled ? task->usage : static_cast<double>(step.cpu.value)) / cpu;
-        it->isSettled = it->isSettled && isSettled;
+            it = fills.insert(fills.end(), {task->image, 0});
+        it->share += task->usage / cpu;
     }
-    if (fills.empty())
-        return;
-    for (const ScheduledTask *task : worker.tasks) {
+    for (ScheduledTask *task : worker.tasks) {
         const StepSpec &step = stepOf(*task);
         const bool isAtWork = task->knowledge == RunKnowledge::Running && task->percent == 100;
         if (step.tailTarget > Duration::zero() && isAtWork)
-            interference_.observe(task->image, task->usage / toMilliseconds(step.tailTarget),
-                                  fills);
+            interference_.observe(task->image, task->usage / toMilliseconds(step.tailTarget), fills,
+                                  task->load);
     }
 }
 
-/// The highest tail, in relation to its target, of a serving task on the worker if one more filling
-/// task runs there.
-double Scheduler::expectedTail(const ScheduledWorker &worker, const ScheduledTask &fill) const
+std::vector<Scheduler::ServingSlack> Scheduler::servingSlack(const ScheduledWorker &worker) const
 {
+    std::vector<ServingSlack> result;
+    const double limit = InterferenceModel::utilizationOf(settings_.plannedTail);
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
-    const auto added = static_cast<double>(stepOf(fill).cpu.value);
-    double worst = 0;
-    for (ImageIndex serving = 0; serving < worker.servingByImage.size(); ++serving) {
-        if (worker.servingByImage[serving] == 0)
+    for (const ScheduledTask *task : worker.tasks) {
+        if (stepOf(*task).tailTarget <= Duration::zero())
             continue;
-        double rise = interference_.pressure(fill.image, serving) * added;
+        auto it = std::find_if(result.begin(), result.end(), [&](const ServingSlack &other) {
+            return other.image == task->image;
+        });
+        if (it == result.end())
+            it = result.insert(result.end(), {task->image, limit, 0});
+        it->slack = std::min(it->slack, limit - task->load);
+    }
+    for (ServingSlack &serving : result) {
         for (ImageIndex image = 0; image < worker.fillByImage.size(); ++image) {
             if (worker.fillByImage[image] > 0)
-                rise += interference_.pressure(image, serving) * worker.fillByImage[image];
+                serving.pressed += interference_.pressure(image, serving.image)
+                                   * worker.fillByImage[image] / cpu;
         }
-        worst = std::max(worst, UndisturbedTail + rise / cpu);
     }
-    return worst;
+    return result;
 }
 
-/// How few images of filling tasks the worker's serving tasks bear: their mean pressure there.
-double Scheduler::sensitivity(const ScheduledWorker &worker) const
+/// The pace of a filling task, from 0 to 1, at which the serving tasks stay under their targets.
+double Scheduler::paceOf(const ScheduledTask &fill, double cpu,
+                         const std::vector<ServingSlack> &slack) const
 {
-    double sum = 0;
-    int pairs = 0;
-    for (ImageIndex serving = 0; serving < worker.servingByImage.size(); ++serving) {
-        if (worker.servingByImage[serving] == 0)
+    const auto share = static_cast<double>(stepOf(fill).cpu.value) / cpu;
+    double pace = 1;
+    for (const ServingSlack &serving : slack) {
+        if (interference_.pressure(fill.image, serving.image) * share < FeltRise)
             continue;
-        for (ImageIndex fill = 0; fill < interference_.imageCount(); ++fill) {
-            sum += std::min(interference_.pressure(fill, serving), MaxSensitivity);
-            ++pairs;
-        }
+        pace = std::min(pace, serving.slack / serving.pressed);
     }
-    return pairs > 0 ? sum / pairs : 0;
+    return std::max(pace, MinPace);
 }
 
-/// Moves filling tasks away that are known to disturb a serving task over its target. Their
-/// checkpoints go with them.
-void Scheduler::evictDisturbing(ScheduledWorker &worker, Time now)
+/// Processors, in thousandths, that the worker's filling tasks use more if one more starts there.
+/// 0 if the new one would be too slow.
+double Scheduler::fillGain(const ScheduledWorker &worker, const ScheduledTask &fill) const
 {
+    const StepSpec &step = stepOf(fill);
+    const double share = expectedFillShare(worker, step, settings_);
+    if (share < settings_.minFillShare)
+        return 0;
+    const auto added = static_cast<double>(step.cpu.value);
+    std::vector<ServingSlack> slack = servingSlack(worker);
+    const bool isOver = std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                                    [](const ScheduledTask *task) { return task->overSince; });
+    if (isOver)
+        return 0;
+    if (slack.empty())
+        return share * added;
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
-    for (const ScheduledTask *serving : worker.tasks) {
-        const StepSpec &servingStep = stepOf(*serving);
-        if (servingStep.tailTarget <= Duration::zero() || serving->percent < 100
-            || serving->usage / toMilliseconds(servingStep.tailTarget) < settings_.evictTail)
-            continue;
-        for (ScheduledTask *task : worker.tasks) {
-            const StepSpec &step = stepOf(*task);
-            if (!step.fills || task->knowledge != RunKnowledge::Running)
-                continue;
-            const double rise = interference_.pressure(task->image, serving->image)
-                                * static_cast<double>(step.cpu.value) / cpu;
-            if (rise < DisturbingRise)
-                continue;
-            log_({LogLevel::Info,
-                  "run-evicted",
-                  "the run disturbs a serving task",
-                  {{"job", task->ref.job.str()},
-                   {"worker", worker.entry.id.str()},
-                   {"image", step.image},
-                   {"servingImage", servingStep.image},
-                   {"tailMs", std::to_string(serving->usage)}}});
-            stopRun(*task, now);
-        }
+    double before = 0;
+    for (const ScheduledTask *task : worker.tasks) {
+        if (stepOf(*task).fills)
+            before += paceOf(*task, cpu, slack) * static_cast<double>(stepOf(*task).cpu.value);
     }
+    for (ServingSlack &serving : slack)
+        serving.pressed += interference_.pressure(fill.image, serving.image) * added / cpu;
+    const double own = std::min(paceOf(fill, cpu, slack), share);
+    if (own < settings_.minStartSpeed)
+        return 0;
+    double after = own * added;
+    for (const ScheduledTask *task : worker.tasks) {
+        if (stepOf(*task).fills)
+            after += paceOf(*task, cpu, slack) * static_cast<double>(stepOf(*task).cpu.value);
+    }
+    return std::max(after - before, 0.0);
 }
 
-/// Slows all filling tasks down while a serving task beside them misses its target all the same,
-/// and speeds them up again in smaller steps.
-void Scheduler::paceFilling(ScheduledWorker &worker, Time now)
+/// The highest pace while a serving task is over its target, whatever the model says.
+double Scheduler::paceLimit(const ScheduledWorker &worker, Time now) const
 {
-    if (now - worker.pacedAt < settings_.paceInterval)
-        return;
-    double worst = 0; // tail in relation to its target
-    bool hasFilling = false;
+    constexpr double OverPace = 0.5;
+    constexpr double CrawlPace = 0.15;
+    double limit = 1;
     for (const ScheduledTask *task : worker.tasks) {
-        const StepSpec &step = stepOf(*task);
-        hasFilling = hasFilling || (step.fills && task->knowledge == RunKnowledge::Running);
-        if (step.tailTarget > Duration::zero() && task->knowledge == RunKnowledge::Running)
-            worst = std::max(worst, task->usage / toMilliseconds(step.tailTarget));
+        if (!task->overSince || task->knowledge != RunKnowledge::Running)
+            continue;
+        const Duration over = now - *task->overSince;
+        if (over >= settings_.overToStandstill)
+            return 0;
+        limit = std::min(limit, over >= settings_.overToCrawl ? CrawlPace : OverPace);
     }
-    int pace = worker.pace;
-    if (worst > settings_.paceTail && hasFilling)
-        pace = pace / 3;
-    else if (worst < settings_.resumeTail || !hasFilling)
-        pace = std::min(100, pace + 34);
-    if (pace == worker.pace)
-        return;
-    worker.pace = pace;
-    worker.pacedAt = now;
+    return limit;
+}
+
+bool Scheduler::isPressed(const WorkerId &id) const
+{
+    const auto it = workers_.find(id);
+    if (it == workers_.end() || it->second->fillCpu <= 0)
+        return false;
+    return std::any_of(it->second->tasks.begin(), it->second->tasks.end(),
+                       [&](const ScheduledTask *task) {
+                           const Duration target = stepOf(*task).tailTarget;
+                           return target > Duration::zero()
+                                  && task->usage > settings_.plannedTail * toMilliseconds(target);
+                       });
+}
+
+void Scheduler::paceFilling(ScheduledWorker &worker, Time now)
+{
+    const double limit = paceLimit(worker, now);
+    const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
+    const std::vector<ServingSlack> slack = servingSlack(worker);
     for (ScheduledTask *task : worker.tasks) {
         if (!stepOf(*task).fills || task->knowledge != RunKnowledge::Running)
             continue;
+        const int pace = static_cast<int>(100 * std::min(limit, paceOf(*task, cpu, slack)));
+        const bool isExtreme = (pace == 100 || pace == 0) && task->pace != pace;
+        if (!isExtreme && std::abs(pace - task->pace) < SmallestPaceChange)
+            continue;
         task->pace = pace;
         paces_.push_back({task->ref, task->progress.run, worker.entry.id, pace});
     }
+    evictSlow(worker, now);
+}
+
+/// Moves filling tasks away that can only crawl here.
+void Scheduler::evictSlow(ScheduledWorker &worker, Time now)
+{
+    for (ScheduledTask *task : worker.tasks) {
+        const StepSpec &step = stepOf(*task);
+        if (!step.fills || task->knowledge != RunKnowledge::Running)
+            continue;
+        if (task->pace >= settings_.evictPace) {
+            task->slowSince = now;
+            continue;
+        }
+        const bool losesLittle = step.checkpointing || task->percent < 30;
+        if (!losesLittle || now - std::max(task->slowSince, task->startedAt) < settings_.evictAfter)
+            continue;
+        log_({LogLevel::Info,
+              "run-evicted",
+              "the run would disturb a serving task at any useful pace",
+              {{"job", task->ref.job.str()},
+               {"worker", worker.entry.id.str()},
+               {"image", step.image},
+               {"pace", std::to_string(task->pace)}}});
+        stopRun(*task, now);
+    }
 }
 
 /// Puts serving tasks of one image together, on as few workers as possible.
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -6,9 +6,9 @@
 //   order, a flood makes every job late.
 // - Floods of filling work: a filling task starts only where idle processors are left for it. More
 //   would slow down all filling tasks of the worker, and end none of them earlier.
-// - Filling beside serving work: a filling task goes only beside serving tasks that it is known not
-//   to disturb. Serving tasks of one image are put together, because then most images of filling
-//   tasks find workers where all serving tasks bear them.
+// - Filling beside serving work is in interference.cpp. Serving tasks of one image are put
+// together,
+//   because then most images of filling tasks find workers where all serving tasks bear them.
 // - Lasting jobs that reserve nearly all processors: the tasks of a lasting job that runs already
 // are
 //   restarted before everything else and may stop others, because their users see each second. A
@@ -22,9 +22,6 @@
 
 namespace {
 
-// Filling tasks go first to workers where few others may go.
-constexpr double SensitivityWeight = 0.2;
-
 bool contains(const std::vector<std::string> &labels, const std::string &label)
 {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -233,17 +230,9 @@
             continue;
         double score = 0;
         if (step.fills) {
-            const double share = expectedFillShare(*worker, step, settings_);
-            if (share < settings_.minFillShare || worker->pace < 100)
-                continue;
-            const double tail = expectedTail(*worker, task);
-            if (tail > settings_.plannedTail)
+            score = fillGain(*worker, task);
+            if (score <= 0)
                 continue;
-            score = static_cast<double>(entry.cpu.value) - static_cast<double>(worker->cpuUsed)
-                    + settings_.idleShare * worker->servingCpu - worker->fillCpu
-                    - tail * static_cast<double>(entry.cpu.value)
-                    + SensitivityWeight * sensitivity(*worker)
-                              * static_cast<double>(entry.cpu.value);
         } else if (step.tailTarget > Duration::zero()) {
             if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
                 continue;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -238,6 +238,7 @@
     task.stopAnswered = false;
     task.percent = 0;
     task.pace = 100;
+    task.overSince.reset();
     task.progress.phase = TaskPhase::Waiting;
     task.notBefore = now + delay;
     task.waitingSince = now;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -62,7 +62,7 @@
     RunNumber run;
     std::string checkpoint;
     int percent = 0; // progress; of a task that lasts: 100 while it is at work
-    double usage = 0; // tail latency in ms of a task that serves, otherwise cores in use
+    double usage = 0; // tail in ms of a task that serves, otherwise thousandths of a core
 };
 
 struct FinishedTask
@@ -141,11 +141,12 @@
     double stallFactor = 3; // of the estimate, without progress
     double idleShare = 0.5; // of a serving task's processors that filling tasks are expected to get
     double minFillShare = 0.6; // of its processors that must be idle before a filling task starts
-    double plannedTail = 0.85; // of the tail target, that filling tasks may bring it up to
-    double evictTail = 0.95; // of the tail target, above which disturbing tasks are moved away
-    double paceTail = 1.05; // of the tail target, above which all filling tasks are slowed down
-    double resumeTail = 0.75; // of the tail target, below which they are sped up again
-    Duration paceInterval = milliseconds(700); // between two changes on one worker
+    double plannedTail = 0.7; // of the tail target, that filling tasks may bring it up to
+    Duration overToCrawl = milliseconds(600); // over the target for longer, filling tasks crawl
+    Duration overToStandstill = milliseconds(1600); // and for longer than this, they stand still
+    double minStartSpeed = 0.4; // of its full speed, that a filling task must get at its start
+    int evictPace = 25; // percent; a task that has to be slower for a while is moved away
+    Duration evictAfter = milliseconds(1500);
     Duration usageLag = milliseconds(600); // figures of usage and tails cover about this time
     double lateFactor = 3; // objectives after which the result of a job is worth nothing
     Duration preemptAfter = milliseconds(700); // wait of a lasting task before others make room
@@ -161,41 +162,34 @@
 {
     ImageIndex image = 0;
     double share = 0; // of the worker's processors
-    bool isSettled = true; // the figures cover it already
 };
 
-/// Learns how much filling tasks raise the tail of the serving tasks beside them. Some pairs of
-/// images disturb each other by a multiple of the target, others not at all, so the estimate is
-/// kept for each pair: the rise of the tail, in relation to its target, per share of the worker
-/// used.
+/// Learns how much filling tasks press on the serving tasks beside them. Some pairs of images press
+/// hard, others not at all, so the estimate is kept for each pair.
+///
+/// A serving task behaves like a queue: its tail grows with 1 / (1 - utilization). The utilization
+/// is the task's own load plus the pressure of each filling task, which is proportional to the
+/// share of the worker that the filling task uses.
 class InterferenceModel
 {
 public:
     /// The index of an image, which is added if it is new.
     ImageIndex indexOf(const std::string &image);
-    std::size_t imageCount() const { return names_.size(); }
-    /// One figure of a serving task: its tail in relation to its target.
-    void observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills);
-    /// Expected rise for a pair, per share of the worker used.
-    double pressure(ImageIndex fill, ImageIndex serving) const
-    {
-        return pairs_[fill][serving].pressure;
-    }
 
-private:
-    struct Pair
-    {
-        double pressure = UnknownPressure;
-        int calmSamples = 0;
-    };
-    static constexpr double UnknownPressure = 2; // lets one filling task in, to learn from it
+    /// Utilization that a tail shows; `tail` is in relation to its target.
+    static double utilizationOf(double tail);
+    /// One figure of a serving task. `load` is its own load as estimated so far, and is updated.
+    void observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills, double &load);
+    /// Rise of the utilization for a pair, per share of the worker used.
+    double pressure(ImageIndex fill, ImageIndex serving) const { return pairs_[fill][serving]; }
 
+private:
     std::vector<std::string> names_;
-    std::vector<std::vector<Pair>> pairs_; // by filling and serving image
+    std::vector<std::vector<double>> pairs_; // by filling and serving image
 };
 
-/// Tail of an undisturbed serving task in relation to its target.
-constexpr double UndisturbedTail = 0.4;
+/// Usual load of a serving task, assumed before there are figures.
+constexpr double UsualServingLoad = 0.5;
 
 // [5] State
 
@@ -230,7 +224,11 @@
     Time progressAt{}; // when `percent` last changed
     int percent = 0;
     int pace = 100; // percent
-    double usage = 0;
+    Time slowSince{}; // when the pace fell below the one for eviction
+    double usage =
+            0; // as reported: tail in ms of a task that serves, otherwise thousandths of a core
+    double load = UsualServingLoad; // own load of a task that serves, without filling tasks
+    std::optional<Time> overSince; // a task that serves: its tail has been over its target since
     std::vector<WorkerId> failedOn;
     ImageIndex image = 0;
 };
@@ -288,8 +286,6 @@
     Time setAsideUntil{};
     Duration setAsideFor{};
     Time noRoomUntil{}; // after a refusal
-    Time pacedAt{};
-    int pace = 100; // percent, of the filling tasks
 };
 
 // [6] Scheduler
@@ -341,6 +337,9 @@
 
     /// Position in the worker's list of ends that may be acknowledged.
     std::uint64_t acknowledgeable(const WorkerId &id) const;
+    /// True if filling tasks press a serving task there near its target, so that figures are wanted
+    /// sooner than usual.
+    bool isPressed(const WorkerId &id) const;
     /// True if ends wait for their records.
     bool hasPendingEnds(const WorkerId &id) const;
     /// Jobs that ended before `time`.
@@ -374,11 +373,15 @@
 
     void checkWorkers(Time now);
     void checkStalled(ScheduledWorker &worker, Time now);
-    void learnInterference(const ScheduledWorker &worker, Time now);
-    void evictDisturbing(ScheduledWorker &worker, Time now);
+    void learnInterference(ScheduledWorker &worker, Time now);
     void paceFilling(ScheduledWorker &worker, Time now);
-    double expectedTail(const ScheduledWorker &worker, const ScheduledTask &fill) const;
-    double sensitivity(const ScheduledWorker &worker) const;
+    void evictSlow(ScheduledWorker &worker, Time now);
+    struct ServingSlack;
+    std::vector<ServingSlack> servingSlack(const ScheduledWorker &worker) const;
+    double paceLimit(const ScheduledWorker &worker, Time now) const;
+    double paceOf(const ScheduledTask &fill, double cpu,
+                  const std::vector<ServingSlack> &slack) const;
+    double fillGain(const ScheduledWorker &worker, const ScheduledTask &fill) const;
     double servingScore(const ScheduledWorker &worker, const ScheduledTask &task) const;
     void learnDuration(const ScheduledTask &task, Time now);
     Time objectiveOf(const ScheduledJob &job) const;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -132,7 +132,6 @@
         findLostRuns(worker, sentAt, now);
     checkStalled(worker, now);
     learnInterference(worker, now);
-    evictDisturbing(worker, now);
     paceFilling(worker, now);
 }
 
