Pace filling tasks by the slack of the serving tasks beside them

Cause: tails do not rise in proportion to what fills beside them; they follow 1/(1 - utilization), and the own load of each serving task swings within seconds, each with its own phase (one of four equal tasks of a worker was at 188 ms of 24, another at 10). A pair's pressure is steady once tails are read as utilization; heavy pairs are near 5, the others near 0.

--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -83,12 +83,11 @@
 void Scheduler::learnInterference(ScheduledWorker &worker, Time now)
 {
     std::vector<FillLoad> fills;
-    bool areSettled = true; // otherwise the figures cover a part of a run's time only
+    // Tails and usages cover the same half second, so that both rise together after a start.
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
     for (const ScheduledTask *task : worker.tasks) {
         if (!stepOf(*task).fills || task->knowledge != RunKnowledge::Running)
             continue;
-        areSettled = areSettled && now - task->startedAt >= settings_.usageLag;
         auto it = std::find_if(fills.begin(), fills.end(),
                                [&](const FillLoad &fill) { return fill.image == task->image; });
         if (it == fills.end())
@@ -98,9 +97,14 @@
     for (ScheduledTask *task : worker.tasks) {
         const StepSpec &step = stepOf(*task);
         const bool isAtWork = task->knowledge == RunKnowledge::Running && task->percent == 100;
-        if (step.tailTarget > Duration::zero() && isAtWork)
-            interference_.observe(task->image, task->usage / toMilliseconds(step.tailTarget), fills,
-                                  task->load);
+        if (step.tailTarget <= Duration::zero() || !isAtWork)
+            continue;
+        const double tail = task->usage / toMilliseconds(step.tailTarget);
+        interference_.observe(task->image, tail, fills, task->load);
+        if (tail <= 1)
+            task->overSince.reset();
+        else if (!task->overSince)
+            task->overSince = now;
     }
 }
 
@@ -153,10 +157,6 @@
         return 0;
     const auto added = static_cast<double>(step.cpu.value);
     std::vector<ServingSlack> slack = servingSlack(worker);
-    const bool isOver = std::any_of(worker.tasks.begin(), worker.tasks.end(),
-                                    [](const ScheduledTask *task) { return task->overSince; });
-    if (isOver)
-        return 0;
     if (slack.empty())
         return share * added;
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
@@ -178,18 +178,41 @@
     return std::max(after - before, 0.0);
 }
 
-/// The highest pace while a serving task is over its target, whatever the model says.
-double Scheduler::paceLimit(const ScheduledWorker &worker, Time now) const
+/// The share of the known images of filling tasks that could run on the worker at full pace.
+double Scheduler::openness(const ScheduledWorker &worker) const
+{
+    constexpr double UsualShare = 0.1; // of a worker, used by one filling task
+    const std::vector<ServingSlack> slack = servingSlack(worker);
+    double open = 0;
+    for (ImageIndex fill = 0; fill < interference_.imageCount(); ++fill) {
+        double pace = 1;
+        for (const ServingSlack &serving : slack) {
+            const double rise = interference_.pressure(fill, serving.image) * UsualShare;
+            if (rise >= FeltRise)
+                pace = std::min(pace, std::max(serving.slack, 0.0) / rise);
+        }
+        open += pace;
+    }
+    return open / std::max(static_cast<double>(interference_.imageCount()), 1.0);
+}
+
+/// The highest pace of a filling task while a serving task beside it is over its target.
+double Scheduler::paceLimit(const ScheduledWorker &worker, const ScheduledTask &fill,
+                            Time now) const
 {
     constexpr double OverPace = 0.5;
     constexpr double CrawlPace = 0.15;
+    const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
+    const double share = static_cast<double>(stepOf(fill).cpu.value) / cpu;
     double limit = 1;
     for (const ScheduledTask *task : worker.tasks) {
         if (!task->overSince || task->knowledge != RunKnowledge::Running)
             continue;
         const Duration over = now - *task->overSince;
-        if (over >= settings_.overToStandstill)
+        if (over >= settings_.overToStandstill) // the model may be wrong about who is to blame
             return 0;
+        if (interference_.pressure(fill.image, task->image) * share < FeltRise)
+            continue;
         limit = std::min(limit, over >= settings_.overToCrawl ? CrawlPace : OverPace);
     }
     return limit;
@@ -210,13 +233,13 @@
 
 void Scheduler::paceFilling(ScheduledWorker &worker, Time now)
 {
-    const double limit = paceLimit(worker, now);
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
     const std::vector<ServingSlack> slack = servingSlack(worker);
     for (ScheduledTask *task : worker.tasks) {
         if (!stepOf(*task).fills || task->knowledge != RunKnowledge::Running)
             continue;
-        const int pace = static_cast<int>(100 * std::min(limit, paceOf(*task, cpu, slack)));
+        const double wanted = std::min(paceLimit(worker, *task, now), paceOf(*task, cpu, slack));
+        const int pace = static_cast<int>(100 * wanted);
         const bool isExtreme = (pace == 100 || pace == 0) && task->pace != pace;
         if (!isExtreme && std::abs(pace - task->pace) < SmallestPaceChange)
             continue;
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -22,6 +22,8 @@
 
 namespace {
 
+constexpr double OpennessWeight = 0.3; // of a task's processors
+
 bool contains(const std::vector<std::string> &labels, const std::string &label)
 {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -233,6 +235,8 @@
             score = fillGain(*worker, task);
             if (score <= 0)
                 continue;
+            // Workers that bear most images are kept for the tasks that few others bear.
+            score -= OpennessWeight * openness(*worker) * static_cast<double>(cpu);
         } else if (step.tailTarget > Duration::zero()) {
             if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
                 continue;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -141,13 +141,12 @@
     double stallFactor = 3; // of the estimate, without progress
     double idleShare = 0.5; // of a serving task's processors that filling tasks are expected to get
     double minFillShare = 0.6; // of its processors that must be idle before a filling task starts
-    double plannedTail = 0.7; // of the tail target, that filling tasks may bring it up to
+    double plannedTail = 0.75; // of the tail target, that filling tasks may bring it up to
     Duration overToCrawl = milliseconds(600); // over the target for longer, filling tasks crawl
     Duration overToStandstill = milliseconds(1600); // and for longer than this, they stand still
     double minStartSpeed = 0.4; // of its full speed, that a filling task must get at its start
     int evictPace = 25; // percent; a task that has to be slower for a while is moved away
     Duration evictAfter = milliseconds(1500);
-    Duration usageLag = milliseconds(600); // figures of usage and tails cover about this time
     double lateFactor = 3; // objectives after which the result of a job is worth nothing
     Duration preemptAfter = milliseconds(700); // wait of a lasting task before others make room
 };
@@ -176,6 +175,7 @@
     /// The index of an image, which is added if it is new.
     ImageIndex indexOf(const std::string &image);
 
+    std::size_t imageCount() const { return names_.size(); }
     /// Utilization that a tail shows; `tail` is in relation to its target.
     static double utilizationOf(double tail);
     /// One figure of a serving task. `load` is its own load as estimated so far, and is updated.
@@ -378,7 +378,8 @@
     void evictSlow(ScheduledWorker &worker, Time now);
     struct ServingSlack;
     std::vector<ServingSlack> servingSlack(const ScheduledWorker &worker) const;
-    double paceLimit(const ScheduledWorker &worker, Time now) const;
+    double paceLimit(const ScheduledWorker &worker, const ScheduledTask &fill, Time now) const;
+    double openness(const ScheduledWorker &worker) const;
     double paceOf(const ScheduledTask &fill, double cpu,
                   const std::vector<ServingSlack> &slack) const;
     double fillGain(const ScheduledWorker &worker, const ScheduledTask &fill) const;
