Let a successor wait one lease only for workers that were given up

Change: the coordinator records that it renews a silent worker's leases no more, and removes the record before it does again; after its last contact to the store it renews for 3 s instead of 6 s.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <charconv>
 
 namespace monsoonledge {
 
@@ -31,6 +32,16 @@
 constexpr Duration ReachGrace = seconds(4); // after its start
 constexpr Duration MaxJobAge = seconds(600);
 
+std::optional<std::uint64_t> parseDecimal(const std::string &text)
+{
+    std::uint64_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto [position, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc() || position != end)
+        return std::nullopt;
+    return value;
+}
+
 std::int64_t toMillis(Duration duration)
 {
     return duration.count() / 1000;
@@ -59,8 +70,15 @@
                                [this](const std::vector<KeyValue> &events, Time later) {
                                    onWorkerEvents(events, later);
                                }});
+    unreachedLoad_ = std::make_unique<PrefixWatch>(
+            ports_, keys::UnreachedPrefix, settings_.watchWait, Duration::zero(),
+            PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
+                                   onUnreachedLoaded(items, later);
+                               },
+                               [](const std::vector<KeyValue> &, Time) {}});
     jobsLoad_->start();
     registry_->start();
+    unreachedLoad_->start();
 }
 
 Coordinator::~Coordinator() = default;
@@ -90,9 +108,28 @@
     startScheduling(now);
 }
 
+void Coordinator::onUnreachedLoaded(const std::vector<KeyValue> &items, Time now)
+{
+    for (const KeyValue &item : items) {
+        const WorkerId id(item.key.substr(keys::UnreachedPrefix.size()));
+        const std::optional<std::uint64_t> incarnation = parseDecimal(item.value);
+        if (incarnation)
+            unreached_[id].value = *incarnation;
+        else
+            ports_.log({LogLevel::Error,
+                        "record-unreadable",
+                        "the leases of a worker are waited for longer",
+                        {{"key", item.key}}});
+        links_[id].unreached = Unreached::Yes;
+    }
+    areUnreachedLoaded_ = true;
+    startScheduling(now);
+    unreachedLoad_.reset(); // the last use of this watch, which calls this function
+}
+
 void Coordinator::startScheduling(Time now)
 {
-    if (scheduler_ || !areJobsLoaded_ || !areWorkersLoaded_)
+    if (scheduler_ || !areJobsLoaded_ || !areWorkersLoaded_ || !areUnreachedLoaded_)
         return;
     // Until then, a former coordinator that lost the store may have renewed leases.
     const Duration lostLease =
@@ -130,6 +167,8 @@
         if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key))
             scheduler_->cancelJob(*id, now);
     }
+    for (const auto &[id, incarnation] : unreached_)
+        scheduler_->onNotRenewed(id, incarnation, now);
     ports_.log({LogLevel::Info,
                 "coordinator-ready",
                 "jobs and workers are loaded",
@@ -484,6 +523,8 @@
     if (worker == scheduler_->workers().end() || link == links_.end() || !mayExtend(now))
         return 0;
     const Link &l = link->second;
+    if (l.unreached != Unreached::No)
+        return 0;
     if (l.clock == 0 || l.incarnation != worker->second->entry.incarnation
         || now - worker->second->lastReport > SilenceBeforeLapse + settings_.renewWait)
         return 0;
@@ -505,11 +546,54 @@
             link.awaitsSave = false;
             link.nextAt = now;
         }
+        updateUnreached(*worker, link, now);
         if (!link.inFlight && now >= link.nextAt)
             renew(worker->entry, link, now);
     }
 }
 
+/// Records that a silent worker's leases are not renewed, and removes the record before they are
+/// renewed again. Without it, a successor has to assume that they were renewed to the last.
+void Coordinator::updateUnreached(const ScheduledWorker &worker, Link &link, Time now)
+{
+    const bool isSilent = now - worker.lastReport > SilenceBeforeLapse + settings_.renewWait;
+    // Before its first report, a former coordinator may be the one who renews them.
+    const bool mayBeRenewed = !worker.known && now - startedAt_ <= settings_.extendFor;
+    if (link.unreached == Unreached::No && isSilent && !mayBeRenewed && !worker.tasks.empty()) {
+        link.unreached = Unreached::Writing;
+        writeUnreached(worker.entry.id, true);
+    } else if (link.unreached == Unreached::Yes && !isSilent) {
+        link.unreached = Unreached::Removing;
+        writeUnreached(worker.entry.id, false);
+    }
+}
+
+void Coordinator::writeUnreached(const WorkerId &id, bool isUnreached)
+{
+    const auto worker = scheduler_->workers().find(id);
+    Transaction transaction;
+    transaction.conditions.push_back({keys::Coordinator, record_});
+    if (isUnreached) {
+        const std::string value = std::to_string(worker->second->entry.incarnation.value);
+        transaction.puts.push_back({keys::unreached(id), value, LeaseId{}});
+    } else {
+        transaction.removals.push_back(keys::unreached(id));
+    }
+    ports_.store.commit(transaction, [this, id, isUnreached, alive = std::weak_ptr<int>(alive_)](
+                                             const KeyValueResult &result, Time now) {
+        if (alive.expired() || isDeposed_)
+            return;
+        const auto link = links_.find(id);
+        if (result.status == KeyValueStatus::Conflict) {
+            depose("the record belongs to another process", now);
+        } else if (link != links_.end()) {
+            const bool isDone = result.status == KeyValueStatus::Ok;
+            // While the outcome is unknown, the record counts as written, and is removed later.
+            link->second.unreached = isUnreached || !isDone ? Unreached::Yes : Unreached::No;
+        }
+    });
+}
+
 void Coordinator::renew(const WorkerEntry &worker, Link &link, Time now)
 {
     const auto found = scheduler_->workers().find(worker.id);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -12,6 +12,8 @@
 //   jobs/in/spec/ID        specification of a job; written once, by the process that accepts it
 //   jobs/in/cancel/ID      the job is cancelled; written once
 //   jobs/progress/ID       progress of the job; written by the coordinator
+//   unreached/ID           the coordinator does not renew the leases of this worker; its successor
+//                          has to wait for one lease only
 //
 // Sections:
 //   [1] Store
@@ -163,7 +165,7 @@
     double cpuShare = 1; // cores of this host; stronger hosts become coordinator sooner
     Duration leaseTtl = seconds(2); // of the coordinator's record
     Duration keepInterval = milliseconds(600); // between two renewals of it
-    Duration extendFor = seconds(6); // after its last contact to the store, a coordinator
+    Duration extendFor = seconds(3); // after its last contact to the store, a coordinator
                                      // renews the leases of workers for this long
     Duration maxWorkerLease = seconds(6); // longer leases are shortened by the worker
     Duration workerLease = milliseconds(5500); // asked for
@@ -358,6 +360,8 @@
     const Scheduler *scheduler() const { return scheduler_.get(); }
 
 private:
+    /// State of the record that says that a worker's leases are not renewed.
+    enum class Unreached { No, Writing, Yes, Removing };
     /// The connection to one worker: its clock, and the renewal that is under way.
     struct Link
     {
@@ -366,6 +370,7 @@
         WorkerIncarnation incarnation; // whose clock it is
         std::uint64_t clock = 0; // ms; 0: not known
         Time clockAt{};
+        Unreached unreached = Unreached::No;
         bool isConfirmed = false; // the last renewal was answered by that incarnation
         bool awaitsSave = false; // the next renewal can acknowledge more once records are stored
     };
@@ -396,6 +401,9 @@
     void sendStart(const StartOrder &order, Time now);
     void renewLeases(Time now);
     void renew(const WorkerEntry &worker, Link &link, Time now);
+    void updateUnreached(const ScheduledWorker &worker, Link &link, Time now);
+    void writeUnreached(const WorkerId &id, bool isUnreached);
+    void onUnreachedLoaded(const std::vector<KeyValue> &items, Time now);
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCall &call, Time now);
     std::uint64_t leaseEnd(const WorkerId &id, Time now);
     bool mayExtend(Time now) const { return now - lastContact_ < settings_.extendFor; }
@@ -413,12 +421,15 @@
     std::unique_ptr<PrefixWatch> jobsLoad_;
     std::unique_ptr<PrefixWatch> input_;
     std::unique_ptr<PrefixWatch> registry_;
+    std::unique_ptr<PrefixWatch> unreachedLoad_;
+    std::map<WorkerId, WorkerIncarnation> unreached_; // as left by the former coordinator
     std::map<std::string, WorkerEntry> entries_; // by key in the store
     std::unordered_map<JobId, StoreRevision> revisions_; // of the progress records
     std::map<WorkerId, Link> links_;
     std::vector<KeyValue> loadedJobs_;
     bool areJobsLoaded_ = false;
     bool areWorkersLoaded_ = false;
+    bool areUnreachedLoaded_ = false;
     bool isPlanned_ = false;
     bool isDeposed_ = false;
     int writesInFlight_ = 0;
--- a/src/fleet/keys_p.h
+++ b/src/fleet/keys_p.h
@@ -15,6 +15,13 @@
 inline const std::string CancelPrefix = "jobs/in/cancel/";
 inline const std::string ProgressPrefix = "jobs/progress/";
 
+inline const std::string UnreachedPrefix = "unreached/"; // workers whose leases are not renewed
+
+inline std::string unreached(const WorkerId &id)
+{
+    return UnreachedPrefix + id.str();
+}
+
 inline std::string spec(const JobId &id)
 {
     return SpecPrefix + id.str();
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -313,6 +313,9 @@
     void onReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now);
     /// A call to the worker failed; it gets no new task before its next report.
     void onUnreachable(const WorkerId &id);
+    /// Nobody has renewed the leases of this life of the worker since before this coordinator
+    /// began.
+    void onNotRenewed(const WorkerId &id, WorkerIncarnation incarnation, Time now);
     /// All leases given to the worker end at `lapseAt`.
     void onLeaseGiven(const WorkerId &id, Time lapseAt);
     void onStartAnswered(const StartOrder &order, StartOutcome outcome, Time now);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -92,6 +92,13 @@
         --at(worker->servingByImage, task.image);
 }
 
+void Scheduler::onNotRenewed(const WorkerId &id, WorkerIncarnation incarnation, Time now)
+{
+    const auto it = workers_.find(id);
+    if (it != workers_.end() && it->second->entry.incarnation == incarnation)
+        it->second->lapseAt = std::min(it->second->lapseAt, now + settings_.longestLease);
+}
+
 void Scheduler::onLeaseGiven(const WorkerId &id, Time lapseAt)
 {
     const auto it = workers_.find(id);
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -146,6 +146,22 @@
     CHECK(world.runners.findings.empty());
 }
 
+TEST_CASE("a successor does not wait long for workers that its predecessor had given up")
+{
+    FleetWorld world(2, 2);
+    world.clock.advance(seconds(2));
+    CHECK(world.submit(0, FleetWorld::job("a", 8, "ms=60000")) == JobAnswer::Accepted);
+    world.clock.advance(milliseconds(500));
+    world.runners.at("w1").up = false;
+    world.clock.advance(seconds(5));
+    world.store.remove("servers/w1"); // as the registry does after three missing heartbeats
+    world.kill(world.coordinator());
+    // Two seconds for the lease of the record, and one lease of the worker.
+    world.clock.advance(milliseconds(9500));
+    CHECK(world.runners.runningCount() == 8);
+    CHECK(world.runners.findings.empty());
+}
+
 TEST_CASE("an accepted job whose answer from the store was lost is not refused")
 {
     FleetWorld world(2);
