--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -48,15 +48,16 @@
 /// The classes in which jobs are served, most urgent first.
 enum class Urgency { LastingRestart, OnTime, LastingNew, Late, Worthless };
 
-Urgency urgencyOf(const ScheduledJob &job, Time objective, double lateFactor, Time now)
+/// `doneBy`: when the job would be done if it was served at once.
+Urgency urgencyOf(const ScheduledJob &job, Time objective, Time doneBy, double lateFactor)
 {
     if (job.lasts)
         return job.state == JobState::Pending ? Urgency::LastingNew : Urgency::LastingRestart;
     const Duration allowed = objective - job.submittedAt;
     const auto worthFor = std::chrono::duration_cast<Duration>(allowed * lateFactor);
-    if (now > job.submittedAt + worthFor)
+    if (doneBy > job.submittedAt + worthFor)
         return Urgency::Worthless;
-    return now > objective ? Urgency::Late : Urgency::OnTime;
+    return doneBy > objective ? Urgency::Late : Urgency::OnTime;
 }
 
 } // namespace
@@ -129,7 +130,10 @@
         if (job->waitingTasks == 0)
             continue;
         const Time objective = objectiveOf(*job);
-        const Urgency urgency = urgencyOf(*job, objective, settings_.lateFactor, now);
+        const Time doneBy =
+                now
+                + std::chrono::duration_cast<Duration>(remainingChain(*job) * settings_.optimism);
+        const Urgency urgency = urgencyOf(*job, objective, doneBy, settings_.lateFactor);
         keyed.emplace_back(Key{urgency, job->queue.priority, objective}, job);
     }
     std::sort(keyed.begin(), keyed.end(),
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -317,15 +317,40 @@
     factor += LearnRate * (std::min(ratio, MaxFactor) - factor);
 }
 
+double Scheduler::durationFactor(const ScheduledJob &job) const
+{
+    const auto it = durationFactors_.find(job.spec.queue);
+    return it == durationFactors_.end() ? 1 : it->second;
+}
+
 /// A result after this time is late.
 Time Scheduler::objectiveOf(const ScheduledJob &job) const
 {
-    const auto it = durationFactors_.find(job.spec.queue);
-    const double factor = job.queue.slackFactor * (it == durationFactors_.end() ? 1 : it->second);
+    const double factor = job.queue.slackFactor * durationFactor(job);
     return job.submittedAt + std::chrono::duration_cast<Duration>(job.chain * factor)
            + job.queue.targetLatency;
 }
 
+/// Expected duration of the longest chain through the steps that are not done.
+Duration Scheduler::remainingChain(const ScheduledJob &job) const
+{
+    std::vector<Duration> ends;
+    Duration longest{};
+    const std::size_t steps = job.spec.steps.size();
+    const std::size_t last = job.doneTasks.size() >= steps ? job.doneTasks.size() - steps : 0;
+    for (std::size_t i = 0; i < steps; ++i) {
+        const StepSpec &step = job.spec.steps[i];
+        Duration start{};
+        for (const int before : step.after)
+            start = std::max(start, ends[static_cast<std::size_t>(before)]);
+        const bool isDone =
+                last + i < job.doneTasks.size() && job.doneTasks[last + i] >= step.count;
+        ends.push_back(isDone ? start : start + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return std::chrono::duration_cast<Duration>(longest * durationFactor(job));
+}
+
 void Scheduler::stopRun(ScheduledTask &task, Time now)
 {
     assert(task.progress.phase == TaskPhase::Assigned);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -148,6 +148,7 @@
     double minStartSpeed = 0.4; // of its full speed, that a filling task must get at its start
     int evictPace = 25; // percent; a task that has to be slower for a while is moved away
     Duration evictAfter = milliseconds(1500);
+    double optimism = 0.85; // of its remaining work, that a job must be able to do by its objective
     double lateFactor = 3; // objectives after which the result of a job is worth nothing
     Duration preemptAfter = milliseconds(700); // wait of a lasting task before others make room
 };
@@ -389,7 +390,9 @@
     double fillGain(const ScheduledWorker &worker, const ScheduledTask &fill) const;
     double servingScore(const ScheduledWorker &worker, const ScheduledTask &task) const;
     void learnDuration(const ScheduledTask &task, Time now);
+    double durationFactor(const ScheduledJob &job) const;
     Time objectiveOf(const ScheduledJob &job) const;
+    Duration remainingChain(const ScheduledJob &job) const;
     void drainWorker(ScheduledWorker &worker, Time now);
     bool isUsable(const ScheduledWorker &worker, Time now) const;
     std::vector<ScheduledJob *> orderJobs(Time now);
