--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -142,7 +142,7 @@
     double stallFactor = 3; // of the estimate, without progress
     double idleShare = 0.5; // of a serving task's processors that filling tasks are expected to get
     double minFillShare = 0.6; // of its processors that must be idle before a filling task starts
-    double plannedTail = 0.75; // of the tail target, that filling tasks may bring it up to
+    double plannedTail = 0.9; // of the tail target, that filling tasks may bring it up to
     Duration overToCrawl = milliseconds(600); // over the target for longer, filling tasks crawl
     Duration overToStandstill = milliseconds(1600); // and for longer than this, they stand still
     double minStartSpeed = 0.4; // of its full speed, that a filling task must get at its start
