--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -170,10 +170,10 @@
     Duration maxWorkerLease = seconds(6); // longer leases are shortened by the worker
     Duration workerLease = milliseconds(5500); // asked for
     Duration renewWait = seconds(1); // of a renewal without news
-    Duration followPause = milliseconds(100); // between two watches of the jobs' records
-    Duration workerPause = milliseconds(250); // between two watches of the registry
+    Duration followPause = milliseconds(200); // between two watches of the jobs' records
+    Duration workerPause = milliseconds(400); // between two watches of the registry
     Duration watchWait = seconds(1); // a silent connection is found after this and a time-out
-    Duration planDelay = milliseconds(3); // collects events that come together
+    Duration planDelay = milliseconds(10); // collects events that come together
     Duration keepFinished = seconds(125); // records of ended jobs
     int writesInFlight = 4; // of the coordinator's records
     SchedulingSettings scheduling;
