Answer submissions soon while the store is silent

Now, when a write has waited for 450 ms, what comes anew is refused at once, since nothing of it can have been written, and what may have been written gets its answer after the first time-out.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -268,7 +268,9 @@
 
     void create(const std::string &key, const std::string &value, Time deadline, Done done,
                 Time now);
-    std::size_t pending() const { return queue_.size() + sent_; }
+    /// True if a write waits for its answer for so long that the store seems to be away. Nothing
+    /// that is handed in now would be answered soon.
+    bool isStalled(Time now) const;
 
 private:
     struct Item
@@ -280,17 +282,21 @@
         bool maybeWritten = false;
         int attempts = 0;
     };
-    using Batch = std::vector<Item>;
+    struct Batch
+    {
+        std::vector<Item> items;
+        Time sentAt;
+    };
 
     void flush(Time now);
     void onAnswer(const std::shared_ptr<Batch> &batch, const KeyValueResult &result, Time now);
     void retry(Item item, bool maybeWritten, Time now);
+    void refuseUnsent(Time now);
     void flushLater(Duration delay);
 
     FleetPorts ports_;
     std::vector<Item> queue_;
-    std::size_t sent_ = 0; // items in transactions that are not answered
-    int inFlight_ = 0; // transactions
+    std::vector<std::shared_ptr<Batch>> inFlight_; // transactions that are not answered
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
--- a/src/fleet/oncewriter.cpp
+++ b/src/fleet/oncewriter.cpp
@@ -8,7 +8,8 @@
 
 constexpr Duration CollectDelay = milliseconds(1); // requests that arrive together
 constexpr Duration RetryDelay = milliseconds(60); // after an answer that was lost
-constexpr int MaxInFlight = 3;
+constexpr Duration StallTime = milliseconds(450); // a slow store answers sooner
+constexpr std::size_t MaxInFlight = 3;
 constexpr std::size_t MaxBatch = MaxTransactionEntries / 2; // a condition and a put for each key
 constexpr int MaxRefusals = 2; // attempts that certainly did nothing, until the caller is told
 
@@ -21,11 +22,21 @@
 void OnceWriter::create(const std::string &key, const std::string &value, Time deadline, Done done,
                         Time now)
 {
-    (void)now;
+    if (isStalled(now)) {
+        done(CreateOutcome::NotDone, now);
+        return;
+    }
     queue_.push_back({key, value, deadline, std::move(done)});
     flushLater(CollectDelay);
 }
 
+bool OnceWriter::isStalled(Time now) const
+{
+    return std::any_of(
+            inFlight_.begin(), inFlight_.end(),
+            [now](const std::shared_ptr<Batch> &batch) { return now - batch->sentAt > StallTime; });
+}
+
 void OnceWriter::flushLater(Duration delay)
 {
     ports_.timers.after(delay, [this, alive = std::weak_ptr<int>(alive_)](Time now) {
@@ -36,27 +47,31 @@
 
 void OnceWriter::flush(Time now)
 {
-    (void)now;
-    while (!queue_.empty() && inFlight_ < MaxInFlight) {
+    while (!queue_.empty() && inFlight_.size() < MaxInFlight) {
         auto batch = std::make_shared<Batch>();
+        batch->sentAt = now;
         Transaction transaction;
         std::vector<Item> rest;
         for (Item &item : queue_) {
             const bool isRepeated =
-                    std::any_of(batch->begin(), batch->end(),
+                    std::any_of(batch->items.begin(), batch->items.end(),
                                 [&](const Item &other) { return other.key == item.key; });
-            if (batch->size() >= MaxBatch || isRepeated) {
+            if (batch->items.size() >= MaxBatch || isRepeated) {
                 rest.push_back(std::move(item));
                 continue;
             }
             transaction.conditions.push_back({item.key, StoreRevision{}});
             transaction.puts.push_back({item.key, item.value, LeaseId{}});
             ++item.attempts;
-            batch->push_back(std::move(item));
+            batch->items.push_back(std::move(item));
         }
         queue_ = std::move(rest);
-        ++inFlight_;
-        sent_ += batch->size();
+        inFlight_.push_back(batch);
+        ports_.timers.after(StallTime + milliseconds(1),
+                            [this, alive = std::weak_ptr<int>(alive_)](Time later) {
+                                if (!alive.expired() && isStalled(later))
+                                    refuseUnsent(later);
+                            });
         ports_.store.commit(transaction, [this, batch, alive = std::weak_ptr<int>(alive_)](
                                                  const KeyValueResult &result, Time later) {
             if (!alive.expired())
@@ -65,12 +80,24 @@
     }
 }
 
+/// Answers what has waited for a turn while the store stopped answering.
+void OnceWriter::refuseUnsent(Time now)
+{
+    std::vector<Item> rest;
+    for (Item &item : queue_) {
+        if (item.maybeWritten)
+            rest.push_back(std::move(item));
+        else
+            item.done(CreateOutcome::NotDone, now);
+    }
+    queue_ = std::move(rest);
+}
+
 void OnceWriter::onAnswer(const std::shared_ptr<Batch> &batch, const KeyValueResult &result,
                           Time now)
 {
-    --inFlight_;
-    sent_ -= batch->size();
-    for (Item &item : *batch) {
+    inFlight_.erase(std::remove(inFlight_.begin(), inFlight_.end(), batch), inFlight_.end());
+    for (Item &item : batch->items) {
         if (result.status == KeyValueStatus::Ok) {
             item.done(CreateOutcome::Created, now);
             continue;
@@ -96,7 +123,8 @@
         item.done(CreateOutcome::NotDone, now);
         return;
     }
-    if (now + RetryDelay >= item.deadline) {
+    // With other writes unanswered too, the store is away, and the caller need not wait for it.
+    if (now + RetryDelay >= item.deadline || (item.maybeWritten && isStalled(now))) {
         item.done(item.maybeWritten ? CreateOutcome::Unknown : CreateOutcome::NotDone, now);
         return;
     }
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -146,6 +146,31 @@
     CHECK(world.runners.findings.empty());
 }
 
+TEST_CASE("while the store is silent, submissions are answered soon and not held to the deadline")
+{
+    // The load of a silent store: 20 submissions, one each 100 ms.
+    FleetWorld world(2);
+    world.clock.advance(seconds(2));
+    const int other = 1 - world.coordinator();
+    world.process(other).store->silent = true;
+    int held = 0;
+    int refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        const Time begin = world.clock.now();
+        world.node(other).submit(
+                FleetWorld::job(jobName(i)), begin + seconds(3),
+                [&held, &refused, begin](JobAnswer answer, Time now) {
+                    held += now - begin > milliseconds(1500) ? 1 : 0;
+                    refused += answer == JobAnswer::NotAccepted ? 1 : 0;
+                },
+                begin);
+        world.clock.advance(milliseconds(100));
+    }
+    world.clock.advance(seconds(4));
+    CHECK(held <= 5); // those that came before the silence could be noticed
+    CHECK(refused >= 14);
+}
+
 TEST_CASE("a successor does not wait long for workers that its predecessor had given up")
 {
     FleetWorld world(2, 2);
