--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,11 @@
 	libsigc++-3.0-dev libevent-dev libwebsocketpp-dev nlohmann-json3-dev libboost-dev \
 	libboost-program-options-dev libeasyloggingpp-dev doctest-dev libyaml-cpp-dev
 
-.PHONY: help deps build check check-asan soak bench demo format format-check lint docs-check test clean
+.PHONY: help deps build quick check check-asan soak bench demo format format-check lint docs-check test clean
 
 help:
 	@echo "make demo        run the whole system on loopback and print a table"
+	@echo "make quick       format, build, unit and virtual-time tests: for every change"
 	@echo "make check       formatter, linter, build, unit and process tests, docs links"
 	@echo "make soak        invariant tests over N=10000 seeded schedules"
 	@echo "make bench       measure the policies in virtual time against bench/bounds.yaml"
@@ -32,7 +33,7 @@
 	@git ls-files -co --exclude-standard '*.cpp' '*.h' | xargs clang-format --dry-run -Werror
 
 lint: build
-	@scripts/lint.sh $(BUILD) $(JOBS)
+	@python3 scripts/lint.py $(BUILD) $(JOBS)
 
 docs-check:
 	@python3 scripts/check_docs.py
@@ -41,6 +42,9 @@
 	@cd $(BUILD) && ctest --output-on-failure -j $(JOBS) --no-tests=error -E '^known_red_'
 	@cat KNOWN-RED.txt
 
+quick: format build
+	@cd $(BUILD) && ctest --output-on-failure -j $(JOBS) --no-tests=error -L 'unit|invariant' -E '^known_red_'
+
 check: format-check docs-check build lint test
 
 check-asan:
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -4,10 +4,15 @@
 
 namespace monsoonledge {
 
+namespace {
+
+constexpr int MaxSteps = 64;
+constexpr int MaxTasks = 10000; // in all steps
+
+} // namespace
+
 std::string findJobFault(const JobSpec &spec)
 {
-    constexpr int MaxSteps = 64;
-    constexpr int MaxTasks = 10000;
     if (spec.steps.empty())
         return "a job needs at least one step";
     if (spec.steps.size() > MaxSteps)
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -12,6 +12,7 @@
 // processor time and in bytes between failure domains.
 constexpr int SpecFormat = 1;
 constexpr int ProgressFormat = 1;
+constexpr unsigned char ArrayOfThree = 0x83; // head of a CBOR array
 
 enum StepFlag : unsigned {
     Checkpointing = 1,
@@ -149,7 +150,6 @@
 std::optional<JobState> decodeState(const std::string &progressBytes)
 {
     // The head of encodeProgress(): an array of three, the format, and the state as a small number.
-    constexpr unsigned char ArrayOfThree = 0x83;
     if (progressBytes.size() < 4 || static_cast<unsigned char>(progressBytes[0]) != ArrayOfThree
         || progressBytes[1] != ProgressFormat)
         return std::nullopt;
--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -26,6 +26,9 @@
 constexpr double ShareNoise = 0.004; // squared share of a worker below which figures say little
 constexpr double FeltRise = 0.02; // smaller rises of the utilization are not worth a pace
 constexpr double MinPace = 0.05;
+constexpr double OverPace = 0.5; // beside a task that is over its target
+constexpr double CrawlPace = 0.15; // beside one that stays over it
+constexpr double UsualShare = 0.1; // of a worker, used by one filling task
 constexpr int SmallestPaceChange = 12; // percent; each change is a call to the worker
 
 } // namespace
@@ -181,7 +184,6 @@
 /// The share of the known images of filling tasks that could run on the worker at full pace.
 double Scheduler::openness(const ScheduledWorker &worker) const
 {
-    constexpr double UsualShare = 0.1; // of a worker, used by one filling task
     const std::vector<ServingSlack> slack = servingSlack(worker);
     double open = 0;
     for (ImageIndex fill = 0; fill < interference_.imageCount(); ++fill) {
@@ -200,8 +202,6 @@
 double Scheduler::paceLimit(const ScheduledWorker &worker, const ScheduledTask &fill,
                             Time now) const
 {
-    constexpr double OverPace = 0.5;
-    constexpr double CrawlPace = 0.15;
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
     const double share = static_cast<double>(stepOf(fill).cpu.value) / cpu;
     double limit = 1;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr double DurationRate = 0.03; // of each run, in the factor between estimates and durations
+constexpr double MaxDurationFactor = 5;
+
 std::string describe(const TaskRef &ref)
 {
     return ref.job.str() + '.' + std::to_string(ref.occurrence) + '.' + std::to_string(ref.step)
@@ -305,8 +308,6 @@
 /// Estimates of one queue are off by a common factor, beside what they are off one by one.
 void Scheduler::learnDuration(const ScheduledTask &task, Time now)
 {
-    constexpr double LearnRate = 0.03;
-    constexpr double MaxFactor = 5;
     const StepSpec &step = stepOf(task);
     const bool isMeasured = task.knowledge == RunKnowledge::Running && task.pace == 100
                             && task.progress.checkpoint.empty() && step.estimate > Duration::zero();
@@ -314,7 +315,7 @@
         return;
     const double ratio = toMilliseconds(now - task.startedAt) / toMilliseconds(step.estimate);
     double &factor = durationFactors_.try_emplace(task.job->spec.queue, 1).first->second;
-    factor += LearnRate * (std::min(ratio, MaxFactor) - factor);
+    factor += DurationRate * (std::min(ratio, MaxDurationFactor) - factor);
 }
 
 double Scheduler::durationFactor(const ScheduledJob &job) const
--- a/tests/fakes/fakekeyvalue.h
+++ b/tests/fakes/fakekeyvalue.h
@@ -18,6 +18,9 @@
 
 namespace monsoonledge {
 
+/// Small, so that tests load several pages.
+constexpr std::size_t FakePageSize = 50;
+
 class FakeKeyValueStore
 {
 public:
@@ -54,12 +57,11 @@
 
     KeyValueResult range(const std::string &prefix, const std::string &after) const
     {
-        constexpr std::size_t PageSize = 50; // small, so that tests load several pages
         KeyValueResult result = ok();
         for (const auto &[key, item] : items_) {
             if (key.compare(0, prefix.size(), prefix) != 0 || key <= after)
                 continue;
-            if (result.items.size() == PageSize) {
+            if (result.items.size() == FakePageSize) {
                 result.hasMore = true;
                 break;
             }
@@ -210,16 +212,15 @@
 
     void get(const std::string &key, KeyValueDone done) override
     {
-        call([this, key] { return store_.get(key); }, std::move(done), false);
+        call([this, key] { return store_.get(key); }, done, false);
     }
     void range(const std::string &prefix, const std::string &afterKey, KeyValueDone done) override
     {
-        call([this, prefix, afterKey] { return store_.range(prefix, afterKey); }, std::move(done),
-             false);
+        call([this, prefix, afterKey] { return store_.range(prefix, afterKey); }, done, false);
     }
     void commit(const Transaction &transaction, KeyValueDone done) override
     {
-        call([this, transaction] { return store_.commit(transaction); }, std::move(done), true);
+        call([this, transaction] { return store_.commit(transaction); }, done, true);
     }
     void grantLease(Duration ttl, KeyValueDone done) override
     {
@@ -230,7 +231,7 @@
                     result.lease = store_.grant(ttl);
                     return result;
                 },
-                std::move(done), false);
+                done, false);
     }
     void keepLease(LeaseId lease, KeyValueDone done) override
     {
@@ -241,7 +242,7 @@
                             store_.keep(lease) ? KeyValueStatus::Ok : KeyValueStatus::NotFound;
                     return result;
                 },
-                std::move(done), false);
+                done, false);
     }
     void endLease(LeaseId lease, KeyValueDone done) override
     {
@@ -252,7 +253,7 @@
                     result.status = KeyValueStatus::Ok;
                     return result;
                 },
-                std::move(done), false);
+                done, false);
     }
     void watch(const std::string &prefix, StoreRevision after, Duration wait,
                KeyValueDone done) override
@@ -306,7 +307,7 @@
         return true;
     }
 
-    void call(std::function<KeyValueResult()> act, KeyValueDone done, bool isChange)
+    void call(std::function<KeyValueResult()> act, const KeyValueDone &done, bool isChange)
     {
         if (fail(done))
             return;
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -18,6 +18,9 @@
 
 namespace monsoonledge {
 
+/// Longer leases are shortened.
+constexpr std::uint64_t FakeMaxLeaseMs = 6000;
+
 using TaskKey = std::tuple<std::string, int, int, int>;
 
 inline TaskKey keyOf(const TaskRef &ref)
@@ -212,9 +215,8 @@
 
     void extend(Worker &worker, std::uint64_t leaseEnd)
     {
-        constexpr std::uint64_t MaxLeaseMs = 6000;
         const std::uint64_t now = clockOf(worker);
-        const std::uint64_t end = std::min(leaseEnd, now + MaxLeaseMs);
+        const std::uint64_t end = std::min(leaseEnd, now + FakeMaxLeaseMs);
         if (end <= now)
             return;
         const Time until = clock_.now() + milliseconds(static_cast<std::int64_t>(end - now));
@@ -230,9 +232,10 @@
         });
     }
 
-    void endRun(Worker &worker, const TaskKey key, RunEnd how)
+    void endRun(Worker &worker, const TaskKey &ended, RunEnd how)
     {
-        const Run run = worker.running.at(key);
+        const Run run = worker.running.at(ended);
+        const TaskKey key = keyOf(run.task); // `ended` may lie in what is removed here
         worker.running.erase(key);
         std::uint64_t &barred = worker.barred[key];
         barred = std::max(barred, run.run.value);
@@ -263,7 +266,7 @@
                 [=](FakeRunners::Worker &target) {
                     return runners_.start(target, order, token, leaseEnd);
                 },
-                std::move(done), true);
+                done, true);
     }
     void stop(const WorkerEntry &worker, const StopOrder &order, FencingToken token,
               WorkerDone done) override
@@ -271,7 +274,7 @@
         send(
                 worker,
                 [=](FakeRunners::Worker &target) { return runners_.stop(target, order, token); },
-                std::move(done), true);
+                done, true);
     }
     void pace(const WorkerEntry &, const PaceOrder &, FencingToken, WorkerDone done) override
     {
@@ -302,7 +305,7 @@
     }
 
     void send(const WorkerEntry &worker, std::function<WorkerCall(FakeRunners::Worker &)> act,
-              WorkerDone done, bool isOrder)
+              const WorkerDone &done, bool isOrder)
     {
         const bool isLate = isOrder && random.unit() < lateShare;
         const Duration delay =
@@ -330,7 +333,8 @@
 
     /// One look, repeated until there is news. A restart of the worker ends it without an answer.
     void look(const WorkerEntry &worker, FencingToken token, std::uint64_t leaseEnd,
-              std::uint64_t acknowledged, Time until, WorkerIncarnation seen, WorkerDone done)
+              std::uint64_t acknowledged, Time until, WorkerIncarnation seen,
+              const WorkerDone &done)
     {
         FakeRunners::Worker *target = reach(worker);
         const bool isRestarted = target && seen.value > 0 && target->entry.incarnation != seen;
