--- /dev/null
+++ b/tests/unit/jobs_test.cpp
@@ -0,0 +1,143 @@
+// Jobs and their records.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "jobs/jobs.h"
+
+using namespace monsoonledge;
+
+namespace {
+
+JobSpec fullSpec()
+{
+    JobSpec spec;
+    spec.id = JobId("5c0e7a21d94b36f8");
+    spec.queue = QueueId("renewal");
+    spec.payload = "text with \"quotes\" and \x01";
+    StepSpec step;
+    step.count = 3;
+    step.cpu.value = 1500;
+    step.memory.value = 300;
+    step.accelerators = 1;
+    step.estimate = milliseconds(900);
+    step.checkpointing = step.gang = step.colocated = true;
+    step.requirement = "gpu";
+    step.affinity = "r1";
+    step.antiAffinity = 2;
+    step.image = "image";
+    step.tailTarget = milliseconds(24);
+    step.maxUnavailable = 1;
+    spec.steps.push_back(step);
+    step.after = {0};
+    step.gang = false;
+    step.longRunning = step.fills = step.speculative = true;
+    spec.steps.push_back(step);
+    spec.occurrences = 4;
+    spec.firstDue.value = 1700000000000;
+    spec.interval = seconds(3);
+    spec.submitted.value = 1700000000123;
+    return spec;
+}
+
+} // namespace
+
+TEST_CASE("a specification survives its record")
+{
+    const JobSpec spec = fullSpec();
+    const std::optional<JobSpec> decoded = decodeSpec(encodeSpec(spec));
+    REQUIRE(decoded);
+    CHECK(encodeSpec(*decoded) == encodeSpec(spec));
+    CHECK(decoded->steps[1].after == std::vector<int>{0});
+    CHECK(decoded->steps[1].fills);
+    CHECK_FALSE(decoded->steps[1].gang);
+    CHECK(decoded->interval == seconds(3));
+}
+
+TEST_CASE("progress survives its record, and its state can be read alone")
+{
+    JobProgress progress;
+    progress.state = JobState::Active;
+    progress.tasks.resize(3);
+    progress.tasks[1] = {TaskPhase::Assigned, {7}, 2, WorkerId("i-1"), {1700}, "checkpoint"};
+    progress.tasks[2].phase = TaskPhase::Done;
+    progress.tasks[2].run.value = 1;
+    const std::string bytes = encodeProgress(progress);
+    const std::optional<JobProgress> decoded = decodeProgress(bytes);
+    REQUIRE(decoded);
+    CHECK(encodeProgress(*decoded) == bytes);
+    CHECK(decoded->tasks[1].worker == WorkerId("i-1"));
+    CHECK(decoded->tasks[1].checkpoint == "checkpoint");
+    for (const JobState state : {JobState::Pending, JobState::Completed, JobState::Cancelled}) {
+        progress.state = state;
+        CHECK(decodeState(encodeProgress(progress)) == state);
+    }
+}
+
+TEST_CASE("damaged records are refused, whatever is damaged")
+{
+    const std::string spec = encodeSpec(fullSpec());
+    JobProgress progress;
+    progress.tasks.resize(2);
+    progress.tasks[0].run.value = 1;
+    const std::string encoded = encodeProgress(progress);
+    for (std::size_t length = 0; length < spec.size(); ++length)
+        CHECK_FALSE(decodeSpec(spec.substr(0, length)));
+    for (std::size_t length = 0; length < encoded.size(); ++length)
+        CHECK_FALSE(decodeProgress(encoded.substr(0, length)));
+    Random random(3);
+    for (int i = 0; i < 5000; ++i) { // must not crash; some changes stay readable
+        std::string bytes = random.below(2) == 0 ? spec : encoded;
+        bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+        decodeSpec(bytes);
+        decodeProgress(bytes);
+        decodeState(bytes);
+    }
+}
+
+TEST_CASE("impossible jobs are refused with the reason")
+{
+    JobSpec spec;
+    CHECK(findJobFault(spec) == "a job needs at least one step");
+    spec.steps.resize(2);
+    CHECK(findJobFault(spec).empty());
+    spec.steps[0].after = {0};
+    CHECK(findJobFault(spec) == "step 0 waits for a step that is not before it");
+    spec.steps[0].after = {};
+    spec.steps[1].after = {1};
+    CHECK(findJobFault(spec) == "step 1 waits for a step that is not before it");
+    spec.steps[1].after = {-1};
+    CHECK_FALSE(findJobFault(spec).empty());
+    spec.steps[1].after = {};
+    spec.steps[1].count = 0;
+    CHECK(findJobFault(spec) == "step 1 has no tasks");
+    spec.steps[1].count = 10001;
+    CHECK_FALSE(findJobFault(spec).empty());
+}
+
+TEST_CASE("the critical path follows the steps")
+{
+    JobSpec spec;
+    spec.steps.resize(3);
+    spec.steps[0].estimate = milliseconds(100);
+    spec.steps[1].estimate = milliseconds(300);
+    spec.steps[2].estimate = milliseconds(50);
+    spec.steps[2].after = {0};
+    CHECK(criticalPath(spec) == milliseconds(300));
+    spec.steps[2].after = {0, 1};
+    CHECK(criticalPath(spec) == milliseconds(350));
+}
+
+TEST_CASE("the longest prefix routes")
+{
+    QueueConfig config;
+    config.queues.resize(2);
+    config.queues[0].id = QueueId("short");
+    config.queues[0].host = config.queues[1].host = "desk.example";
+    config.queues[0].pathPrefix = "/a/";
+    config.queues[1].id = QueueId("long");
+    config.queues[1].pathPrefix = "/a/b/";
+    CHECK(config.route("desk.example", "/a/b/1")->id == QueueId("long"));
+    CHECK(config.route("desk.example", "/a/1")->id == QueueId("short"));
+    CHECK(config.route("desk.example", "/b/1") == nullptr);
+    CHECK(config.route("other.example", "/a/1") == nullptr);
+}
--- /dev/null
+++ b/tests/unit/platform_test.cpp
@@ -0,0 +1,149 @@
+// The platform's settings and messages.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "findings.h"
+#include "platform/platform.h"
+
+#include <cstdio>
+#include <fstream>
+
+using namespace monsoonledge;
+using namespace monsoonledge::platform;
+
+namespace {
+
+std::string writeFile(const std::string &text)
+{
+    const std::string path = "platform_test_settings.yaml";
+    std::ofstream(path) << text;
+    return path;
+}
+
+const char *const Settings = "NodeName: \"edge-a-1\"\n"
+                             "Zone: \"a\"\n"
+                             "Unknown:\n  - 1\n"
+                             "ListenAddresses:\n"
+                             "  Frontend: \"10.1.0.13:8161\"\n"
+                             "  Readiness: \"10.1.0.13:8167\"\n"
+                             "Limits:\n  CpuShare: 0.25\n  CpuCores: 2\n"
+                             "Bounds:\n  GracePeriodS: 6\n  status_s: 120\n  MaxHoldMs: 6000\n"
+                             "platform:\n  Address: \"10.200.1.7:8169\"\n";
+
+} // namespace
+
+TEST_CASE("the settings file is read, unknown fields are ignored")
+{
+    const PlatformSettings settings = loadPlatformSettings(writeFile(Settings));
+    CHECK(settings.nodeName == "edge-a-1");
+    CHECK(settings.clients.port == 8161);
+    CHECK(settings.store.str() == "10.200.1.7:8169");
+    CHECK(settings.cpuShare == doctest::Approx(0.5));
+    CHECK(settings.gracePeriod == seconds(6));
+    CHECK(settings.maxWorkerLease == seconds(6));
+}
+
+TEST_CASE("everything wrong in the settings is reported together with its place")
+{
+    const std::string path = writeFile("NodeName: \"n\"\nZone: \"a\"\n"
+                                       "ListenAddresses:\n  Frontend: \"nowhere\"\n"
+                                       "Limits:\n  CpuShare: \"much\"\n");
+    const std::string findings = findingsOf([&] { loadPlatformSettings(path); });
+    CHECK(findings.find("4: ") != std::string::npos); // the address
+    CHECK(findings.find("6: ") != std::string::npos); // the number
+    CHECK(findings.find("Readiness") != std::string::npos);
+    CHECK(findings.find("platform") != std::string::npos);
+}
+
+TEST_CASE("a job is decoded, absent fields are zero")
+{
+    std::string fault;
+    const std::optional<JobSpec> spec = decodeJob(
+            R"({"TaskSpec":"text","Steps":[{"Count":4,"Cpu":500,"MemMb":256,"EstimatedMs":900,)"
+            R"("Affinity":"r1-3"},{"Count":20,"Cpu":2000,"After":[0],"Checkpointing":true,)"
+            R"("Fills":true,"Image":"i"}]})",
+            fault);
+    REQUIRE(spec);
+    CHECK(spec->steps.size() == 2);
+    CHECK(spec->steps[0].estimate == milliseconds(900));
+    CHECK(spec->steps[0].affinity == "r1-3");
+    CHECK_FALSE(spec->steps[0].fills);
+    CHECK(spec->steps[1].after == std::vector<int>{0});
+    CHECK(spec->steps[1].checkpointing);
+    CHECK(spec->occurrences == 0);
+}
+
+TEST_CASE("jobs that cannot be read or run are refused with the reason")
+{
+    for (const char *text :
+         {"", "[]", "{}", R"({"TaskSpec":1,"Steps":[]})", R"({"TaskSpec":"t","Steps":[]})",
+          R"({"TaskSpec":"t","Steps":[{"Count":0}]})",
+          R"({"TaskSpec":"t","Steps":[{"Count":1,"After":[0]}]})",
+          R"({"TaskSpec":"t","Steps":[{"Count":"many"}]})",
+          R"({"TaskSpec":"t","Steps":[{"Count":1}],"RepeatCount":-1})"}) {
+        std::string fault;
+        CHECK_FALSE(decodeJob(text, fault));
+        CHECK_FALSE(fault.empty());
+    }
+    std::string fault;
+    const std::string longText(4001, 'x');
+    CHECK_FALSE(decodeJob(R"({"TaskSpec":")" + longText + R"(","Steps":[{"Count":1}]})", fault));
+}
+
+TEST_CASE("names of tasks are written and read")
+{
+    const TaskRef task{JobId("5c0e7a21d94b36f8"), 0, 1, 17};
+    CHECK(taskName(task) == "5c0e7a21d94b36f8.0.1.17");
+    CHECK(parseTaskName("5c0e7a21d94b36f8.0.1.17") == task);
+    for (const char *name :
+         {"", "a", "a.0.1", "a.0.1.", "a.0.1.2.3", ".0.1.2", "a.0.-1.2", "a.0.x.1"})
+        CHECK_FALSE(parseTaskName(name));
+}
+
+TEST_CASE("a report of a worker is decoded")
+{
+    const std::optional<RunReport> report = decodeRunReport(
+            R"({"ClockMs":482113,"born":1700,"Running":[["5c0e.0.1.17",2,"cp",41,812]],)"
+            R"("Finished":[[58,"5c0e.0.1.9",1,"done",""]]})");
+    REQUIRE(report);
+    CHECK(report->clock == 482113);
+    CHECK(report->incarnation.value == 1700);
+    CHECK(report->running.at(0).percent == 41);
+    CHECK(report->running.at(0).usage == 812);
+    CHECK(report->finished.at(0).end == RunEnd::Done);
+    CHECK_FALSE(decodeRunReport(R"({"ClockMs":1,"Running":[["bad",1,"",0]],"Finished":[]})"));
+    CHECK_FALSE(
+            decodeRunReport(R"({"ClockMs":1,"Running":[],"Finished":[[1,"a.0.0.0",1,"odd",""]]})"));
+    CHECK_FALSE(decodeRunReport("not json"));
+}
+
+TEST_CASE("entries of workers that cannot be used are refused")
+{
+    const std::string good =
+            R"({"Service":"desk","Address":"10.1.0.9:8080","Zone":"a","Slots":8,"State":"draining",)"
+            R"("RemainingMs":1500,"born":5,"ClockMs":7,)"
+            R"("Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":0},"Labels":["a","r1-3"]})";
+    const std::optional<WorkerEntry> entry = decodeWorkerEntry("servers/i-7f3a91c2", good);
+    REQUIRE(entry);
+    CHECK(entry->id == WorkerId("i-7f3a91c2"));
+    CHECK(entry->draining);
+    CHECK(entry->remaining == milliseconds(1500));
+    CHECK(entry->labels.size() == 2);
+    for (const char *text : {"", "\xff\xfe", "{}", R"({"State":"odd"})", R"({"State":1})", "null"})
+        CHECK_FALSE(decodeWorkerEntry("servers/x", text));
+}
+
+TEST_CASE("a configuration is decoded or refused as a whole")
+{
+    const std::optional<QueueConfig> config = decodeQueueConfig(
+            R"({"ConfigVersion":7,"Routes":[{"Name":"r","Host":"h.example","Prefix":"/p/",)"
+            R"("TimeoutMs":3000,"TargetLatencyMs":300,"Priority":2,"Service":"desk","MaxAttempts":3,)"
+            R"("SlackFactor":1.5}],"Services":[{"Name":"desk","AdmissionControl":true}],"Limits":{}})");
+    REQUIRE(config);
+    CHECK(config->version == 7);
+    CHECK(config->queues.at(0).slackFactor == doctest::Approx(1.5));
+    CHECK(config->queues.at(0).targetLatency == milliseconds(300));
+    CHECK(config->services.at(0).guardsCapacity);
+    CHECK_FALSE(decodeQueueConfig("{}"));
+    CHECK_FALSE(decodeQueueConfig(R"({"ConfigVersion":8,"Routes":5,"Services":[]})"));
+}
--- /dev/null
+++ b/tests/unit/scheduler_test.cpp
@@ -0,0 +1,374 @@
+// Decisions of the scheduler, without any process around it.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "scheduling/scheduling.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace monsoonledge;
+
+namespace {
+
+constexpr int WorkerClockStart = 1000;
+
+/// A scheduler with workers that report at once and a store that takes every record.
+class Bench
+{
+public:
+    explicit Bench(int workerCount, std::uint64_t cpu = 16000, std::uint64_t memory = 64000)
+        : scheduler(
+                {}, seconds(10), [](const LogEvent &) {}, now)
+    {
+        QueueConfig config;
+        config.version = 1;
+        config.queues.push_back(queue("urgent", 0));
+        config.queues.push_back(queue("batch", 2));
+        scheduler.setConfig(config, now);
+        for (int i = 0; i < workerCount; ++i) {
+            WorkerEntry entry;
+            entry.id = WorkerId("w" + std::to_string(i));
+            entry.incarnation.value = 1;
+            entry.service = ServiceId("desk");
+            entry.cpu.value = cpu;
+            entry.memory.value = memory;
+            entry.labels = {"a", i % 2 == 0 ? "r0" : "r1"};
+            entries.push_back(entry);
+        }
+        scheduler.setWorkers(entries, now);
+        report();
+    }
+
+    static QueueSpec queue(const std::string &id, int priority)
+    {
+        QueueSpec spec;
+        spec.id = QueueId(id);
+        spec.service = ServiceId("desk");
+        spec.priority = priority;
+        spec.maxAttempts = 2;
+        spec.slackFactor = 2;
+        spec.targetLatency = milliseconds(300);
+        return spec;
+    }
+
+    static StepSpec step(int count, std::uint64_t cpu = 1000, Duration estimate = milliseconds(500))
+    {
+        StepSpec spec;
+        spec.count = count;
+        spec.cpu.value = cpu;
+        spec.memory.value = 100;
+        spec.estimate = estimate;
+        return spec;
+    }
+
+    void add(const std::string &id, const std::vector<StepSpec> &steps,
+             const std::string &queueId = "urgent")
+    {
+        JobSpec spec;
+        spec.id = JobId(id);
+        spec.queue = QueueId(queueId);
+        spec.steps = steps;
+        scheduler.addJob(spec, std::nullopt, now, now);
+    }
+
+    /// Plans, stores all records, and starts what is ordered.
+    std::vector<StartOrder> run()
+    {
+        scheduler.plan(now);
+        for (const JobChange &change : scheduler.takeChanges(1000))
+            scheduler.onSaved(change.job, change.version, now);
+        const std::vector<StartOrder> starts = scheduler.takeStarts();
+        for (const StartOrder &order : starts) {
+            running[order.worker].push_back({order.task, order.run, {}, 0, 0});
+            scheduler.onStartAnswered(order, StartOutcome::Started, now);
+        }
+        return starts;
+    }
+
+    void report()
+    {
+        for (const WorkerEntry &entry : entries) {
+            if (silent.count(entry.id) > 0)
+                continue;
+            RunReport result;
+            result.clock = WorkerClockStart;
+            result.incarnation = entry.incarnation;
+            result.running = running[entry.id];
+            result.finished = finished[entry.id];
+            scheduler.onReport(entry.id, now, result, now);
+        }
+    }
+
+    void end(const StartOrder &order, RunEnd how)
+    {
+        auto &list = running[order.worker];
+        list.erase(std::remove_if(list.begin(), list.end(),
+                                  [&](const RunningTask &row) { return row.task == order.task; }),
+                   list.end());
+        auto &ends = finished[order.worker];
+        ends.push_back({ends.size() + 1, order.task, order.run, how, {}});
+    }
+
+    JobState state(const std::string &id) const { return scheduler.jobs().at(JobId(id))->state; }
+
+    Time now{std::chrono::hours(1)};
+    Scheduler scheduler;
+    std::vector<WorkerEntry> entries;
+    std::map<WorkerId, std::vector<RunningTask>> running;
+    std::map<WorkerId, std::vector<FinishedTask>> finished;
+    std::set<WorkerId> silent;
+};
+
+} // namespace
+
+TEST_CASE("tasks are placed within the capacity, in the order of the steps")
+{
+    Bench bench(2, 4000);
+    StepSpec second = Bench::step(2);
+    second.after = {0};
+    bench.add("a", {Bench::step(10), second});
+    const std::vector<StartOrder> first = bench.run();
+    CHECK(first.size() == 8); // two workers of four cores
+    for (const StartOrder &order : first)
+        CHECK(order.task.step == 0);
+    for (const StartOrder &order : first)
+        bench.end(order, RunEnd::Done);
+    bench.report();
+    CHECK(bench.run().size() == 2);
+    CHECK(bench.state("a") == JobState::Active);
+}
+
+TEST_CASE("labels, racks, anti-affinity and memory restrict the choice")
+{
+    Bench bench(4, 16000, 1000);
+    StepSpec step = Bench::step(4);
+    step.antiAffinity = 1;
+    bench.add("apart", {step});
+    std::set<WorkerId> used;
+    for (const StartOrder &order : bench.run())
+        used.insert(order.worker);
+    CHECK(used.size() == 4);
+
+    step = Bench::step(2);
+    step.requirement = "gpu";
+    bench.add("nowhere", {step});
+    CHECK(bench.run().empty());
+
+    step = Bench::step(2);
+    step.affinity = "r1";
+    bench.add("near", {step});
+    for (const StartOrder &order : bench.run())
+        CHECK((order.worker.str() == "w1" || order.worker.str() == "w3"));
+
+    step = Bench::step(1);
+    step.memory.value = 2000;
+    bench.add("large", {step});
+    CHECK(bench.run().empty());
+}
+
+TEST_CASE("a gang is started as a whole or not at all")
+{
+    Bench bench(1, 4000);
+    StepSpec gang = Bench::step(5);
+    gang.gang = true;
+    bench.add("toowide", {gang});
+    CHECK(bench.run().empty());
+    gang.count = 4;
+    bench.add("fits", {gang});
+    const std::vector<StartOrder> starts = bench.run();
+    CHECK(starts.size() == 4);
+    bench.end(starts.front(), RunEnd::Done); // one end stands for all
+    bench.report();
+    CHECK(bench.state("fits") == JobState::Completed);
+}
+
+TEST_CASE("under a flood, jobs that can meet their objective come before late ones")
+{
+    // 40 jobs at once for room for 4, then one more that could still be on time.
+    Bench bench(1, 4000);
+    for (int i = 0; i < 40; ++i)
+        bench.add("flood" + std::to_string(i), {Bench::step(1)});
+    std::vector<StartOrder> current = bench.run();
+    CHECK(current.size() == 4);
+    bench.now += seconds(3); // the objective of the flood has passed
+    bench.report();
+    bench.add("fresh", {Bench::step(1)});
+    for (const StartOrder &order : current)
+        bench.end(order, RunEnd::Done);
+    bench.report();
+    current = bench.run();
+    REQUIRE(current.size() == 4);
+    CHECK(current.front().task.job.str() == "fresh");
+}
+
+TEST_CASE("a task is not started again where it has failed, and ends after its attempts")
+{
+    Bench bench(2);
+    bench.add("a", {Bench::step(1)});
+    const StartOrder first = bench.run().at(0);
+    bench.end(first, RunEnd::Failed);
+    bench.report();
+    const StartOrder second = bench.run().at(0);
+    CHECK(second.worker != first.worker);
+    CHECK(second.run.value == 2);
+    bench.end(second, RunEnd::Failed);
+    bench.report();
+    CHECK(bench.state("a") == JobState::Failed);
+}
+
+TEST_CASE("a worker that fails runs of several jobs is set aside and tried with one task")
+{
+    Bench bench(2);
+    std::vector<StartOrder> starts;
+    for (int i = 0; i < 8; ++i) {
+        StepSpec step = Bench::step(1);
+        step.affinity = "r0";
+        bench.add("job" + std::to_string(i), {step});
+    }
+    for (const StartOrder &order : bench.run())
+        bench.end(order, RunEnd::Failed);
+    bench.report();
+    for (const StartOrder &order : bench.run())
+        CHECK(order.worker.str() == "w1");
+    bench.now += seconds(5);
+    bench.report();
+    for (int i = 0; i < 4; ++i) {
+        StepSpec step = Bench::step(1);
+        step.affinity = "r0";
+        bench.add("later" + std::to_string(i), {step});
+    }
+    int onTrial = 0;
+    for (const StartOrder &order : bench.run())
+        onTrial += order.worker.str() == "w0" ? 1 : 0;
+    CHECK(onTrial == 1);
+}
+
+TEST_CASE("a start without an answer is stopped before the task runs elsewhere")
+{
+    Bench bench(2);
+    bench.add("a", {Bench::step(1)});
+    bench.scheduler.plan(bench.now);
+    for (const JobChange &change : bench.scheduler.takeChanges(10))
+        bench.scheduler.onSaved(change.job, change.version, bench.now);
+    const StartOrder order = bench.scheduler.takeStarts().at(0);
+    bench.scheduler.onStartAnswered(order, StartOutcome::Unknown, bench.now);
+    bench.now += milliseconds(100);
+    bench.report(); // the run is not there, but may come
+    bench.scheduler.plan(bench.now);
+    CHECK(bench.scheduler.takeStarts().empty());
+    const std::vector<StopOrder> stops = bench.scheduler.takeStops();
+    REQUIRE(stops.size() == 1);
+    bench.scheduler.onStopAnswered(stops.front(), true, bench.now);
+    bench.now += milliseconds(100);
+    bench.report();
+    const std::vector<StartOrder> again = bench.run();
+    REQUIRE(again.size() == 1);
+    CHECK(again.front().run.value == 2);
+}
+
+TEST_CASE("ends are acknowledged only after the record of their job is stored")
+{
+    Bench bench(1);
+    bench.add("a", {Bench::step(1)});
+    const StartOrder order = bench.run().at(0);
+    bench.end(order, RunEnd::Done);
+    bench.report();
+    CHECK(bench.scheduler.acknowledgeable(order.worker) == 0);
+    CHECK(bench.scheduler.hasPendingEnds(order.worker));
+    for (const JobChange &change : bench.scheduler.takeChanges(10))
+        bench.scheduler.onSaved(change.job, change.version, bench.now);
+    CHECK(bench.scheduler.acknowledgeable(order.worker) == 1);
+}
+
+TEST_CASE("filling tasks start only where processors are left, and stand still for serving tasks")
+{
+    Bench bench(1, 10000);
+    StepSpec serving = Bench::step(1, 8000);
+    serving.longRunning = true;
+    serving.image = "desk";
+    serving.tailTarget = milliseconds(100);
+    bench.add("serving", {serving});
+    REQUIRE(bench.run().size() == 1);
+    StepSpec fill = Bench::step(20, 2000);
+    fill.fills = true;
+    fill.image = "report";
+    bench.add("fill", {fill}, "batch");
+    const std::size_t started = bench.run().size();
+    CHECK(started >= 1);
+    CHECK(started <= 4); // about half of the serving task's processors are idle
+    // The serving task stays over its target for two seconds.
+    for (int i = 0; i < 5; ++i) {
+        for (RunningTask &row : bench.running[WorkerId("w0")]) {
+            const bool isServing = row.task.job.str() == "serving";
+            row.percent = isServing ? 100 : 10;
+            row.usage = isServing ? 300 : 1800;
+        }
+        bench.now += milliseconds(500);
+        bench.report();
+    }
+    std::map<int, int> lastPace;
+    for (const PaceOrder &order : bench.scheduler.takePaces())
+        lastPace[order.task.index] = order.percent;
+    CHECK(lastPace.size() == started);
+    for (const auto &[index, pace] : lastPace)
+        CHECK(pace == 0);
+}
+
+TEST_CASE("serving tasks of one image share workers")
+{
+    Bench bench(4, 16000);
+    for (const char *image : {"x", "y", "x", "y", "x", "y", "x", "y"}) {
+        StepSpec step = Bench::step(1, 4000);
+        step.longRunning = true;
+        step.image = image;
+        step.tailTarget = milliseconds(100);
+        bench.add(std::string("serving-") + std::to_string(bench.scheduler.jobs().size()) + image,
+                  {step});
+    }
+    std::map<WorkerId, std::set<char>> images;
+    for (const StartOrder &order : bench.run())
+        images[order.worker].insert(order.task.job.str().back());
+    CHECK(images.size() == 2);
+    for (const auto &[worker, kinds] : images)
+        CHECK(kinds.size() == 1);
+}
+
+TEST_CASE("the tasks of a lasting job that runs already stop others when there is no room")
+{
+    Bench bench(1, 4000);
+    StepSpec lasting = Bench::step(1, 2000);
+    lasting.longRunning = true;
+    bench.add("lasting", {lasting});
+    const StartOrder first = bench.run().at(0);
+    bench.add("other", {Bench::step(8)});
+    CHECK(bench.run().size() == 2);
+    bench.end(first, RunEnd::Failed);
+    bench.report();
+    bench.add("more", {Bench::step(2)});
+    const std::vector<StartOrder> again = bench.run();
+    REQUIRE_FALSE(again.empty());
+    CHECK(again.front().task.job.str() == "lasting"); // before what waits for room
+}
+
+TEST_CASE("occurrences become due by the time of day")
+{
+    Bench bench(1);
+    JobSpec spec;
+    spec.id = JobId("timed");
+    spec.queue = QueueId("batch");
+    spec.steps = {Bench::step(1)};
+    spec.occurrences = 3;
+    spec.firstDue.value = 5000;
+    spec.interval = seconds(2);
+    bench.scheduler.setWallClock({4000}, bench.now);
+    bench.scheduler.addJob(spec, std::nullopt, bench.now, bench.now);
+    CHECK(bench.run().empty());
+    bench.now += milliseconds(1001);
+    bench.report();
+    CHECK(bench.run().size() == 1);
+    bench.now += milliseconds(2000);
+    bench.report();
+    CHECK(bench.run().size() == 1); // overlaps the first
+}
