--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -453,6 +453,8 @@
                                     depose("a worker has seen a newer coordinator", later);
                                 scheduler_->onStopAnswered(order, call.status == CallStatus::Ok,
                                                            later);
+                                if (call.status == CallStatus::Ok)
+                                    look(order.worker, later);
                                 planSoon();
                             });
     }
@@ -509,6 +511,8 @@
                                  {"run", std::to_string(order.run.value)}}});
                 }
                 scheduler_->onStartAnswered(order, outcome, later);
+                if (outcome == StartOutcome::Unknown)
+                    look(order.worker, later);
                 planSoon();
             });
 }
@@ -616,6 +620,26 @@
                          });
 }
 
+/// Asks for a worker's lists at once, beside a renewal that may be waiting there: a task whose
+/// start or stop was not clear waits for them.
+void Coordinator::look(const WorkerId &id, Time now)
+{
+    const auto worker = scheduler_->workers().find(id);
+    const auto link = links_.find(id);
+    if (worker == scheduler_->workers().end() || link == links_.end() || !link->second.isConfirmed)
+        return;
+    ports_.workers.renew(worker->second->entry, token_, 0, scheduler_->acknowledgeable(id),
+                         Duration::zero(),
+                         [this, id, sentAt = now,
+                          alive = std::weak_ptr<int>(alive_)](const WorkerCall &call, Time later) {
+                             // Without an answer, the waiting renewal shows the same later.
+                             if (alive.expired() || isDeposed_ || call.status != CallStatus::Ok)
+                                 return;
+                             scheduler_->onReport(id, sentAt, call.report, later);
+                             planSoon();
+                         });
+}
+
 void Coordinator::onRenewed(const WorkerId &id, Time sentAt, const WorkerCall &call, Time now)
 {
     Link &link = links_[id];
@@ -625,9 +649,10 @@
         return;
     }
     if (call.status != CallStatus::Ok) {
-        link.isConfirmed = false;
+        // After a first failure the worker is asked again at once: the answer may have been lost.
+        const bool isFirst = std::exchange(link.isConfirmed, false);
         ports_.log({LogLevel::Info, "worker-unreachable", call.detail, {{"worker", id.str()}}});
-        link.nextAt = now + RenewRetryDelay;
+        link.nextAt = isFirst ? now : now + RenewRetryDelay;
         scheduler_->onUnreachable(id);
         planSoon();
         return;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -407,6 +407,7 @@
     void sendStart(const StartOrder &order, Time now);
     void renewLeases(Time now);
     void renew(const WorkerEntry &worker, Link &link, Time now);
+    void look(const WorkerId &id, Time now);
     void updateUnreached(const ScheduledWorker &worker, Link &link, Time now);
     void writeUnreached(const WorkerId &id, bool isUnreached);
     void onUnreachedLoaded(const std::vector<KeyValue> &items, Time now);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Duration StopRetryDelay = seconds(1);
+constexpr Duration StopRetryDelay = milliseconds(600);
 constexpr std::size_t MaxListedEnds = 500; // a worker's list of ends is cut at this length
 
 /// The entry of an image, added if the table is shorter.
