--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -251,8 +251,9 @@
     int repeatsPerMinute = 60; // lines of one event; the rest is counted and reported
 };
 
-/// Writes log events to standard error as JSON lines with the fields time (UTC, RFC 3339), level,
-/// event, domain, entry, host, message and the event's own fields.
+/// Writes log events to standard output as JSON lines with the fields time (UTC, RFC 3339), level,
+/// event, domain, entry, host, message and the event's own fields. Never waits for a slow reader: a
+/// line for which the pipe has no room is left out and counted.
 class Logger
 {
 public:
@@ -269,8 +270,11 @@
         int suppressed = 0;
     };
 
+    bool writeLine(const LogEvent &event);
+
     LoggerSettings settings_;
     LogLevel level_ = LogLevel::Info;
+    int dropped_ = 0; // lines since the last one that was written
     std::map<std::string, Suppression> suppressions_;
 };
 
--- a/src/adapters/logger.cpp
+++ b/src/adapters/logger.cpp
@@ -3,11 +3,15 @@
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <stdexcept>
+#include <utility>
 
 #include <ctime>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -41,7 +45,16 @@
     return std::string(text.data(), length) + '.' + fraction + 'Z';
 }
 
-void writeLine(const LoggerSettings &settings, const LogEvent &event)
+constexpr std::size_t MaxLineBytes = 4000; // a pipe that is writable has room for 4096
+
+/// True if a line can be written without waiting for the reader.
+bool isWritable()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return poll(&output, 1, 0) != 0 || output.revents != 0;
+}
+
+std::string formatLine(const LoggerSettings &settings, const LogEvent &event)
 {
     nlohmann::ordered_json line;
     line["time"] = utcTime();
@@ -55,9 +68,14 @@
         // A field with the name of a standard one must not replace it.
         line[line.contains(name) ? "field." + name : name] = value;
     }
-    // All lines use one easylogging++ level: levels are filtered here, and easylogging++ compiles
-    // its debug level out of builds with NDEBUG.
-    CLOG(INFO, LoggerId) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (text.size() <= MaxLineBytes)
+        return text;
+    LogEvent shortened = event;
+    shortened.message.resize(std::min(shortened.message.size(), MaxLineBytes / 4));
+    for (auto &[name, value] : shortened.fields)
+        value.resize(std::min(value.size(), MaxLineBytes / 4 / event.fields.size()));
+    return formatLine(settings, shortened);
 }
 
 } // namespace
@@ -80,6 +98,19 @@
     settings_.level = level;
 }
 
+/// Returns false if the line was left out.
+bool Logger::writeLine(const LogEvent &event)
+{
+    if (!isWritable()) {
+        ++dropped_;
+        return false;
+    }
+    // All lines use one easylogging++ level: levels are filtered here, and easylogging++ compiles
+    // its debug level out of builds with NDEBUG.
+    CLOG(INFO, LoggerId) << formatLine(settings_, event);
+    return true;
+}
+
 void Logger::write(const LogEvent &event, Time now)
 {
     if (event.level < level_)
@@ -88,11 +119,11 @@
         if (now - suppression.windowStart < minutes(1))
             continue;
         if (suppression.suppressed > 0) {
-            writeLine(settings_, {LogLevel::Warning,
-                                  "log-lines-suppressed",
-                                  "lines of one event were left out because of their number",
-                                  {{"suppressedEvent", name},
-                                   {"count", std::to_string(suppression.suppressed)}}});
+            writeLine({LogLevel::Warning,
+                       "log-lines-suppressed",
+                       "lines of one event were left out because of their number",
+                       {{"suppressedEvent", name},
+                        {"count", std::to_string(suppression.suppressed)}}});
         }
         suppression = {now, 0, 0};
     }
@@ -103,7 +134,13 @@
         return;
     }
     ++suppression.written;
-    writeLine(settings_, event);
+    if (!writeLine(event) || dropped_ == 0)
+        return;
+    const int dropped = std::exchange(dropped_, 0);
+    writeLine({LogLevel::Warning,
+               "log-lines-dropped",
+               "lines were left out because the reader of the log was too slow",
+               {{"count", std::to_string(dropped)}}});
 }
 
 } // namespace monsoonledge
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -471,6 +471,8 @@
 
     bool isReady(Time now) const;
     bool isCoordinator() const { return coordinator_ != nullptr; }
+    /// Null in all processes but one.
+    const Coordinator *coordinator() const { return coordinator_.get(); }
     /// The configuration in force. Version 0: none yet.
     const QueueConfig &config() const { return config_; }
     /// True if the store has answered lately.
@@ -488,6 +490,7 @@
 private:
     void onConfigItems(const std::vector<KeyValue> &items, Time now);
     void onRecordItems(const std::vector<KeyValue> &items, Time now);
+    void checkStore();
     void readState(const JobId &id, JobState known, StateDone done);
     void followJobs();
     void standLater();
@@ -510,6 +513,7 @@
     std::unique_ptr<PrefixWatch> jobsWatch_;
     std::unique_ptr<Coordinator> coordinator_;
     LeaseId lease_;
+    bool hasStore_ = true; // as last logged
     bool hasRecord_ = false; // some process holds the coordinator's record
     bool isStanding_ = false; // this process tries to get it
     bool isDraining_ = false;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration ContactLimit = milliseconds(2600); // without an answer, the store counts as away
+constexpr Duration StoreCheckInterval = milliseconds(500);
 constexpr Duration MaxStandDelay = milliseconds(250); // of the weakest host
 constexpr std::uint64_t StandJitterMs = 60;
 constexpr Duration StandRetryDelay = milliseconds(300);
@@ -55,6 +56,23 @@
     configWatch_->start();
     recordWatch_->start();
     followJobs();
+    checkStore();
+}
+
+/// Logs when the store is lost and when it is there again.
+void FleetNode::checkStore()
+{
+    ports_.timers.after(StoreCheckInterval, [this, alive = std::weak_ptr<int>(alive_)](Time now) {
+        if (alive.expired())
+            return;
+        const bool isThere = reachesStore(now);
+        if (isThere != hasStore_)
+            log(isThere ? LogLevel::Info : LogLevel::Warning,
+                isThere ? "store-regained" : "store-lost",
+                isThere ? "the store answers again" : "the store has not answered for 2.6 s");
+        hasStore_ = isThere;
+        checkStore();
+    });
 }
 
 void FleetNode::followJobs()
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -155,6 +155,7 @@
 
 void Scheduler::assignJob(ScheduledJob &job, Time now)
 {
+    std::vector<const ScheduledTask *> assigned;
     int refusedStep = -1; // tasks of one step need the same; if one finds no worker, none does
     for (ScheduledTask &task : job.tasks) {
         const int step =
@@ -168,6 +169,7 @@
         }
         if (ScheduledWorker *worker = choose(task, now)) {
             assign(task, *worker);
+            assigned.push_back(&task);
             continue;
         }
         if (task.failedOn.empty())
@@ -176,6 +178,7 @@
             && now - task.waitingSince > settings_.preemptAfter)
             makeRoom(task, now);
     }
+    logAssigned(job, assigned, now);
 }
 
 /// Assigns all tasks of a gang, or none.
@@ -214,6 +217,7 @@
         members[i]->progress.checkpoint = checkpoint;
         assign(*members[i], *chosen[i]);
     }
+    logAssigned(job, {members.begin(), members.end()}, now);
 }
 
 ScheduledWorker *Scheduler::choose(const ScheduledTask &task, Time now) const
@@ -263,6 +267,34 @@
     return best;
 }
 
+/// One line for all tasks of a job that are assigned at once: a line for each would cost a
+/// coordinator more than the decisions.
+void Scheduler::logAssigned(const ScheduledJob &job,
+                            const std::vector<const ScheduledTask *> &tasks, Time now) const
+{
+    if (tasks.empty())
+        return;
+    std::string list; // "occurrence.step.index#run@worker", separated by spaces
+    Duration oldestReport{};
+    for (const ScheduledTask *task : tasks) {
+        list += std::to_string(task->ref.occurrence) + '.' + std::to_string(task->ref.step) + '.'
+                + std::to_string(task->ref.index) + '#' + std::to_string(task->progress.run.value)
+                + '@' + task->progress.worker.str() + ' ';
+        if (task->worker)
+            oldestReport = std::max(oldestReport, now - task->worker->lastReport);
+    }
+    list.pop_back();
+    const auto millis = [](Duration duration) { return std::to_string(duration.count() / 1000); };
+    log_({LogLevel::Info,
+          "tasks-assigned",
+          "tasks are to run on workers",
+          {{"job", job.spec.id.str()},
+           {"tasks", list},
+           {"waitedMs", millis(now - tasks.front()->waitingSince)},
+           {"objectiveInMs", millis(objectiveOf(job) - now)},
+           {"oldestReportMs", millis(oldestReport)}}});
+}
+
 void Scheduler::assign(ScheduledTask &task, ScheduledWorker &worker)
 {
     ScheduledJob &job = *task.job;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -12,12 +12,6 @@
 constexpr double DurationRate = 0.03; // of each run, in the factor between estimates and durations
 constexpr double MaxDurationFactor = 5;
 
-std::string describe(const TaskRef &ref)
-{
-    return ref.job.str() + '.' + std::to_string(ref.occurrence) + '.' + std::to_string(ref.step)
-           + '.' + std::to_string(ref.index);
-}
-
 const char *endName(RunEnd end)
 {
     switch (end) {
@@ -39,6 +33,12 @@
 
 } // namespace
 
+std::string describe(const TaskRef &ref)
+{
+    return ref.job.str() + '.' + std::to_string(ref.occurrence) + '.' + std::to_string(ref.step)
+           + '.' + std::to_string(ref.index);
+}
+
 Scheduler::Scheduler(SchedulingSettings settings, Duration lostLeaseAfter, LogHook log, Time now)
     : settings_(settings), lostLeaseAfter_(lostLeaseAfter), log_(std::move(log)), startedAt_(now)
 { }
@@ -179,6 +179,15 @@
     const auto it = jobs_.find(id);
     if (it == jobs_.end() || isFinal(it->second->state))
         return;
+    const ScheduledJob &job = *it->second;
+    const auto running =
+            std::count_if(job.tasks.begin(), job.tasks.end(), [](const ScheduledTask &task) {
+                return task.progress.phase == TaskPhase::Assigned;
+            });
+    log_({LogLevel::Info,
+          "job-cancelled",
+          "nothing more of the job is started, and its runs are stopped",
+          {{"job", id.str()}, {"runs", std::to_string(running)}}});
     finish(*it->second, JobState::Cancelled, now);
 }
 
@@ -254,14 +263,6 @@
 {
     ScheduledJob &job = *task.job;
     const StepSpec &step = stepOf(task);
-    log_({LogLevel::Info,
-          "run-ended",
-          "a run of a task has ended",
-          {{"job", job.spec.id.str()},
-           {"task", describe(task.ref)},
-           {"run", std::to_string(task.progress.run.value)},
-           {"worker", task.progress.worker.str()},
-           {"end", endName(end)}}});
     if (!checkpoint.empty())
         task.progress.checkpoint = checkpoint;
     if (end == RunEnd::Done) {
@@ -269,8 +270,16 @@
         release(task);
         task.knowledge = RunKnowledge::None;
         task.progress.phase = TaskPhase::Done;
-        ++job.doneTasks[static_cast<std::size_t>(task.ref.occurrence) * job.spec.steps.size()
-                        + static_cast<std::size_t>(task.ref.step)];
+        int &done =
+                job.doneTasks[static_cast<std::size_t>(task.ref.occurrence) * job.spec.steps.size()
+                              + static_cast<std::size_t>(task.ref.step)];
+        if (++done == step.count)
+            log_({LogLevel::Info,
+                  "step-done",
+                  "all tasks of a step are done",
+                  {{"job", job.spec.id.str()},
+                   {"step", std::to_string(task.ref.step)},
+                   {"tasks", std::to_string(done)}}});
         markChanged(job);
         if (step.gang) { // one end stands for all members
             for (ScheduledTask &other : job.tasks) {
@@ -282,6 +291,14 @@
         updateState(job, now);
         return;
     }
+    log_({LogLevel::Info,
+          "run-ended",
+          "a run of a task has ended without success",
+          {{"job", job.spec.id.str()},
+           {"task", describe(task.ref)},
+           {"run", std::to_string(task.progress.run.value)},
+           {"worker", task.progress.worker.str()},
+           {"end", endName(end)}}});
     Duration delay{};
     if (end == RunEnd::Failed) {
         ++task.progress.failures;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -365,6 +365,7 @@
     void updateState(ScheduledJob &job, Time now);
     bool isRunnable(const ScheduledJob &job, const ScheduledTask &task) const;
 
+    void logListed(const WorkerEntry &entry);
     void reserve(ScheduledWorker &worker, ScheduledTask &task);
     void release(ScheduledTask &task);
     void makeWaiting(ScheduledTask &task, Duration delay, Time now);
@@ -400,6 +401,8 @@
     void assignGang(ScheduledJob &job, int occurrence, int step, Time now);
     ScheduledWorker *choose(const ScheduledTask &task, Time now) const;
     void assign(ScheduledTask &task, ScheduledWorker &worker);
+    void logAssigned(const ScheduledJob &job, const std::vector<const ScheduledTask *> &tasks,
+                     Time now) const;
     void makeRoom(const ScheduledTask &task, Time now);
 
     SchedulingSettings settings_;
@@ -419,6 +422,9 @@
     std::vector<PaceOrder> paces_;
 };
 
+/// "job.occurrence.step.index", for logs.
+std::string describe(const TaskRef &ref);
+
 /// Share of a worker's idle processors that a task which fills would get there, at most 1.
 double expectedFillShare(const ScheduledWorker &worker, const StepSpec &step,
                          const SchedulingSettings &settings);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/scheduling.h"
 
 #include <algorithm>
+#include <set>
 
 namespace monsoonledge {
 
@@ -22,8 +23,11 @@
 
 void Scheduler::setWorkers(const std::vector<WorkerEntry> &entries, Time now)
 {
-    for (auto &[id, worker] : workers_)
-        worker->listed = false;
+    std::set<WorkerId> wasListed;
+    for (auto &[id, worker] : workers_) {
+        if (std::exchange(worker->listed, false))
+            wasListed.insert(id);
+    }
     for (const WorkerEntry &entry : entries) {
         std::unique_ptr<ScheduledWorker> &worker = workers_[entry.id];
         if (!worker) {
@@ -40,15 +44,36 @@
             worker->pendingEnds.clear();
             worker->failuresInRow = 0;
         }
+        const bool isNew = worker->entry.id.isEmpty();
+        if (isNew || entry.draining != worker->entry.draining
+            || entry.incarnation != worker->entry.incarnation)
+            logListed(entry);
         worker->entry = entry;
         worker->listed = true;
     }
+    for (const auto &[id, worker] : workers_) {
+        if (wasListed.count(id) > 0 && !worker->listed)
+            log_({LogLevel::Info,
+                  "worker-unlisted",
+                  "the worker is no longer in the registry",
+                  {{"worker", id.str()}, {"runs", std::to_string(worker->tasks.size())}}});
+    }
     for (auto it = workers_.begin(); it != workers_.end();) {
         const bool isObsolete = !it->second->listed && it->second->tasks.empty();
         it = isObsolete ? workers_.erase(it) : std::next(it);
     }
 }
 
+void Scheduler::logListed(const WorkerEntry &entry)
+{
+    log_({LogLevel::Info,
+          "worker-listed",
+          entry.draining ? "the worker leaves; it gets no new task" : "the worker can be used",
+          {{"worker", entry.id.str()},
+           {"incarnation", std::to_string(entry.incarnation.value)},
+           {"state", entry.draining ? "draining" : "ready"}}});
+}
+
 void Scheduler::reserve(ScheduledWorker &worker, ScheduledTask &task)
 {
     const StepSpec &step = stepOf(task);
--- a/tests/unit/logger_test.cpp
+++ b/tests/unit/logger_test.cpp
@@ -12,12 +12,12 @@
 
 namespace {
 
-/// Collects what is written to standard error during its lifetime.
+/// Collects what is written to standard output during its lifetime.
 class Capture
 {
 public:
-    Capture() : original_(std::cerr.rdbuf(text_.rdbuf())) { }
-    ~Capture() { std::cerr.rdbuf(original_); }
+    Capture() : original_(std::cout.rdbuf(text_.rdbuf())) { }
+    ~Capture() { std::cout.rdbuf(original_); }
     Capture(const Capture &) = delete;
     Capture &operator=(const Capture &) = delete;
 
