--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -45,6 +45,18 @@
              {},
              {},
              runPlatformServe},
+            {"platform check",
+             "FILE",
+             "check a settings file of the users' platform",
+             {"file"},
+             {"file"},
+             runPlatformCheck},
+            {"explain",
+             "ID LOG...",
+             "print the history of a job from the logs of all hosts, with the cause of its end",
+             {"job", "log"},
+             {"job", "log"},
+             runExplain},
             {"sheet check", "FILE", "check a daily sheet", {"file"}, {"file"}, runSheetCheck},
             {"sheet diff",
              "FILE [--against FILE]",
@@ -191,7 +203,8 @@
 {
     std::string text = "--help";
     for (const char *name : command.options) {
-        if (std::string(name) != "file")
+        const std::string option = name;
+        if (option != "file" && option != "job" && option != "log")
             text.append(", --").append(name);
     }
     return text;
@@ -228,12 +241,18 @@
     for (const char *name : command.options) {
         if (std::string(name) == "json")
             description.add_options()(name, "");
+        else if (std::string(name) == "log")
+            description.add_options()(name, po::value<std::vector<std::string>>(), "");
         else if (command.severalEntries && std::string(name) == "entry")
             description.add_options()(name, po::value<std::vector<std::string>>(), "");
         else
             description.add_options()(name, po::value<std::string>(), "");
         if (std::string(name) == "file")
             positional.add(name, 1);
+        if (std::string(name) == "job")
+            positional.add(name, 1);
+        if (std::string(name) == "log")
+            positional.add(name, -1); // all that follow
     }
     // Abbreviated options would change their meaning when a new option is added.
     const int style = po::command_line_style::unix_style & ~po::command_line_style::allow_guessing;
@@ -294,11 +313,16 @@
 void fillContext(const Command &command, const po::variables_map &values, CommandContext &context)
 {
     for (const char *name : command.required) {
-        if (textOf(values, name, nullptr).empty())
+        const bool isGiven = std::string(name) == "log" ? values.count(name) > 0
+                                                        : !textOf(values, name, nullptr).empty();
+        if (!isGiven)
             throw UsageError("'" + std::string(command.name) + "': an argument is missing: write "
                              + command.name + ' ' + command.arguments);
     }
     context.file = textOf(values, values.count("config") > 0 ? "config" : "file", nullptr);
+    context.job = textOf(values, "job", nullptr);
+    if (values.count("log") > 0)
+        context.logs = values["log"].as<std::vector<std::string>>();
     context.against = textOf(values, "against", nullptr);
     context.author = textOf(values, "author", "USER");
     if (context.author.empty())
@@ -358,7 +382,7 @@
 int runCommandLine(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err)
 {
     const Address entry{"127.0.0.1", 8080};
-    CommandContext context{{}, {}, {}, {}, {}, entry, {entry}, {}, false, out, err};
+    CommandContext context{{}, {}, {}, {}, {}, {}, {}, entry, {entry}, {}, false, out, err};
     try {
         return runArguments(arguments, context);
     } catch (const UsageError &error) {
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -17,6 +17,8 @@
 struct CommandContext
 {
     std::string file; // or the name of a member, for member remove
+    std::string job; // explain: the job's id
+    std::vector<std::string> logs; // explain: files
     std::string against; // sheet diff: compare with this file; empty: with the sheet in force
     std::string author; // sheet put: recorded with the sheet
     std::string token; // sent as a bearer token; empty: none
@@ -32,6 +34,8 @@
 int runServe(const CommandContext &context);
 int runConfigCheck(const CommandContext &context);
 int runPlatformServe(const CommandContext &context);
+int runPlatformCheck(const CommandContext &context);
+int runExplain(const CommandContext &context);
 int runSheetCheck(const CommandContext &context);
 int runSheetDiff(const CommandContext &context);
 int runSheetPut(const CommandContext &context);
--- a/src/app/processcommands.cpp
+++ b/src/app/processcommands.cpp
@@ -1,4 +1,4 @@
-// Commands on one entry process: serve, platform serve, config check and status.
+// Commands on one entry process: serve, platform serve, their checks, and status.
 #include "app/client.h"
 #include "app/commands.h"
 #include "app/exitcodes.h"
@@ -19,6 +19,14 @@
     return platform::servePlatform();
 }
 
+int runPlatformCheck(const CommandContext &context)
+{
+    const platform::PlatformSettings settings = platform::loadPlatformSettings(context.file);
+    context.out << context.file << ": valid settings of " << settings.nodeName << " in domain "
+                << settings.domain << ", store at " << settings.store.str() << '\n';
+    return ExitSuccess;
+}
+
 int runConfigCheck(const CommandContext &context)
 {
     const Settings settings = loadSettings(context.file);
