--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -39,6 +39,8 @@
     void stop();
     /// CLOCK_BOOTTIME: it goes on while the host is suspended.
     Time now() const;
+    /// Time of day in milliseconds since 1970. It may jump.
+    static std::uint64_t wallMilliseconds();
 
     TimerId after(Duration delay, std::function<void(Time now)> callback) override;
     void cancel(TimerId id) override;
--- a/src/adapters/eventloop.cpp
+++ b/src/adapters/eventloop.cpp
@@ -121,6 +121,14 @@
     return Time(seconds(ts.tv_sec) + microseconds(ts.tv_nsec / 1000));
 }
 
+std::uint64_t EventLoop::wallMilliseconds()
+{
+    timespec ts{};
+    clock_gettime(CLOCK_REALTIME, &ts);
+    return static_cast<std::uint64_t>(ts.tv_sec) * 1000
+           + static_cast<std::uint64_t>(ts.tv_nsec / 1000000);
+}
+
 TimerId EventLoop::after(Duration delay, std::function<void(Time now)> callback)
 {
     auto timer = std::make_unique<Private::Timer>();
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -1,11 +1,13 @@
+// The coordinator's records: loading, what clients and workers write, and its own changes. Its
+// orders to workers are in orders.cpp.
+//
 // Sections:
 //   [1] Loading
 //   [2] Input
 //   [3] Records
-//   [4] Orders
-//   [5] Leases of workers
 #include "fleet/fleet.h"
 
+#include "fleet/coordinator_p.h"
 #include "fleet/keys_p.h"
 
 #include <algorithm>
@@ -21,15 +23,6 @@
 constexpr Duration CleanupInterval = seconds(2);
 constexpr std::size_t ChangesPerWrite = (MaxTransactionEntries - 1) / 2;
 constexpr std::size_t RemovalsPerWrite = (MaxTransactionEntries - 1) / 3; // three keys a job
-constexpr Duration RenewRetryDelay = milliseconds(250); // after a failed renewal
-constexpr Duration AwaitSaveLimit = milliseconds(400); // then a renewal does not wait any longer
-constexpr Duration PressedRenewWait = milliseconds(350); // serving tasks near their targets
-constexpr Duration IdleRenewWait = milliseconds(1900); // nothing runs there
-constexpr Duration SilenceBeforeLapse = milliseconds(1500); // then a lease is not renewed any more
-constexpr double WorkerClockRate = 0.975; // a worker's clock may be 2% slow
-constexpr Duration LapseMargin = milliseconds(150);
-constexpr double ReachedShare = 0.4; // of the workers, for a coordinator that stays
-constexpr Duration ReachGrace = seconds(4); // after its start
 constexpr Duration MaxJobAge = seconds(600);
 
 std::optional<std::uint64_t> parseDecimal(const std::string &text)
@@ -42,11 +35,6 @@
     return value;
 }
 
-std::int64_t toMillis(Duration duration)
-{
-    return duration.count() / 1000;
-}
-
 } // namespace
 
 // [1] Loading
@@ -434,258 +422,4 @@
     (void)now;
 }
 
-// [4] Orders
-
-void Coordinator::sendOrders(Time now)
-{
-    for (const StartOrder &order : scheduler_->takeStarts())
-        sendStart(order, now);
-    for (const StopOrder &order : scheduler_->takeStops()) {
-        const auto worker = scheduler_->workers().find(order.worker);
-        if (worker == scheduler_->workers().end())
-            continue;
-        ports_.workers.stop(worker->second->entry, order, token_,
-                            [this, order, alive = std::weak_ptr<int>(alive_)](
-                                    const WorkerCall &call, Time later) {
-                                if (alive.expired() || isDeposed_)
-                                    return;
-                                if (call.status == CallStatus::Fenced)
-                                    depose("a worker has seen a newer coordinator", later);
-                                scheduler_->onStopAnswered(order, call.status == CallStatus::Ok,
-                                                           later);
-                                if (call.status == CallStatus::Ok)
-                                    look(order.worker, later);
-                                planSoon();
-                            });
-    }
-    for (const PaceOrder &order : scheduler_->takePaces()) {
-        const auto worker = scheduler_->workers().find(order.worker);
-        if (worker == scheduler_->workers().end())
-            continue;
-        // A lost order is repeated by the next change of the pace.
-        ports_.workers.pace(worker->second->entry, order, token_, [](const WorkerCall &, Time) {});
-    }
-}
-
-void Coordinator::sendStart(const StartOrder &order, Time now)
-{
-    const auto found = scheduler_->workers().find(order.worker);
-    const std::uint64_t end =
-            found == scheduler_->workers().end() ? 0 : leaseEnd(order.worker, now);
-    if (end == 0) {
-        scheduler_->onStartAnswered(order, StartOutcome::Refused, now);
-        return;
-    }
-    ports_.workers.start(
-            found->second->entry, order, token_, end,
-            [this, order, alive = std::weak_ptr<int>(alive_)](const WorkerCall &call, Time later) {
-                if (alive.expired() || isDeposed_)
-                    return;
-                StartOutcome outcome = StartOutcome::Refused;
-                switch (call.status) {
-                case CallStatus::Ok:
-                    outcome = StartOutcome::Started;
-                    break;
-                case CallStatus::NoRoom:
-                    outcome = StartOutcome::NoRoom;
-                    break;
-                case CallStatus::OldRun:
-                    outcome = StartOutcome::OldRun;
-                    break;
-                case CallStatus::Unknown:
-                    outcome = StartOutcome::Unknown;
-                    break;
-                case CallStatus::Fenced:
-                    depose("a worker has seen a newer coordinator", later);
-                    return;
-                case CallStatus::Refused:
-                case CallStatus::OtherIncarnation:
-                    break;
-                }
-                if (outcome != StartOutcome::Started) {
-                    ports_.log({LogLevel::Info,
-                                "start-not-confirmed",
-                                call.detail,
-                                {{"job", order.task.job.str()},
-                                 {"worker", order.worker.str()},
-                                 {"run", std::to_string(order.run.value)}}});
-                }
-                scheduler_->onStartAnswered(order, outcome, later);
-                if (outcome == StartOutcome::Unknown)
-                    look(order.worker, later);
-                planSoon();
-            });
-}
-
-// [5] Leases of workers
-
-/// The end of a new lease on the worker's clock, or 0 if none may be given.
-std::uint64_t Coordinator::leaseEnd(const WorkerId &id, Time now)
-{
-    const auto worker = scheduler_->workers().find(id);
-    const auto link = links_.find(id);
-    if (worker == scheduler_->workers().end() || link == links_.end() || !mayExtend(now))
-        return 0;
-    const Link &l = link->second;
-    if (l.unreached != Unreached::No)
-        return 0;
-    if (l.clock == 0 || l.incarnation != worker->second->entry.incarnation
-        || now - worker->second->lastReport > SilenceBeforeLapse + settings_.renewWait)
-        return 0;
-    const auto elapsed = static_cast<std::uint64_t>(toMillis(now - l.clockAt));
-    const auto lease = static_cast<std::uint64_t>(toMillis(settings_.workerLease));
-    const std::uint64_t end = l.clock + elapsed + lease;
-    // On a slow clock, the lease takes longer than it says.
-    const auto longest =
-            static_cast<std::int64_t>(static_cast<double>(end - l.clock) / WorkerClockRate);
-    scheduler_->onLeaseGiven(id, l.clockAt + milliseconds(longest) + LapseMargin);
-    return end;
-}
-
-void Coordinator::renewLeases(Time now)
-{
-    for (const auto &[id, worker] : scheduler_->workers()) {
-        Link &link = links_[id];
-        if (link.awaitsSave && !scheduler_->hasPendingEnds(id)) {
-            link.awaitsSave = false;
-            link.nextAt = now;
-        }
-        updateUnreached(*worker, link, now);
-        if (!link.inFlight && now >= link.nextAt)
-            renew(worker->entry, link, now);
-    }
-}
-
-/// Records that a silent worker's leases are not renewed, and removes the record before they are
-/// renewed again. Without it, a successor has to assume that they were renewed to the last.
-void Coordinator::updateUnreached(const ScheduledWorker &worker, Link &link, Time now)
-{
-    const bool isSilent = now - worker.lastReport > SilenceBeforeLapse + settings_.renewWait;
-    // Before its first report, a former coordinator may be the one who renews them.
-    const bool mayBeRenewed = !worker.known && now - startedAt_ <= settings_.extendFor;
-    if (link.unreached == Unreached::No && isSilent && !mayBeRenewed && !worker.tasks.empty()) {
-        link.unreached = Unreached::Writing;
-        writeUnreached(worker.entry.id, true);
-    } else if (link.unreached == Unreached::Yes && !isSilent) {
-        link.unreached = Unreached::Removing;
-        writeUnreached(worker.entry.id, false);
-    }
-}
-
-void Coordinator::writeUnreached(const WorkerId &id, bool isUnreached)
-{
-    const auto worker = scheduler_->workers().find(id);
-    Transaction transaction;
-    transaction.conditions.push_back({keys::Coordinator, record_});
-    if (isUnreached) {
-        const std::string value = std::to_string(worker->second->entry.incarnation.value);
-        transaction.puts.push_back({keys::unreached(id), value, LeaseId{}});
-    } else {
-        transaction.removals.push_back(keys::unreached(id));
-    }
-    ports_.store.commit(transaction, [this, id, isUnreached, alive = std::weak_ptr<int>(alive_)](
-                                             const KeyValueResult &result, Time now) {
-        if (alive.expired() || isDeposed_)
-            return;
-        const auto link = links_.find(id);
-        if (result.status == KeyValueStatus::Conflict) {
-            depose("the record belongs to another process", now);
-        } else if (link != links_.end()) {
-            const bool isDone = result.status == KeyValueStatus::Ok;
-            // While the outcome is unknown, the record counts as written, and is removed later.
-            link->second.unreached = isUnreached || !isDone ? Unreached::Yes : Unreached::No;
-        }
-    });
-}
-
-void Coordinator::renew(const WorkerEntry &worker, Link &link, Time now)
-{
-    const auto found = scheduler_->workers().find(worker.id);
-    const bool isFirst = link.clock == 0 || link.incarnation != worker.incarnation;
-    Duration wait = found->second->tasks.empty() ? IdleRenewWait : settings_.renewWait;
-    if (scheduler_->isPressed(worker.id))
-        wait = PressedRenewWait;
-    if (isFirst || found->second->suspect)
-        wait = Duration::zero();
-    // After a failed call, another life of the worker may answer, whose list of ends begins anew. A
-    // position in the former list would make it forget ends that nobody has seen.
-    const bool isSameLife = link.isConfirmed && link.incarnation == worker.incarnation;
-    const std::uint64_t acknowledged = isSameLife ? scheduler_->acknowledgeable(worker.id) : 0;
-    link.inFlight = true;
-    ports_.workers.renew(worker, token_, leaseEnd(worker.id, now), acknowledged, wait,
-                         [this, id = worker.id, sentAt = now,
-                          alive = std::weak_ptr<int>(alive_)](const WorkerCall &call, Time later) {
-                             if (!alive.expired() && !isDeposed_)
-                                 onRenewed(id, sentAt, call, later);
-                         });
-}
-
-/// Asks for a worker's lists at once, beside a renewal that may be waiting there: a task whose
-/// start or stop was not clear waits for them.
-void Coordinator::look(const WorkerId &id, Time now)
-{
-    const auto worker = scheduler_->workers().find(id);
-    const auto link = links_.find(id);
-    if (worker == scheduler_->workers().end() || link == links_.end() || !link->second.isConfirmed)
-        return;
-    ports_.workers.renew(worker->second->entry, token_, 0, scheduler_->acknowledgeable(id),
-                         Duration::zero(),
-                         [this, id, sentAt = now,
-                          alive = std::weak_ptr<int>(alive_)](const WorkerCall &call, Time later) {
-                             // Without an answer, the waiting renewal shows the same later.
-                             if (alive.expired() || isDeposed_ || call.status != CallStatus::Ok)
-                                 return;
-                             scheduler_->onReport(id, sentAt, call.report, later);
-                             planSoon();
-                         });
-}
-
-void Coordinator::onRenewed(const WorkerId &id, Time sentAt, const WorkerCall &call, Time now)
-{
-    Link &link = links_[id];
-    link.inFlight = false;
-    if (call.status == CallStatus::Fenced) {
-        depose("a worker has seen a newer coordinator", now);
-        return;
-    }
-    if (call.status != CallStatus::Ok) {
-        // After a first failure the worker is asked again at once: the answer may have been lost.
-        const bool isFirst = std::exchange(link.isConfirmed, false);
-        ports_.log({LogLevel::Info, "worker-unreachable", call.detail, {{"worker", id.str()}}});
-        link.nextAt = isFirst ? now : now + RenewRetryDelay;
-        scheduler_->onUnreachable(id);
-        planSoon();
-        return;
-    }
-    link.incarnation = call.report.incarnation;
-    link.clock = call.report.clock;
-    link.clockAt = now;
-    link.isConfirmed = true;
-    link.nextAt = now;
-    scheduler_->onReport(id, sentAt, call.report, now);
-    if (scheduler_->hasPendingEnds(id)) {
-        link.awaitsSave = true;
-        link.nextAt = now + AwaitSaveLimit;
-    }
-    planSoon();
-}
-
-void Coordinator::onContact(Time sentAt)
-{
-    lastContact_ = std::max(lastContact_, sentAt);
-}
-
-bool Coordinator::reachesWorkers(Time now) const
-{
-    if (!scheduler_ || now - startedAt_ < ReachGrace)
-        return true;
-    std::size_t listed = 0;
-    std::size_t reached = 0;
-    for (const auto &[id, worker] : scheduler_->workers()) {
-        listed += worker->listed ? 1 : 0;
-        reached += worker->listed && now - worker->lastReport < ReachGrace ? 1 : 0;
-    }
-    return static_cast<double>(reached) >= ReachedShare * static_cast<double>(listed);
-}
-
 } // namespace monsoonledge
