--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -263,6 +263,8 @@
 {
     ScheduledJob &job = *task.job;
     const StepSpec &step = stepOf(task);
+    if (job.state == JobState::Pending && end != RunEnd::Lapsed)
+        job.state = JobState::Active; // it ended before its start was confirmed
     if (!checkpoint.empty())
         task.progress.checkpoint = checkpoint;
     if (end == RunEnd::Done) {
@@ -378,6 +380,19 @@
     stops_.push_back({task.ref, task.progress.run, task.progress.worker});
 }
 
+/// Notes that a worker has begun a run. A job counts as waiting until its first one.
+void Scheduler::noteStarted(ScheduledTask &task, Time now)
+{
+    task.knowledge = RunKnowledge::Running;
+    task.startedAt = now;
+    task.progressAt = now;
+    task.confirmedAt = now;
+    if (task.job->state != JobState::Pending)
+        return;
+    task.job->state = JobState::Active;
+    markChanged(*task.job);
+}
+
 std::vector<JobChange> Scheduler::takeChanges(std::size_t max)
 {
     std::vector<JobChange> result;
@@ -397,15 +412,8 @@
         job.savingVersion = job.version;
         JobProgress progress;
         progress.state = job.state;
-        bool hasRun = false;
-        for (const ScheduledTask &task : job.tasks) {
+        for (const ScheduledTask &task : job.tasks)
             progress.tasks.push_back(task.progress);
-            hasRun = hasRun || task.progress.run.value > 0;
-        }
-        if (progress.state == JobState::Pending && hasRun) {
-            progress.state = JobState::Active;
-            job.state = JobState::Active;
-        }
         result.push_back({id, job.version, encodeProgress(progress), progress.state});
     }
     return result;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -362,6 +362,7 @@
     void finish(ScheduledJob &job, JobState state, Time now);
     void inherit(ScheduledTask &task, const TaskProgress &progress);
     void markChanged(ScheduledJob &job);
+    void noteStarted(ScheduledTask &task, Time now);
     void updateState(ScheduledJob &job, Time now);
     bool isRunnable(const ScheduledJob &job, const ScheduledTask &task) const;
 
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -244,9 +244,7 @@
     case RunKnowledge::Sent:
     case RunKnowledge::Uncertain:
     case RunKnowledge::Inherited:
-        task->knowledge = RunKnowledge::Running;
-        task->startedAt = now;
-        task->progressAt = now;
+        noteStarted(*task, now);
         break;
     case RunKnowledge::Stopping:
         if (now - task->sentAt > StopRetryDelay)
@@ -303,10 +301,7 @@
         return; // a report or a stop order came first
     switch (outcome) {
     case StartOutcome::Started:
-        task->knowledge = RunKnowledge::Running;
-        task->startedAt = now;
-        task->progressAt = now;
-        task->confirmedAt = now;
+        noteStarted(*task, now);
         return;
     case StartOutcome::Unknown:
         task->knowledge = RunKnowledge::Uncertain;
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -268,6 +268,22 @@
     CHECK(again.front().run.value == 2);
 }
 
+TEST_CASE("a job counts as waiting until a worker has begun its first run")
+{
+    Bench bench(1);
+    bench.add("a", {Bench::step(2)});
+    bench.scheduler.plan(bench.now);
+    for (const JobChange &change : bench.scheduler.takeChanges(10)) {
+        CHECK(change.state == JobState::Pending);
+        bench.scheduler.onSaved(change.job, change.version, bench.now);
+    }
+    const std::vector<StartOrder> starts = bench.scheduler.takeStarts();
+    REQUIRE(starts.size() == 2);
+    bench.scheduler.onStartAnswered(starts.front(), StartOutcome::Started, bench.now);
+    CHECK(bench.state("a") == JobState::Active);
+    CHECK(bench.scheduler.takeChanges(10).at(0).state == JobState::Active);
+}
+
 TEST_CASE("ends are acknowledged only after the record of their job is stored")
 {
     Bench bench(1);
