--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -352,6 +352,8 @@
             bestVictims = victims;
         }
     }
+    if (!best)
+        return;
     for (ScheduledTask *victim : bestVictims) {
         log_({LogLevel::Info,
               "run-preempted",
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -15,7 +15,7 @@
 
 std::string writeFile(const std::string &text)
 {
-    const std::string path = "platform_test_settings.yaml";
+    std::string path = "platform_test_settings.yaml";
     std::ofstream(path) << text;
     return path;
 }
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -79,7 +79,7 @@
         scheduler.plan(now);
         for (const JobChange &change : scheduler.takeChanges(1000))
             scheduler.onSaved(change.job, change.version, now);
-        const std::vector<StartOrder> starts = scheduler.takeStarts();
+        std::vector<StartOrder> starts = scheduler.takeStarts();
         for (const StartOrder &order : starts) {
             running[order.worker].push_back({order.task, order.run, {}, 0, 0});
             scheduler.onStartAnswered(order, StartOutcome::Started, now);
