--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -1,9 +1,8 @@
 // Filling tasks beside serving tasks: what they do to each other, and what is done about it.
 //
 // Load patterns that the decisions here answer:
-// - Pairs of images that disturb each other: a filling task starts where it gets most done, with
-// the
-//   pace at which every serving task beside it stays under its target.
+// - Pairs of images that disturb each other: a filling task starts where it gets most done, at the
+//   pace that keeps every serving task beside it under its target.
 // - Loads of serving tasks that swing within seconds: the pace follows the load.
 // - Filling tasks that can only crawl where they are: they move with their checkpoints.
 #include "scheduling/scheduling.h"
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -6,11 +6,9 @@
 //   order, a flood makes every job late.
 // - Floods of filling work: a filling task starts only where idle processors are left for it. More
 //   would slow down all filling tasks of the worker, and end none of them earlier.
-// - Filling beside serving work is in interference.cpp. Serving tasks of one image are put
-// together,
+// - Filling beside serving work is in interference.cpp. Serving tasks of one image share workers,
 //   because then most images of filling tasks find workers where all serving tasks bear them.
-// - Lasting jobs that reserve nearly all processors: the tasks of a lasting job that runs already
-// are
+// - Lasting jobs that reserve nearly all processors: tasks of a lasting job that already runs are
 //   restarted before everything else and may stop others, because their users see each second. A
 //   new one takes only what jobs with an objective leave, because it stays for long.
 #include "scheduling/scheduling.h"
