--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -3,11 +3,14 @@
 // Load patterns that the decisions here answer:
 // - Pairs of images that disturb each other: a filling task starts where it gets most done, at the
 //   pace that keeps every serving task beside it under its target.
-// - Loads of serving tasks that swing within seconds: the pace follows the load.
+// - Loads of serving tasks that swing within seconds: the pace follows the load that is expected
+//   until the next decision.
 // - Filling tasks that can only crawl where they are: they move with their checkpoints.
 #include "scheduling/scheduling.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <cstdlib>
 
 namespace monsoonledge {
@@ -15,15 +18,26 @@
 namespace {
 
 constexpr double UnloadedTail = 1.0 / 6; // of its target, of a serving task without any load
-constexpr double MaxUtilization = 0.97;
-constexpr double UnknownPressure =
-        1; // of a pair without figures: one task may start and be watched
+constexpr double MaxUtilization = 0.995;
+constexpr double MaxLoad = 0.95;
+constexpr double UnknownPressure = 0.3; // of a pair without figures: it may start, and be watched
 constexpr double MaxPressure = 12;
-constexpr double LoadRate = 0.4; // of each figure, in the estimate of a task's own load
-constexpr double LoadDrift = 0.02; // toward the usual load, so that pressure is not taken for load
-constexpr double PressureRate = 0.2; // of each figure, in the estimate of a pair
-constexpr double ShareNoise = 0.004; // squared share of a worker below which figures say little
-constexpr double FeltRise = 0.02; // smaller rises of the utilization are not worth a pace
+constexpr double PressureDeviation = 2; // of a pair without figures, from UnknownPressure
+constexpr double PressureDrift = 0.0001; // added to the variance of a pair by each figure
+constexpr double FigureVariance = 0.01; // of a utilization, by noise in a tail and in the load
+constexpr double MaxStretch = 3; // of service times, in one figure
+constexpr double TrendSeconds = 0.7; // figures of this age count 1/e
+constexpr double BusyDecay = 0.01; // of the highest load, per second
+constexpr double TrendPriorWeight = 0.3; // figures that the usual load counts for
+constexpr double TrendPriorSpread = 0.8; // s2; keeps the slope small while there are few figures
+constexpr double MaxSlope = 0.25; // of a load, per second
+constexpr Duration MaxExtrapolation = milliseconds(1500);
+constexpr double DoubtfulRise = 0.1; // of service times, that halves the weight of a figure for
+                                     // the load
+constexpr double FeltRise = 0.05; // of service times; smaller ones are not worth a pace
+constexpr double LoadDoubt = 0.03; // of an expected load
+constexpr double BusyShare = 0.25; // of the time, that a serving task is near its highest load
+constexpr std::array<double, 4> EasyPaces{1, 0.7, 0.45, 0.2};
 constexpr double MinPace = 0.05;
 constexpr double OverPace = 0.5; // beside a task that is over its target
 constexpr double CrawlPace = 0.15; // beside one that stays over it
@@ -40,10 +54,18 @@
     if (it != names_.end())
         return static_cast<ImageIndex>(it - names_.begin());
     names_.push_back(image);
-    pairs_.resize(names_.size());
-    for (std::vector<double> &row : pairs_)
-        row.resize(names_.size(), UnknownPressure);
-    return names_.size() - 1;
+    const std::size_t count = names_.size();
+    victims_.resize(count);
+    for (Victim &victim : victims_) {
+        const std::size_t known = victim.pressures.size();
+        victim.pressures.resize(count, UnknownPressure);
+        victim.covariance.resize(count);
+        for (std::vector<double> &row : victim.covariance)
+            row.resize(count, 0);
+        for (std::size_t i = known; i < count; ++i)
+            victim.covariance[i][i] = PressureDeviation * PressureDeviation;
+    }
+    return count - 1;
 }
 
 double InterferenceModel::utilizationOf(double tail)
@@ -53,35 +75,127 @@
     return std::min(1 - UnloadedTail / tail, MaxUtilization);
 }
 
+double InterferenceModel::stretchOf(double utilizationRise)
+{
+    return 1 / (1 - std::clamp(utilizationRise, 0.0, MaxUtilization));
+}
+
+double InterferenceModel::utilizationRise(double serviceTimeRise)
+{
+    return 1 - 1 / (1 + serviceTimeRise);
+}
+
 void InterferenceModel::observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills,
-                                double &load)
+                                LoadTrend &load, Time when)
 {
-    double expected = load;
-    double squares = ShareNoise;
-    for (const FillLoad &fill : fills) {
-        expected += pairs_[fill.image][serving] * fill.share;
-        squares += fill.share * fill.share;
+    Victim &victim = victims_[serving];
+    double rise = 0;
+    for (const FillLoad &fill : fills)
+        rise += victim.pressures[fill.image] * fill.share;
+    const double utilization = utilizationOf(tail);
+    const double stretch = stretchOf(utilization - load.at(when));
+    const double error = std::min(stretch, MaxStretch) - 1 - rise;
+    load.add(utilization - utilizationRise(rise), 1 / (1 + rise / DoubtfulRise), when);
+    if (fills.empty())
+        return;
+    // Recursive least squares: pairs that are known well change little.
+    const std::size_t count = names_.size();
+    std::vector<double> gain(count, 0);
+    for (std::size_t i = 0; i < count; ++i) {
+        for (const FillLoad &fill : fills)
+            gain[i] += victim.covariance[i][fill.image] * fill.share;
+    }
+    double variance = FigureVariance * std::pow(1 + rise, 4); // of the stretch
+    for (const FillLoad &fill : fills)
+        variance += gain[fill.image] * fill.share;
+    for (std::size_t i = 0; i < count; ++i) {
+        if (gain[i] == 0)
+            continue;
+        double &pressure = victim.pressures[i];
+        pressure = std::clamp(pressure + gain[i] * error / variance, 0.0, MaxPressure);
+        for (std::size_t j = 0; j < count; ++j)
+            victim.covariance[i][j] -= gain[i] * gain[j] / variance;
     }
-    const double error = utilizationOf(tail) - expected;
-    for (const FillLoad &fill : fills) {
-        double &pressure = pairs_[fill.image][serving];
-        pressure += PressureRate * error * fill.share / squares;
-        pressure = std::clamp(pressure, 0.0, MaxPressure);
+    for (const FillLoad &fill : fills)
+        victim.covariance[fill.image][fill.image] += PressureDrift;
+}
+
+// Loads
+
+void LoadTrend::add(double load, double weight, Time when)
+{
+    const auto inSeconds = [](Duration duration) { return toMilliseconds(duration) / 1000; };
+    double position = 0; // of the figure, relative to last_
+    if (when > last_) {
+        const double step = inSeconds(when - last_);
+        squaredTime_ += step * (step * weight_ - 2 * time_);
+        time_ -= step * weight_;
+        timeByLoad_ -= step * load_;
+        const double kept = std::exp(-step / TrendSeconds);
+        for (double *sum : {&weight_, &time_, &squaredTime_, &load_, &timeByLoad_})
+            *sum *= kept;
+        busy_ -= BusyDecay * step;
+        last_ = when;
+    } else {
+        position = inSeconds(when - last_);
     }
-    load += LoadRate * error + LoadDrift * (UsualServingLoad - load);
-    load = std::clamp(load, 0.0, MaxUtilization);
+    weight_ += weight;
+    time_ += weight * position;
+    squaredTime_ += weight * position * position;
+    load_ += weight * load;
+    timeByLoad_ += weight * position * load;
+    busy_ = std::max(busy_, at(last_));
+}
+
+double LoadTrend::at(Time when) const
+{
+    // Least squares with a prior: the usual load, and no slope.
+    const double weight = weight_ + TrendPriorWeight;
+    const double load = load_ + TrendPriorWeight * UsualServingLoad;
+    const double spread = squaredTime_ + TrendPriorSpread;
+    const double determinant = weight * spread - time_ * time_;
+    const double slope = (weight * timeByLoad_ - time_ * load) / determinant;
+    const double level = (spread * load - time_ * timeByLoad_) / determinant;
+    const Duration ahead = std::clamp(when - last_, -MaxExtrapolation, MaxExtrapolation);
+    const double expected =
+            level + std::clamp(slope, -MaxSlope, MaxSlope) * toMilliseconds(ahead) / 1000;
+    return std::clamp(expected, 0.0, MaxLoad);
+}
+
+double LoadTrend::highest(Time from, Time until) const
+{
+    return std::max(at(from), at(until)); // the trend is a line
 }
 
 // Decisions
 
-/// How much pressure a serving task bears.
+namespace {
+
+/// The chance that a serving task with this load is over its target at a rise of its service time.
+double overChance(double load, double rise)
+{
+    const double over =
+            load + InterferenceModel::utilizationRise(rise) - InterferenceModel::utilizationOf(1);
+    return 1 / (1 + std::exp(-over / LoadDoubt));
+}
+
+} // namespace
+
+/// What a serving task bears. Rises are those of its service time, in relation to the one without
+/// filling tasks.
 struct Scheduler::ServingSlack
 {
     ImageIndex image = 0;
-    double slack = 0; // utilization that is left for filling tasks
-    double pressed = 0; // utilization that the filling tasks there take at full pace
+    double load = 0;
+    double slack = 0; // rise at which the tail reaches its planned limit
+    double pressed = 0; // rise by the filling tasks there at full pace
 };
 
+LoadTrend &Scheduler::loadOf(const ScheduledTask &serving)
+{
+    return serving.job->loads[serving.job->stepIndex(serving.ref)];
+}
+
 void Scheduler::learnInterference(ScheduledWorker &worker, Time now)
 {
     std::vector<FillLoad> fills;
@@ -102,7 +216,7 @@
         if (step.tailTarget <= Duration::zero() || !isAtWork)
             continue;
         const double tail = task->usage / toMilliseconds(step.tailTarget);
-        interference_.observe(task->image, tail, fills, task->load);
+        interference_.observe(task->image, tail, fills, loadOf(*task), now - settings_.figureAge);
         if (tail <= 1)
             task->overSince.reset();
         else if (!task->overSince)
@@ -110,7 +224,8 @@
     }
 }
 
-std::vector<Scheduler::ServingSlack> Scheduler::servingSlack(const ScheduledWorker &worker) const
+std::vector<Scheduler::ServingSlack> Scheduler::servingSlack(const ScheduledWorker &worker,
+                                                             LoadBasis basis, Time now) const
 {
     std::vector<ServingSlack> result;
     const double limit = InterferenceModel::utilizationOf(settings_.plannedTail);
@@ -118,12 +233,12 @@
     for (const ScheduledTask *task : worker.tasks) {
         if (stepOf(*task).tailTarget <= Duration::zero())
             continue;
-        auto it = std::find_if(result.begin(), result.end(), [&](const ServingSlack &other) {
-            return other.image == task->image;
-        });
-        if (it == result.end())
-            it = result.insert(result.end(), {task->image, limit, 0});
-        it->slack = std::min(it->slack, limit - task->load);
+        const LoadTrend &trend = task->job->loads[task->job->stepIndex(task->ref)];
+        const double load = basis == LoadBasis::Busy
+                                    ? trend.busy()
+                                    : trend.highest(now, now + settings_.paceHorizon);
+        const double slack = InterferenceModel::stretchOf(limit - load) - 1;
+        result.push_back({task->image, load, slack, 0});
     }
     for (ServingSlack &serving : result) {
         for (ImageIndex image = 0; image < worker.fillByImage.size(); ++image) {
@@ -151,14 +266,14 @@
 
 /// Processors, in thousandths, that the worker's filling tasks use more if one more starts there.
 /// 0 if the new one would be too slow.
-double Scheduler::fillGain(const ScheduledWorker &worker, const ScheduledTask &fill) const
+double Scheduler::fillGain(const ScheduledWorker &worker, const ScheduledTask &fill, Time now) const
 {
     const StepSpec &step = stepOf(fill);
     const double share = expectedFillShare(worker, step, settings_);
     if (share < settings_.minFillShare)
         return 0;
     const auto added = static_cast<double>(step.cpu.value);
-    std::vector<ServingSlack> slack = servingSlack(worker);
+    std::vector<ServingSlack> slack = servingSlack(worker, LoadBasis::Busy, now);
     if (slack.empty())
         return share * added;
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
@@ -177,13 +292,38 @@
         if (stepOf(*task).fills)
             after += paceOf(*task, cpu, slack) * static_cast<double>(stepOf(*task).cpu.value);
     }
-    return std::max(after - before, 0.0);
+    double harm = 0; // serving tasks that are over their targets because of the new one, on average
+    for (const ServingSlack &serving : slack) {
+        const double rise = interference_.pressure(fill.image, serving.image) * added / cpu;
+        harm += BusyShare
+                * (overChance(serving.load, serving.pressed)
+                   - overChance(serving.load, serving.pressed - rise));
+    }
+    return std::max(after - before - settings_.servingWeight * harm * added, 0.0);
+}
+
+/// The pace at which the filling tasks that press little may work: what they get done is weighed
+/// against the serving tasks that are over their targets meanwhile.
+double Scheduler::easyPace(const std::vector<ServingSlack> &servings, double easyTasks) const
+{
+    double best = 0;
+    double bestPace = 1;
+    for (const double pace : EasyPaces) {
+        double value = easyTasks * pace;
+        for (const ServingSlack &serving : servings)
+            value -= settings_.servingWeight * overChance(serving.load, pace * serving.pressed);
+        if (pace == 1 || value > best) {
+            best = value;
+            bestPace = pace;
+        }
+    }
+    return bestPace;
 }
 
 /// The share of the known images of filling tasks that could run on the worker at full pace.
-double Scheduler::openness(const ScheduledWorker &worker) const
+double Scheduler::openness(const ScheduledWorker &worker, Time now) const
 {
-    const std::vector<ServingSlack> slack = servingSlack(worker);
+    const std::vector<ServingSlack> slack = servingSlack(worker, LoadBasis::Busy, now);
     double open = 0;
     for (ImageIndex fill = 0; fill < interference_.imageCount(); ++fill) {
         double pace = 1;
@@ -230,15 +370,41 @@
                        });
 }
 
+/// True if the task alone presses on a serving task so much that it needs a pace of its own.
+bool Scheduler::isHard(const ScheduledTask &fill, double cpu,
+                       const std::vector<ServingSlack> &servings) const
+{
+    const double share = static_cast<double>(stepOf(fill).cpu.value) / cpu;
+    return std::any_of(servings.begin(), servings.end(), [&](const ServingSlack &serving) {
+        return interference_.pressure(fill.image, serving.image) * share >= FeltRise;
+    });
+}
+
 void Scheduler::paceFilling(ScheduledWorker &worker, Time now)
 {
+    worker.pacedAt = now;
+    if (worker.fillCpu <= 0)
+        return;
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
-    const std::vector<ServingSlack> slack = servingSlack(worker);
+    const std::vector<ServingSlack> servings = servingSlack(worker, LoadBasis::Expected, now);
+    std::vector<ServingSlack> easy = servings; // pressed by those that need no pace of their own
+    for (ServingSlack &serving : easy)
+        serving.pressed = 0;
+    double easyTasks = 0;
+    for (const ScheduledTask *task : worker.tasks) {
+        if (!stepOf(*task).fills || isHard(*task, cpu, servings))
+            continue;
+        ++easyTasks;
+        for (ServingSlack &serving : easy)
+            serving.pressed += interference_.pressure(task->image, serving.image)
+                               * static_cast<double>(stepOf(*task).cpu.value) / cpu;
+    }
+    const double commonPace = easyPace(easy, easyTasks);
     for (ScheduledTask *task : worker.tasks) {
         if (!stepOf(*task).fills || task->knowledge != RunKnowledge::Running)
             continue;
-        const double wanted = std::min(paceLimit(worker, *task, now), paceOf(*task, cpu, slack));
-        const int pace = static_cast<int>(100 * wanted);
+        const double own = isHard(*task, cpu, servings) ? paceOf(*task, cpu, servings) : commonPace;
+        const int pace = static_cast<int>(100 * std::min(paceLimit(worker, *task, now), own));
         const bool isExtreme = (pace == 100 || pace == 0) && task->pace != pace;
         if (!isExtreme && std::abs(pace - task->pace) < SmallestPaceChange)
             continue;
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -74,14 +74,11 @@
 {
     if (task.progress.phase != TaskPhase::Waiting)
         return false;
-    const std::size_t steps = job.spec.steps.size();
-    const std::size_t base = static_cast<std::size_t>(task.ref.occurrence) * steps;
-    for (const int before : stepOf(task).after) {
-        const auto step = static_cast<std::size_t>(before);
-        if (job.doneTasks[base + step] < job.spec.steps[step].count)
-            return false;
-    }
-    return true;
+    const std::vector<int> &after = stepOf(task).after;
+    return std::all_of(after.begin(), after.end(), [&](int step) {
+        return job.doneTasks[job.stepIndex(task.ref.occurrence, step)]
+               >= job.spec.steps[static_cast<std::size_t>(step)].count;
+    });
 }
 
 bool Scheduler::isUsable(const ScheduledWorker &worker, Time now) const
@@ -154,10 +151,10 @@
 void Scheduler::assignJob(ScheduledJob &job, Time now)
 {
     std::vector<const ScheduledTask *> assigned;
-    int refusedStep = -1; // tasks of one step need the same; if one finds no worker, none does
+    std::ptrdiff_t refusedStep =
+            -1; // tasks of one step need the same; if one finds no worker, none does
     for (ScheduledTask &task : job.tasks) {
-        const int step =
-                task.ref.occurrence * static_cast<int>(job.spec.steps.size()) + task.ref.step;
+        const auto step = static_cast<std::ptrdiff_t>(job.stepIndex(task.ref));
         if (step == refusedStep || task.notBefore > now || !isRunnable(job, task))
             continue;
         if (stepOf(task).gang) {
@@ -238,11 +235,11 @@
             continue;
         double score = 0;
         if (step.fills) {
-            score = fillGain(*worker, task);
+            score = fillGain(*worker, task, now);
             if (score <= 0)
                 continue;
             // Workers that bear most images are kept for the tasks that few others bear.
-            score -= OpennessWeight * openness(*worker) * static_cast<double>(cpu);
+            score -= OpennessWeight * openness(*worker, now) * static_cast<double>(cpu);
         } else if (step.tailTarget > Duration::zero()) {
             if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
                 continue;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -104,6 +104,7 @@
             job.tasks.push_back(std::move(task));
         }
         job.doneTasks.push_back(0);
+        job.loads.emplace_back();
     }
     job.waitingTasks += job.tasksPerOccurrence;
 }
@@ -154,11 +155,8 @@
     if (progress.phase == TaskPhase::Waiting)
         return;
     --job.waitingTasks;
-    if (progress.phase == TaskPhase::Done) {
-        const std::size_t steps = job.spec.steps.size();
-        ++job.doneTasks[static_cast<std::size_t>(task.ref.occurrence) * steps
-                        + static_cast<std::size_t>(task.ref.step)];
-    }
+    if (progress.phase == TaskPhase::Done)
+        ++job.doneTasks[job.stepIndex(task.ref)];
     if (progress.phase != TaskPhase::Assigned)
         return;
     task.knowledge = RunKnowledge::Inherited;
@@ -272,9 +270,7 @@
         release(task);
         task.knowledge = RunKnowledge::None;
         task.progress.phase = TaskPhase::Done;
-        int &done =
-                job.doneTasks[static_cast<std::size_t>(task.ref.occurrence) * job.spec.steps.size()
-                              + static_cast<std::size_t>(task.ref.step)];
+        int &done = job.doneTasks[job.stepIndex(task.ref)];
         if (++done == step.count)
             log_({LogLevel::Info,
                   "step-done",
@@ -387,6 +383,8 @@
     task.startedAt = now;
     task.progressAt = now;
     task.confirmedAt = now;
+    if (stepOf(task).fills && task.worker)
+        task.worker->pacedAt = {}; // it has begun at its full pace
     if (task.job->state != JobState::Pending)
         return;
     task.job->state = JobState::Active;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -143,6 +143,10 @@
     double idleShare = 0.5; // of a serving task's processors that filling tasks are expected to get
     double minFillShare = 0.6; // of its processors that must be idle before a filling task starts
     double plannedTail = 0.9; // of the tail target, that filling tasks may bring it up to
+    double servingWeight = 2.7; // filling tasks that a serving task over its target outweighs
+    Duration figureAge = milliseconds(300); // of usages and tails: they cover the last half second
+    Duration paceInterval = milliseconds(250); // between two decisions on a worker's paces
+    Duration paceHorizon = milliseconds(600); // loads are expected this far ahead
     Duration overToCrawl = milliseconds(600); // over the target for longer, filling tasks crawl
     Duration overToStandstill = milliseconds(1600); // and for longer than this, they stand still
     double minStartSpeed = 0.4; // of its full speed, that a filling task must get at its start
@@ -165,12 +169,43 @@
     double share = 0; // of the worker's processors
 };
 
+/// Usual load of a serving task, assumed before there are figures.
+constexpr double UsualServingLoad = 0.5;
+
+/// Load of a serving step over time. Its tasks share it, because the users of a service are spread
+/// over all replicas; so each report of any replica improves the estimate for all of them. Level
+/// and slope are fitted to the figures of the last seconds, and a rise is seen before it hurts.
+class LoadTrend
+{
+public:
+    /// One figure. `weight` is between 0 and 1; figures that say little about the load have less.
+    void add(double load, double weight, Time when);
+    /// The load expected at a time shortly before or after the last figure.
+    double at(Time when) const;
+    /// The highest load expected between two times.
+    double highest(Time from, Time until) const;
+    /// The load at the busy times of the last while.
+    double busy() const { return busy_; }
+
+private:
+    // Sums over the figures, each with its weight; times are in seconds relative to `last_`.
+    double weight_ = 0;
+    double time_ = 0;
+    double squaredTime_ = 0;
+    double load_ = 0;
+    double timeByLoad_ = 0;
+    double busy_ = UsualServingLoad;
+    Time last_{};
+};
+
 /// Learns how much filling tasks press on the serving tasks beside them. Some pairs of images press
 /// hard, others not at all, so the estimate is kept for each pair.
 ///
-/// A serving task behaves like a queue: its tail grows with 1 / (1 - utilization). The utilization
-/// is the task's own load plus the pressure of each filling task, which is proportional to the
-/// share of the worker that the filling task uses.
+/// A serving task behaves like a queue, whose tail is its service time / (1 - load x service time).
+/// Each filling task stretches the service time, in proportion to the share of the worker that it
+/// uses. The load is that of the serving step, for service times without filling tasks.
+/// The utilization that a tail shows, 1 - unloaded tail / tail, is then the load plus
+/// 1 - 1 / stretch.
 class InterferenceModel
 {
 public:
@@ -180,19 +215,32 @@
     std::size_t imageCount() const { return names_.size(); }
     /// Utilization that a tail shows; `tail` is in relation to its target.
     static double utilizationOf(double tail);
-    /// One figure of a serving task. `load` is its own load as estimated so far, and is updated.
-    void observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills, double &load);
-    /// Rise of the utilization for a pair, per share of the worker used.
-    double pressure(ImageIndex fill, ImageIndex serving) const { return pairs_[fill][serving]; }
+    /// One figure of a serving task. `load` is the one of its step, and is updated. `when` is the
+    /// time that the figure stands for.
+    void observe(ImageIndex serving, double tail, const std::vector<FillLoad> &fills,
+                 LoadTrend &load, Time when);
+    /// Factor on service times that raises the utilization by so much, and back: the rise of the
+    /// utilization by a rise of service times.
+    static double stretchOf(double utilizationRise);
+    static double utilizationRise(double serviceTimeRise);
+    /// Rise of service times for a pair, per share of the worker used.
+    double pressure(ImageIndex fill, ImageIndex serving) const
+    {
+        return victims_[serving].pressures[fill];
+    }
 
 private:
+    /// What presses on one serving image: a least-squares estimate that is updated by each figure.
+    struct Victim
+    {
+        std::vector<double> pressures; // by filling image
+        std::vector<std::vector<double>> covariance; // of the estimates
+    };
+
     std::vector<std::string> names_;
-    std::vector<std::vector<double>> pairs_; // by filling and serving image
+    std::vector<Victim> victims_; // by serving image
 };
 
-/// Usual load of a serving task, assumed before there are figures.
-constexpr double UsualServingLoad = 0.5;
-
 // [5] State
 
 struct ScheduledJob;
@@ -229,7 +277,6 @@
     Time slowSince{}; // when the pace fell below the one for eviction
     double usage =
             0; // as reported: tail in ms of a task that serves, otherwise thousandths of a core
-    double load = UsualServingLoad; // own load of a task that serves, without filling tasks
     std::optional<Time> overSince; // a task that serves: its tail has been over its target since
     std::vector<WorkerId> failedOn;
     ImageIndex image = 0;
@@ -252,8 +299,20 @@
     std::uint64_t savingVersion = 0; // handed out and not answered; 0: none
     bool changed = false; // in the list of changes
     bool lasts = false; // has a step that runs until the job is cancelled
-    std::vector<int> doneTasks; // by occurrence and step
+    std::vector<int> doneTasks; // by stepIndex()
+    std::vector<LoadTrend> loads; // of serving steps, without filling tasks; by stepIndex()
     Time finalAt{};
+
+    /// Position of a step of one occurrence in the tables above.
+    std::size_t stepIndex(int occurrence, int step) const
+    {
+        return static_cast<std::size_t>(occurrence) * spec.steps.size()
+               + static_cast<std::size_t>(step);
+    }
+    std::size_t stepIndex(const TaskRef &task) const
+    {
+        return stepIndex(task.occurrence, task.step);
+    }
 };
 
 /// An end that may be acknowledged once the record of its job is stored.
@@ -288,6 +347,7 @@
     Time setAsideUntil{};
     Duration setAsideFor{};
     Time noRoomUntil{}; // after a refusal
+    Time pacedAt{}; // when the pace of its filling tasks was last decided
 };
 
 // [6] Scheduler
@@ -384,12 +444,22 @@
     void paceFilling(ScheduledWorker &worker, Time now);
     void evictSlow(ScheduledWorker &worker, Time now);
     struct ServingSlack;
-    std::vector<ServingSlack> servingSlack(const ScheduledWorker &worker) const;
+    /// The load of serving steps that a decision counts with.
+    enum class LoadBasis {
+        Expected, // until the next decision
+        Busy, // at busy times, which a task that starts now may meet
+    };
+    std::vector<ServingSlack> servingSlack(const ScheduledWorker &worker, LoadBasis basis,
+                                           Time now) const;
     double paceLimit(const ScheduledWorker &worker, const ScheduledTask &fill, Time now) const;
-    double openness(const ScheduledWorker &worker) const;
+    double openness(const ScheduledWorker &worker, Time now) const;
     double paceOf(const ScheduledTask &fill, double cpu,
                   const std::vector<ServingSlack> &slack) const;
-    double fillGain(const ScheduledWorker &worker, const ScheduledTask &fill) const;
+    bool isHard(const ScheduledTask &fill, double cpu,
+                const std::vector<ServingSlack> &servings) const;
+    double easyPace(const std::vector<ServingSlack> &servings, double easyTasks) const;
+    double fillGain(const ScheduledWorker &worker, const ScheduledTask &fill, Time now) const;
+    LoadTrend &loadOf(const ScheduledTask &serving);
     double servingScore(const ScheduledWorker &worker, const ScheduledTask &task) const;
     void learnDuration(const ScheduledTask &task, Time now);
     double durationFactor(const ScheduledJob &job) const;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -358,6 +358,9 @@
         }
         if (worker->entry.draining && !isSilent)
             drainWorker(*worker, now);
+        // Loads change between two reports, and reports of other workers show it.
+        if (!isSilent && now - worker->pacedAt >= settings_.paceInterval)
+            paceFilling(*worker, now);
     }
 }
 
--- a/tests/unit/interference_test.cpp
+++ b/tests/unit/interference_test.cpp
@@ -35,21 +35,23 @@
     const ImageIndex calm = model.indexOf("calm");
     CHECK(model.indexOf("serving") == serving);
     Random random(7);
-    double load = UsualServingLoad;
+    LoadTrend load;
+    Time now{};
     for (int i = 0; i < 400; ++i) {
         const double real = 0.45 + 0.2 * std::sin(i / 15.0);
         std::vector<FillLoad> fills;
-        double utilization = real;
+        double stretch = 1; // of service times
         if (random.below(2) == 0) {
             fills.push_back({pressing, 0.06});
-            utilization += 5 * 0.06;
+            stretch += 5 * 0.06;
         }
         if (random.below(2) == 0)
             fills.push_back({calm, 0.15});
-        model.observe(serving, tailOf(utilization), fills, load);
+        model.observe(serving, tailOf(real + 1 - 1 / stretch), fills, load, now);
+        now += milliseconds(150);
     }
     CHECK(model.pressure(pressing, serving) > 3);
     CHECK(model.pressure(calm, serving) < 1);
-    CHECK(load > 0.15);
-    CHECK(load < 0.75);
+    CHECK(load.at(now) > 0.15);
+    CHECK(load.at(now) < 0.75);
 }
