Renew a worker's leases as soon as its ends are recorded

Cause: hasPendingEnds() counted ends whose records were stored already, because only the next renewal dropped them. Every renewal after an end waited its full limit of 400 ms, and ends of other runs on that worker showed up to 400 ms late. Ruled out: the duration of the tasks (several of one worker seemed to end in the same millisecond), failed runs, waiting for a worker (half of the jobs start within 76 ms). Change: ends whose records are stored no longer count. scheduler_test failed before.

--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -299,7 +299,7 @@
                 * (overChance(serving.load, serving.pressed)
                    - overChance(serving.load, serving.pressed - rise));
     }
-    return std::max(after - before - settings_.servingWeight * harm * added, 0.0);
+    return std::max(after - before - settings_.placementHarm * harm * added, 0.0);
 }
 
 /// The pace at which the filling tasks that press little may work: what they get done is weighed
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -144,6 +144,8 @@
     double minFillShare = 0.6; // of its processors that must be idle before a filling task starts
     double plannedTail = 0.9; // of the tail target, that filling tasks may bring it up to
     double servingWeight = 2.7; // filling tasks that a serving task over its target outweighs
+    double placementHarm =
+            1.5; // the same at its placement; paces can avoid a part of the harm later
     Duration figureAge = milliseconds(300); // of usages and tails: they cover the last half second
     Duration paceInterval = milliseconds(250); // between two decisions on a worker's paces
     Duration paceHorizon = milliseconds(600); // loads are expected this far ahead
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -420,6 +420,7 @@
 
 bool Scheduler::hasPendingEnds(const WorkerId &id) const
 {
+    acknowledgeable(id); // drops those whose records are stored
     const auto it = workers_.find(id);
     return it != workers_.end() && !it->second->pendingEnds.empty();
 }
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -295,6 +295,8 @@
     CHECK(bench.scheduler.hasPendingEnds(order.worker));
     for (const JobChange &change : bench.scheduler.takeChanges(10))
         bench.scheduler.onSaved(change.job, change.version, bench.now);
+    // The next renewal need not wait any longer; it shows the ends of other runs.
+    CHECK_FALSE(bench.scheduler.hasPendingEnds(order.worker));
     CHECK(bench.scheduler.acknowledgeable(order.worker) == 1);
 }
 
