Plan in passes that remember what found no worker

Cause: with 20,800 waiting filling tasks and 350 workers, each pass of planning tried every step on every worker: 44 ms a pass, 4.4 s of processor time a second (virtual-time load of 770 starts/s, 110 lasting jobs). A coordinator on half a core fell seconds behind; on the grown hvela deployment half of the first starts came after 457 ms. Ruled out: reports (13 ms/s in the same load). Change: a need that found no worker is tried only on workers that have changed since, all of them again after 200 ms; the workers for a step are ranked once, not for each task; what a worker bears is kept until its tasks change.

--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -6,7 +6,7 @@
 // - Loads of serving tasks that swing within seconds: the pace follows the load that is expected
 //   until the next decision.
 // - Filling tasks that can only crawl where they are: they move with their checkpoints.
-#include "scheduling/scheduling.h"
+#include "scheduling/planpass_p.h"
 
 #include <algorithm>
 #include <array>
@@ -181,16 +181,6 @@
 
 } // namespace
 
-/// What a serving task bears. Rises are those of its service time, in relation to the one without
-/// filling tasks.
-struct Scheduler::ServingSlack
-{
-    ImageIndex image = 0;
-    double load = 0;
-    double slack = 0; // rise at which the tail reaches its planned limit
-    double pressed = 0; // rise by the filling tasks there at full pace
-};
-
 LoadTrend &Scheduler::loadOf(const ScheduledTask &serving)
 {
     return serving.job->loads[serving.job->stepIndex(serving.ref)];
@@ -264,8 +254,37 @@
     return std::max(pace, MinPace);
 }
 
-/// Processors, in thousandths, that the worker's filling tasks use more if one more starts there.
-/// 0 if the new one would be too slow.
+const Scheduler::FillOutlook &Scheduler::outlookOf(const ScheduledWorker &worker, Time now) const
+{
+    const auto [it, isNew] = pass_->outlooks.try_emplace(&worker);
+    FillOutlook &outlook = it->second;
+    if (!isNew)
+        return outlook;
+    outlook.servings = servingSlack(worker, LoadBasis::Busy, now);
+    for (const ServingSlack &serving : outlook.servings)
+        outlook.overChances.push_back(overChance(serving.load, serving.pressed));
+    const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
+    for (const ScheduledTask *task : worker.tasks)
+        outlook.hasHard =
+                outlook.hasHard || (stepOf(*task).fills && isHard(*task, cpu, outlook.servings));
+    outlook.openness = openness(outlook.servings);
+    return outlook;
+}
+
+/// Processors, in thousandths, that the worker's filling tasks at their paces use.
+double Scheduler::fillUse(const ScheduledWorker &worker, double cpu,
+                          const std::vector<ServingSlack> &servings) const
+{
+    double use = 0;
+    for (const ScheduledTask *task : worker.tasks) {
+        if (stepOf(*task).fills)
+            use += paceOf(*task, cpu, servings) * static_cast<double>(stepOf(*task).cpu.value);
+    }
+    return use;
+}
+
+/// Processors, in thousandths, that the worker's filling tasks use more if one more starts there,
+/// less the harm that it does. 0 if the new one would be too slow.
 double Scheduler::fillGain(const ScheduledWorker &worker, const ScheduledTask &fill, Time now) const
 {
     const StepSpec &step = stepOf(fill);
@@ -273,33 +292,24 @@
     if (share < settings_.minFillShare)
         return 0;
     const auto added = static_cast<double>(step.cpu.value);
-    std::vector<ServingSlack> slack = servingSlack(worker, LoadBasis::Busy, now);
-    if (slack.empty())
+    const FillOutlook &outlook = outlookOf(worker, now);
+    if (outlook.servings.empty())
         return share * added;
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
-    double before = 0;
-    for (const ScheduledTask *task : worker.tasks) {
-        if (stepOf(*task).fills)
-            before += paceOf(*task, cpu, slack) * static_cast<double>(stepOf(*task).cpu.value);
-    }
-    for (ServingSlack &serving : slack)
+    std::vector<ServingSlack> servings = outlook.servings;
+    double harm = 0; // serving tasks that are over their targets because of the new one, on average
+    for (std::size_t i = 0; i < servings.size(); ++i) {
+        ServingSlack &serving = servings[i];
         serving.pressed += interference_.pressure(fill.image, serving.image) * added / cpu;
-    const double own = std::min(paceOf(fill, cpu, slack), share);
+        harm += BusyShare * (overChance(serving.load, serving.pressed) - outlook.overChances[i]);
+    }
+    const double own = std::min(paceOf(fill, cpu, servings), share);
     if (own < settings_.minStartSpeed)
         return 0;
-    double after = own * added;
-    for (const ScheduledTask *task : worker.tasks) {
-        if (stepOf(*task).fills)
-            after += paceOf(*task, cpu, slack) * static_cast<double>(stepOf(*task).cpu.value);
-    }
-    double harm = 0; // serving tasks that are over their targets because of the new one, on average
-    for (const ServingSlack &serving : slack) {
-        const double rise = interference_.pressure(fill.image, serving.image) * added / cpu;
-        harm += BusyShare
-                * (overChance(serving.load, serving.pressed)
-                   - overChance(serving.load, serving.pressed - rise));
-    }
-    return std::max(after - before - settings_.placementHarm * harm * added, 0.0);
+    double gain = own * added - settings_.placementHarm * harm * added;
+    if (outlook.hasHard)
+        gain += fillUse(worker, cpu, servings) - fillUse(worker, cpu, outlook.servings);
+    return std::max(gain, 0.0);
 }
 
 /// The pace at which the filling tasks that press little may work: what they get done is weighed
@@ -320,14 +330,13 @@
     return bestPace;
 }
 
-/// The share of the known images of filling tasks that could run on the worker at full pace.
-double Scheduler::openness(const ScheduledWorker &worker, Time now) const
+/// The share of the known images of filling tasks that could run at full pace beside these tasks.
+double Scheduler::openness(const std::vector<ServingSlack> &servings) const
 {
-    const std::vector<ServingSlack> slack = servingSlack(worker, LoadBasis::Busy, now);
     double open = 0;
     for (ImageIndex fill = 0; fill < interference_.imageCount(); ++fill) {
         double pace = 1;
-        for (const ServingSlack &serving : slack) {
+        for (const ServingSlack &serving : servings) {
             const double rise = interference_.pressure(fill, serving.image) * UsualShare;
             if (rise >= FeltRise)
                 pace = std::min(pace, std::max(serving.slack, 0.0) / rise);
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -11,7 +11,7 @@
 // - Lasting jobs that reserve nearly all processors: tasks of a lasting job that already runs are
 //   restarted before everything else and may stop others, because their users see each second. A
 //   new one takes only what jobs with an objective leave, because it stays for long.
-#include "scheduling/scheduling.h"
+#include "scheduling/planpass_p.h"
 
 #include <algorithm>
 #include <tuple>
@@ -21,6 +21,9 @@
 namespace {
 
 constexpr double OpennessWeight = 0.3; // of a task's processors
+constexpr double AffinityScore = 1e6; // outweighs all that is said about processors
+constexpr double FailureScore = 1e7; // and this outweighs the affinity
+constexpr Duration RefusalMemory = milliseconds(200); // then all workers are tried again
 
 bool contains(const std::vector<std::string> &labels, const std::string &label)
 {
@@ -144,6 +147,7 @@
 {
     checkWorkers(now);
     addDueOccurrences(now);
+    beginPass(now);
     for (ScheduledJob *job : orderJobs(now))
         assignJob(*job, now);
 }
@@ -151,8 +155,9 @@
 void Scheduler::assignJob(ScheduledJob &job, Time now)
 {
     std::vector<const ScheduledTask *> assigned;
-    std::ptrdiff_t refusedStep =
-            -1; // tasks of one step need the same; if one finds no worker, none does
+    std::vector<Candidate> candidates; // for the tasks of one step, which need the same
+    std::ptrdiff_t candidateStep = -1;
+    std::ptrdiff_t refusedStep = -1;
     for (ScheduledTask &task : job.tasks) {
         const auto step = static_cast<std::ptrdiff_t>(job.stepIndex(task.ref));
         if (step == refusedStep || task.notBefore > now || !isRunnable(job, task))
@@ -162,13 +167,27 @@
                 assignGang(job, task.ref.occurrence, task.ref.step, now);
             continue;
         }
-        if (ScheduledWorker *worker = choose(task, now)) {
-            assign(task, *worker);
+        if (step != candidateStep) {
+            const RefusedNeed *need = findRefused(task);
+            const bool isHopeless = need && need->refusedIn == pass_->number;
+            candidates.clear();
+            if (!isHopeless)
+                candidates = candidatesFor(task, need ? need->refusedIn : 0, now);
+            candidateStep = step;
+        }
+        if (!task.failedOn.empty()) { // it ranks the workers in another way
+            if (ScheduledWorker *worker = candidates.empty() ? nullptr : choose(task, now)) {
+                assign(task, *worker);
+                assigned.push_back(&task);
+                candidateStep = -1;
+                continue;
+            }
+        } else if (assignToBest(task, candidates, now)) {
             assigned.push_back(&task);
             continue;
         }
-        if (task.failedOn.empty())
-            refusedStep = step;
+        noteRefused(task);
+        refusedStep = step;
         if (stepOf(task).longRunning && task.progress.run.value > 0
             && now - task.waitingSince > settings_.preemptAfter)
             makeRoom(task, now);
@@ -176,6 +195,49 @@
     logAssigned(job, assigned, now);
 }
 
+/// The need of a task that found no worker and needed no more than this one, or null. A filling
+/// task that needs less of the processor than another one of its image does less harm, so it is as
+/// welcome.
+RefusedNeed *Scheduler::findRefused(const ScheduledTask &task) const
+{
+    const StepSpec &step = stepOf(task);
+    const auto it = std::find_if(
+            pass_->refused.begin(), pass_->refused.end(), [&](const RefusedNeed &need) {
+                return step.cpu.value >= need.cpu && step.memory.value >= need.memory
+                       && step.accelerators >= need.accelerators && step.fills == need.fills
+                       && (!step.fills || task.image == need.image)
+                       && step.requirement == need.requirement
+                       && task.job->queue.service == need.service;
+            });
+    return it == pass_->refused.end() ? nullptr : &*it;
+}
+
+/// Notes that the task found no worker among those that have changed since the need was refused
+/// last, or among all.
+void Scheduler::noteRefused(const ScheduledTask &task)
+{
+    const StepSpec &step = stepOf(task);
+    if (step.antiAffinity > 0) // others are not bound by the rule of this step
+        return;
+    if (RefusedNeed *need = findRefused(task)) {
+        need->refusedIn = pass_->number;
+        return;
+    }
+    pass_->refused.push_back({task.job->queue.service, step.fills, task.image, step.requirement,
+                              step.cpu.value, step.memory.value, step.accelerators, pass_->number});
+}
+
+/// Tries the workers for a step anew: loads and times change what workers bear without an event.
+void Scheduler::beginPass(Time now)
+{
+    ++pass_->number;
+    if (now - pass_->forgotAt < RefusalMemory)
+        return;
+    pass_->forgotAt = now;
+    pass_->refused.clear();
+    pass_->outlooks.clear();
+}
+
 /// Assigns all tasks of a gang, or none.
 void Scheduler::assignGang(ScheduledJob &job, int occurrence, int step, Time now)
 {
@@ -215,53 +277,90 @@
     logAssigned(job, {members.begin(), members.end()}, now);
 }
 
-ScheduledWorker *Scheduler::choose(const ScheduledTask &task, Time now) const
+/// How well a worker suits the task; the highest score wins. Nothing if the task cannot run there.
+std::optional<double> Scheduler::scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
+                                         Time now) const
 {
     const StepSpec &step = stepOf(task);
+    const WorkerEntry &entry = worker.entry;
+    if (!isUsable(worker, now) || entry.service != task.job->queue.service)
+        return std::nullopt;
     const auto memory = static_cast<std::int64_t>(step.memory.value);
     const auto cpu = static_cast<std::int64_t>(step.cpu.value);
+    if (worker.memoryUsed + memory > static_cast<std::int64_t>(entry.memory.value)
+        || worker.acceleratorsUsed + step.accelerators > entry.accelerators)
+        return std::nullopt;
+    if (!step.fills && worker.cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
+        return std::nullopt;
+    if (!step.requirement.empty() && !contains(entry.labels, step.requirement))
+        return std::nullopt;
+    if (step.antiAffinity > 0 && countOfStep(worker, task.ref) >= step.antiAffinity)
+        return std::nullopt;
+    double score = 0;
+    if (step.fills) {
+        score = fillGain(worker, task, now);
+        if (score <= 0)
+            return std::nullopt;
+        // Workers that bear most images are kept for the tasks that few others bear.
+        score -= OpennessWeight * outlookOf(worker, now).openness * static_cast<double>(cpu);
+    } else if (step.tailTarget > Duration::zero()) {
+        score = servingScore(worker, task);
+    } else {
+        // Best fit: large gaps are kept for large tasks.
+        score = static_cast<double>(worker.cpuUsed) - static_cast<double>(entry.cpu.value);
+    }
+    if (!step.affinity.empty() && contains(entry.labels, step.affinity))
+        score += AffinityScore;
+    if (hasFailedOn(task, worker))
+        score -= FailureScore;
+    return score;
+}
+
+ScheduledWorker *Scheduler::choose(const ScheduledTask &task, Time now) const
+{
     ScheduledWorker *best = nullptr;
     double bestScore = 0;
     for (const auto &[id, worker] : workers_) {
-        if (!isUsable(*worker, now) || worker->entry.service != task.job->queue.service)
-            continue;
-        const WorkerEntry &entry = worker->entry;
-        if (worker->memoryUsed + memory > static_cast<std::int64_t>(entry.memory.value)
-            || worker->acceleratorsUsed + step.accelerators > entry.accelerators)
-            continue;
-        if (!step.requirement.empty() && !contains(entry.labels, step.requirement))
-            continue;
-        if (step.antiAffinity > 0 && countOfStep(*worker, task.ref) >= step.antiAffinity)
-            continue;
-        double score = 0;
-        if (step.fills) {
-            score = fillGain(*worker, task, now);
-            if (score <= 0)
-                continue;
-            // Workers that bear most images are kept for the tasks that few others bear.
-            score -= OpennessWeight * openness(*worker, now) * static_cast<double>(cpu);
-        } else if (step.tailTarget > Duration::zero()) {
-            if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
-                continue;
-            score = servingScore(*worker, task);
-        } else {
-            if (worker->cpuUsed + cpu > static_cast<std::int64_t>(entry.cpu.value))
-                continue;
-            // Best fit: large gaps are kept for large tasks.
-            score = static_cast<double>(worker->cpuUsed) - static_cast<double>(entry.cpu.value);
-        }
-        if (!step.affinity.empty() && contains(entry.labels, step.affinity))
-            score += 1e6;
-        if (hasFailedOn(task, *worker))
-            score -= 1e7;
-        if (!best || score > bestScore) {
+        const std::optional<double> score = scoreOf(*worker, task, now);
+        if (score && (!best || *score > bestScore)) {
             best = worker.get();
-            bestScore = score;
+            bestScore = *score;
         }
     }
     return best;
 }
 
+/// The workers for the tasks of one step. Only workers that have changed since `since` are tried.
+std::vector<Scheduler::Candidate> Scheduler::candidatesFor(const ScheduledTask &task,
+                                                           std::uint64_t since, Time now) const
+{
+    std::vector<Candidate> candidates;
+    for (const auto &[id, worker] : workers_) {
+        if (worker->changedIn < since)
+            continue;
+        if (const std::optional<double> score = scoreOf(*worker, task, now))
+            candidates.push_back({*score, worker.get()});
+    }
+    return candidates;
+}
+
+/// Assigns the task to the best candidate, and updates that candidate for the next task of the
+/// step.
+bool Scheduler::assignToBest(ScheduledTask &task, std::vector<Candidate> &candidates, Time now)
+{
+    const auto best = std::max_element(
+            candidates.begin(), candidates.end(),
+            [](const Candidate &a, const Candidate &b) { return a.score < b.score; });
+    if (best == candidates.end())
+        return false;
+    assign(task, *best->worker);
+    if (const std::optional<double> score = scoreOf(*best->worker, task, now))
+        best->score = *score;
+    else
+        candidates.erase(best);
+    return true;
+}
+
 /// One line for all tasks of a job that are assigned at once: a line for each would cost a
 /// coordinator more than the decisions.
 void Scheduler::logAssigned(const ScheduledJob &job,
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -1,6 +1,6 @@
 // Jobs: their records, their states, and the ends of their runs. Workers are in workers.cpp, the
 // choice of the next task in placement.cpp.
-#include "scheduling/scheduling.h"
+#include "scheduling/planpass_p.h"
 
 #include <algorithm>
 #include <cassert>
@@ -40,9 +40,12 @@
 }
 
 Scheduler::Scheduler(SchedulingSettings settings, Duration lostLeaseAfter, LogHook log, Time now)
-    : settings_(settings), lostLeaseAfter_(lostLeaseAfter), log_(std::move(log)), startedAt_(now)
+    : settings_(settings), lostLeaseAfter_(lostLeaseAfter), log_(std::move(log)), startedAt_(now),
+      pass_(std::make_unique<PlanPass>())
 { }
 
+Scheduler::~Scheduler() = default;
+
 void Scheduler::setConfig(const QueueConfig &config, Time now)
 {
     config_ = config;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -349,17 +349,23 @@
     Time setAsideUntil{};
     Duration setAsideFor{};
     Time noRoomUntil{}; // after a refusal
+    std::uint64_t changedIn = 0; // pass of planning since which it may bear more than before
     Time pacedAt{}; // when the pace of its filling tasks was last decided
 };
 
 // [6] Scheduler
 
+struct RefusedNeed;
+
 class Scheduler
 {
 public:
     /// `lostLeaseAfter`: how long after the start of this coordinator the runs of a former one may
     /// still exist on a worker that cannot be reached.
     Scheduler(SchedulingSettings settings, Duration lostLeaseAfter, LogHook log, Time now);
+    ~Scheduler();
+    Scheduler(const Scheduler &) = delete;
+    Scheduler &operator=(const Scheduler &) = delete;
 
     void setConfig(const QueueConfig &config, Time now);
 
@@ -431,6 +437,7 @@
     void logListed(const WorkerEntry &entry);
     void reserve(ScheduledWorker &worker, ScheduledTask &task);
     void release(ScheduledTask &task);
+    void noteChanged(ScheduledWorker &worker);
     void makeWaiting(ScheduledTask &task, Duration delay, Time now);
     void applyEnd(ScheduledWorker &worker, const FinishedTask &end, Time now);
     void endRun(ScheduledTask &task, RunEnd end, const std::string &checkpoint, Time now);
@@ -454,7 +461,11 @@
     std::vector<ServingSlack> servingSlack(const ScheduledWorker &worker, LoadBasis basis,
                                            Time now) const;
     double paceLimit(const ScheduledWorker &worker, const ScheduledTask &fill, Time now) const;
-    double openness(const ScheduledWorker &worker, Time now) const;
+    struct FillOutlook;
+    const FillOutlook &outlookOf(const ScheduledWorker &worker, Time now) const;
+    double openness(const std::vector<ServingSlack> &servings) const;
+    double fillUse(const ScheduledWorker &worker, double cpu,
+                   const std::vector<ServingSlack> &servings) const;
     double paceOf(const ScheduledTask &fill, double cpu,
                   const std::vector<ServingSlack> &slack) const;
     bool isHard(const ScheduledTask &fill, double cpu,
@@ -472,6 +483,15 @@
     std::vector<ScheduledJob *> orderJobs(Time now);
     void assignJob(ScheduledJob &job, Time now);
     void assignGang(ScheduledJob &job, int occurrence, int step, Time now);
+    RefusedNeed *findRefused(const ScheduledTask &task) const;
+    void noteRefused(const ScheduledTask &task);
+    void beginPass(Time now);
+    struct Candidate;
+    std::optional<double> scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
+                                  Time now) const;
+    std::vector<Candidate> candidatesFor(const ScheduledTask &task, std::uint64_t since,
+                                         Time now) const;
+    bool assignToBest(ScheduledTask &task, std::vector<Candidate> &candidates, Time now);
     ScheduledWorker *choose(const ScheduledTask &task, Time now) const;
     void assign(ScheduledTask &task, ScheduledWorker &worker);
     void logAssigned(const ScheduledJob &job, const std::vector<const ScheduledTask *> &tasks,
@@ -493,6 +513,8 @@
     std::vector<StartOrder> starts_;
     std::vector<StopOrder> stops_;
     std::vector<PaceOrder> paces_;
+    struct PlanPass;
+    std::unique_ptr<PlanPass> pass_; // empty between two passes
 };
 
 /// "job.occurrence.step.index", for logs.
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -1,5 +1,5 @@
 // Workers: their lists of runs, and their loss.
-#include "scheduling/scheduling.h"
+#include "scheduling/planpass_p.h"
 
 #include <algorithm>
 #include <set>
@@ -48,8 +48,12 @@
         if (isNew || entry.draining != worker->entry.draining
             || entry.incarnation != worker->entry.incarnation)
             logListed(entry);
+        const bool isNewlyUsable =
+                wasListed.count(entry.id) == 0 || worker->entry.draining != entry.draining;
         worker->entry = entry;
         worker->listed = true;
+        if (isNewlyUsable)
+            noteChanged(*worker);
     }
     for (const auto &[id, worker] : workers_) {
         if (wasListed.count(id) > 0 && !worker->listed)
@@ -60,6 +64,8 @@
     }
     for (auto it = workers_.begin(); it != workers_.end();) {
         const bool isObsolete = !it->second->listed && it->second->tasks.empty();
+        if (isObsolete)
+            pass_->outlooks.erase(it->second.get());
         it = isObsolete ? workers_.erase(it) : std::next(it);
     }
 }
@@ -79,6 +85,7 @@
     const StepSpec &step = stepOf(task);
     task.worker = &worker;
     worker.tasks.push_back(&task);
+    pass_->outlooks.erase(&worker);
     worker.memoryUsed += static_cast<std::int64_t>(step.memory.value);
     worker.acceleratorsUsed += step.accelerators;
     const auto cpu = static_cast<double>(step.cpu.value);
@@ -94,12 +101,20 @@
         ++at(worker.servingByImage, task.image);
 }
 
+/// Notes that the worker may bear more than before.
+void Scheduler::noteChanged(ScheduledWorker &worker)
+{
+    worker.changedIn = pass_->number;
+    pass_->outlooks.erase(&worker);
+}
+
 void Scheduler::release(ScheduledTask &task)
 {
     ScheduledWorker *worker = std::exchange(task.worker, nullptr);
     if (!worker)
         return;
     const StepSpec &step = stepOf(task);
+    noteChanged(*worker);
     worker->tasks.erase(std::remove(worker->tasks.begin(), worker->tasks.end(), &task),
                         worker->tasks.end());
     worker->memoryUsed -= static_cast<std::int64_t>(step.memory.value);
@@ -156,6 +171,8 @@
     // From now on the worker refuses renewals by former coordinators.
     if (!worker.known)
         worker.lapseAt = now + settings_.longestLease;
+    if (!worker.known || worker.suspect)
+        noteChanged(worker);
     worker.known = true;
     worker.suspect = false;
     worker.lastReport = now;
