Let a much stronger host take the coordinator's record over; watch the configuration more closely

A watch on a connection that went silent was found after 2.05 s. Change: the record names the cores of its host; a process with 1.5 times as many that has had contact for 3 s asks for it through a key, and the coordinator gives it up. The configuration is watched with 0.6 s a call, so a silent connection is found after 1.65 s. invariant_fleet_test: a much stronger host takes the record over, and what runs goes on.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -8,7 +8,9 @@
 // assign a run.
 //
 // Keys in the store:
-//   coordinator            name of the coordinator's process, under its lease
+//   coordinator            cores and name of the coordinator's process, under its lease
+//   coordinator/challenge  cores of a process on a much stronger host, which asks the coordinator
+//                          to give its record up; goes by itself after some seconds
 //   jobs/in/spec/ID        specification of a job; written once, by the process that accepts it
 //   jobs/in/cancel/ID      the job is cancelled; written once
 //   jobs/progress/ID       progress of the job; written by the coordinator
@@ -164,6 +166,10 @@
     std::string workerPrefix; // of the workers' own entries
     double cpuShare = 1; // cores of this host; stronger hosts become coordinator sooner
     Duration leaseTtl = seconds(2); // of the coordinator's record
+    double challengeFactor = 1.5; // a process with so many times the coordinator's cores asks for
+                                  // the record
+    Duration challengeAfter = seconds(3); // of contact to the store and of the same coordinator
+    Duration challengePause = seconds(10); // between two challenges of one process
     Duration keepInterval = milliseconds(600); // between two renewals of it
     Duration extendFor = seconds(3); // after its last contact to the store, a coordinator
                                      // renews the leases of workers for this long
@@ -174,6 +180,8 @@
                                               // of a job is read when a client asks for it
     Duration workerPause = milliseconds(400); // between two watches of the registry
     Duration watchWait = seconds(1); // a silent connection is found after this and a time-out
+    Duration configWait = milliseconds(600); // the same for the configuration, which has to be in
+                                             // force within two seconds
     Duration planDelay = milliseconds(10); // collects events that come together
     Duration keepFinished = seconds(125); // records of ended jobs
     int writesInFlight = 4; // of the coordinator's records
@@ -493,6 +501,9 @@
     void checkStore();
     void readState(const JobId &id, JobState known, StateDone done);
     void followJobs();
+    void onRecordItem(const KeyValue &item, Time now);
+    void challengeIfStronger(Time now);
+    void onChallenge(double cores, Time now);
     void standLater();
     void stand(Time now);
     void onLeaseGranted(LeaseId lease, Time sentAt, Time now);
@@ -515,9 +526,13 @@
     LeaseId lease_;
     bool hasStore_ = true; // as last logged
     bool hasRecord_ = false; // some process holds the coordinator's record
+    double recordCores_ = 0; // of its host
+    Time recordSince_{}; // when this process first saw the record
     bool isStanding_ = false; // this process tries to get it
     bool isDraining_ = false;
     Time lastContact_{}; // with the store
+    Time contactSince_{}; // the store has answered all the time since
+    std::optional<Time> challengedAt_; // last challenge by this process
     Time notBefore_{}; // earliest time to stand again
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cstdlib>
 
 namespace monsoonledge {
 
@@ -21,10 +22,11 @@
 
 FleetNode::FleetNode(const FleetSettings &settings, const FleetPorts &ports, std::uint64_t seed,
                      Time now)
-    : settings_(settings), ports_(ports), random_(seed), writer_(ports), lastContact_(now)
+    : settings_(settings), ports_(ports), random_(seed), writer_(ports), lastContact_(now),
+      contactSince_(now)
 {
     configWatch_ = std::make_unique<PrefixWatch>(
-            ports_, settings_.configPrefix, settings_.watchWait, Duration::zero(),
+            ports_, settings_.configPrefix, settings_.configWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
                                    onConfigItems(items, later);
                                },
@@ -70,7 +72,10 @@
             log(isThere ? LogLevel::Info : LogLevel::Warning,
                 isThere ? "store-regained" : "store-lost",
                 isThere ? "the store answers again" : "the store has not answered for 2.6 s");
+        if (!isThere || !hasStore_)
+            contactSince_ = now;
         hasStore_ = isThere;
+        challengeIfStronger(now);
         checkStore();
     });
 }
@@ -119,10 +124,55 @@
 void FleetNode::onRecordItems(const std::vector<KeyValue> &items, Time now)
 {
     for (const KeyValue &item : items)
-        hasRecord_ = !item.deleted;
+        onRecordItem(item, now);
     if (!hasRecord_)
         standLater();
-    (void)now;
+}
+
+void FleetNode::onRecordItem(const KeyValue &item, Time now)
+{
+    if (item.key == keys::Challenge && !item.deleted)
+        onChallenge(std::strtod(item.value.c_str(), nullptr), now);
+    if (item.key != keys::Coordinator)
+        return;
+    hasRecord_ = !item.deleted;
+    recordSince_ = now;
+    recordCores_ = std::strtod(item.value.c_str(), nullptr); // the name follows after a space
+}
+
+/// Asks for the record if this host is much stronger than the coordinator's. After outages a weak
+/// host may have got it, and at hundreds of workers it falls behind.
+void FleetNode::challengeIfStronger(Time now)
+{
+    const bool isStronger = settings_.cpuShare >= settings_.challengeFactor * recordCores_;
+    if (!hasRecord_ || coordinator_ || isDraining_ || !isStronger || !isReady(now))
+        return;
+    if (now - std::max(recordSince_, contactSince_) < settings_.challengeAfter
+        || (challengedAt_ && now - *challengedAt_ < settings_.challengePause))
+        return;
+    challengedAt_ = now;
+    ports_.store.grantLease(settings_.challengeAfter, [this, alive = std::weak_ptr<int>(alive_)](
+                                                              const KeyValueResult &result, Time) {
+        if (alive.expired() || result.status != KeyValueStatus::Ok)
+            return; // tried again after the pause
+        Transaction transaction;
+        transaction.conditions.push_back({keys::Challenge, StoreRevision{}});
+        transaction.puts.push_back(
+                {keys::Challenge, std::to_string(settings_.cpuShare), result.lease});
+        ports_.store.commit(transaction, [](const KeyValueResult &, Time) {});
+    });
+}
+
+/// Gives the record up to a stronger host; all stand for it then, the strongest first.
+void FleetNode::onChallenge(double cores, Time now)
+{
+    if (!coordinator_ || cores < settings_.challengeFactor * settings_.cpuShare)
+        return;
+    log(LogLevel::Info, "coordinator-resigned", "a stronger host asks for the record",
+        {{"cores", std::to_string(settings_.cpuShare)}, {"challenger", std::to_string(cores)}});
+    const LeaseId lease = lease_;
+    stepDown(now);
+    ports_.store.endLease(lease, [](const KeyValueResult &, Time) {}); // or it lapses
 }
 
 /// Strong hosts stand first, so that they usually win.
@@ -172,7 +222,8 @@
 {
     Transaction transaction;
     transaction.conditions.push_back({keys::Coordinator, StoreRevision{}});
-    transaction.puts.push_back({keys::Coordinator, settings_.name, lease});
+    transaction.puts.push_back(
+            {keys::Coordinator, std::to_string(settings_.cpuShare) + ' ' + settings_.name, lease});
     ports_.store.commit(transaction, [this, lease, sentAt, alive = std::weak_ptr<int>(alive_)](
                                              const KeyValueResult &result, Time later) {
         if (alive.expired())
--- a/src/fleet/keys_p.h
+++ b/src/fleet/keys_p.h
@@ -9,6 +9,7 @@
 namespace monsoonledge::keys {
 
 inline const std::string Coordinator = "coordinator";
+inline const std::string Challenge = "coordinator/challenge";
 inline const std::string JobsPrefix = "jobs/"; // everything about jobs
 inline const std::string InputPrefix = "jobs/in/"; // what clients have asked for
 inline const std::string SpecPrefix = "jobs/in/spec/";
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -5,6 +5,7 @@
 #include "fakes/fakekeyvalue.h"
 #include "fakes/fakerunners.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,6 +59,8 @@
         process.workers->random = Random(random.next());
         FleetSettings settings;
         settings.name = "p" + std::to_string(index);
+        const auto cores = cpuShares.find(index);
+        settings.cpuShare = cores == cpuShares.end() ? 1 : cores->second;
         settings.configKey = "op/config";
         settings.configPrefix = "op/";
         settings.workerPrefix = "servers/";
@@ -166,6 +169,7 @@
     Random random;
     std::vector<Process> processes;
     std::vector<std::string> log;
+    std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
 
 private:
     static std::optional<QueueConfig> decodeConfig(const std::string &value)
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -76,6 +76,32 @@
     CHECK(world.runners.findings.empty());
 }
 
+TEST_CASE("a much stronger host takes the record over, and what runs goes on")
+{
+    FleetWorld world(2);
+    world.kill(0);
+    world.kill(1);
+    world.cpuShares = {{0, 0.07}, {1, 0.5}, {2, 0.1}};
+    world.processes.resize(3);
+    world.start(0);
+    world.start(2); // not strong enough to ask for the record
+    world.clock.advance(seconds(4));
+    const int weak = world.coordinator();
+    REQUIRE((weak == 0 || weak == 2));
+    world.clock.advance(seconds(4));
+    CHECK(world.coordinator() == weak);
+    world.start(1);
+    world.clock.advance(seconds(2));
+    CHECK(world.submit(0, FleetWorld::job("a", 6, "ms=3500")) == JobAnswer::Accepted);
+    world.clock.advance(seconds(3));
+    CHECK(world.coordinator() == 1);
+    world.clock.advance(seconds(3));
+    CHECK(world.state(2, "a") == JobState::Completed);
+    for (const auto &[task, starts] : world.runners.starts)
+        CHECK(starts == 1);
+    CHECK(world.runners.findings.empty());
+}
+
 TEST_CASE("a cancellation survives the loss of the store's history")
 {
     // After a loss, the keys are loaded again in their order: cancellations before jobs.
