--- a/tests/unit/interference_test.cpp
+++ b/tests/unit/interference_test.cpp
@@ -55,3 +55,62 @@
     CHECK(load.at(now) > 0.15);
     CHECK(load.at(now) < 0.75);
 }
+
+TEST_CASE("the load of a step is followed by the figures of all its tasks, and a rise is expected")
+{
+    // A load that swings by half of its mean within ten seconds, as one that follows its users
+    // does.
+    const auto realLoad = [](Time when) {
+        return 0.5 + 0.24 * std::sin(toMilliseconds(when.time_since_epoch()) / 10000 * 2 * M_PI);
+    };
+    Random random(3);
+    LoadTrend load;
+    Time now{};
+    double worst = 0;
+    double sum = 0;
+    int count = 0;
+    for (int i = 0; i < 600; ++i) {
+        now += milliseconds(80); // six tasks that report twice a second
+        const double noise = 0.08 * (random.unit() - 0.5);
+        load.add(realLoad(now) + noise, 1, now);
+        if (i < 50)
+            continue;
+        const Time later = now + milliseconds(300);
+        const double error = std::abs(load.at(later) - realLoad(later));
+        worst = std::max(worst, error);
+        sum += error;
+        ++count;
+    }
+    CHECK(sum / count < 0.05);
+    CHECK(worst < 0.17);
+    CHECK(load.busy() > 0.65);
+    CHECK(load.busy() < 0.9);
+    CHECK(LoadTrend().at(now) == doctest::Approx(UsualServingLoad));
+}
+
+TEST_CASE("the stretch of service times and the rise of the utilization belong together")
+{
+    for (const double rise : {0.05, 0.3, 1.0, 4.0}) {
+        const double utilization = InterferenceModel::utilizationRise(rise);
+        CHECK(InterferenceModel::stretchOf(utilization) == doctest::Approx(1 + rise));
+    }
+    CHECK(InterferenceModel::stretchOf(-0.5) == 1);
+}
+
+TEST_CASE("a pair that presses hard is known after a few figures")
+{
+    InterferenceModel model;
+    const ImageIndex serving = model.indexOf("serving");
+    const ImageIndex pressing = model.indexOf("pressing");
+    LoadTrend load;
+    Time now{};
+    for (int i = 0; i < 20; ++i) {
+        now += milliseconds(100);
+        model.observe(serving, tailOf(0.5), {}, load, now);
+    }
+    for (int i = 0; i < 3; ++i) {
+        now += milliseconds(400);
+        model.observe(serving, tailOf(0.5 + 1 - 1 / (1 + 5 * 0.1)), {{pressing, 0.1}}, load, now);
+    }
+    CHECK(model.pressure(pressing, serving) > 3);
+}
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -334,6 +334,81 @@
         CHECK(pace == 0);
 }
 
+TEST_CASE("filling tasks go where they do not press hard on serving tasks")
+{
+    // Two workers with serving tasks of different images; "report" presses on "desk" only.
+    Bench bench(2, 20000);
+    for (const char *image : {"desk", "shop"}) {
+        StepSpec serving = Bench::step(1, 16000);
+        serving.longRunning = true;
+        serving.image = image;
+        serving.tailTarget = milliseconds(60);
+        bench.add(image, {serving});
+    }
+    std::map<std::string, WorkerId> workerOf;
+    for (const StartOrder &order : bench.run())
+        workerOf[order.task.job.str()] = order.worker;
+    REQUIRE(workerOf.size() == 2);
+    REQUIRE(workerOf["desk"] != workerOf["shop"]);
+    StepSpec fill = Bench::step(1, 2000, seconds(2));
+    fill.fills = true;
+    fill.image = "report";
+    int besideDesk = 0;
+    int late = 0;
+    for (int i = 0; i < 60; ++i) {
+        if (i % 3 == 0)
+            bench.add("fill" + std::to_string(i), {fill}, "batch");
+        for (const StartOrder &order : bench.run()) {
+            const bool isBesideDesk = order.worker == workerOf["desk"];
+            besideDesk += isBesideDesk ? 1 : 0;
+            late += isBesideDesk && i > 20 ? 1 : 0;
+        }
+        for (auto &[worker, rows] : bench.running) {
+            double stretch = 1;
+            for (RunningTask &row : rows) {
+                row.percent = 100;
+                if (row.task.job.str().rfind("fill", 0) != 0)
+                    continue;
+                row.usage = 2000;
+                stretch += worker == workerOf["desk"] ? 0.5 : 0.01;
+            }
+            for (RunningTask &row : rows) {
+                if (row.task.job.str().rfind("fill", 0) != 0)
+                    row.usage = 10 * stretch / (1 - std::min(0.6 * stretch, 0.98));
+            }
+            if (rows.size() > 4) // the oldest filling task ends
+                rows.erase(rows.begin() + 1);
+        }
+        bench.now += milliseconds(400);
+        bench.report();
+    }
+    CHECK(besideDesk <= 4);
+    CHECK(late == 0);
+}
+
+TEST_CASE("with far more waiting than fits, freed room is used at once")
+{
+    // A flood of one need: passes remember that it found no worker, and try only what has changed.
+    Bench bench(20, 10000);
+    for (int i = 0; i < 200; ++i)
+        bench.add("flood" + std::to_string(i), {Bench::step(10)});
+    const std::vector<StartOrder> first = bench.run();
+    CHECK(first.size() == 200); // 20 workers with 10 processors each
+    CHECK(bench.run().empty());
+    bench.now += milliseconds(10);
+    bench.end(first.at(7), RunEnd::Done);
+    bench.report();
+    const std::vector<StartOrder> next = bench.run();
+    REQUIRE(next.size() == 1);
+    CHECK(next.front().worker == first.at(7).worker);
+    // A smaller need was not refused.
+    bench.now += milliseconds(10);
+    bench.end(first.at(9), RunEnd::Done);
+    bench.report();
+    bench.add("small", {Bench::step(2, 500)});
+    CHECK(bench.run().size() >= 1);
+}
+
 TEST_CASE("serving tasks of one image share workers")
 {
     Bench bench(4, 16000);
