--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -62,6 +62,9 @@
 /// Header names are in lower case.
 using HttpHeaders = std::map<std::string, std::string>;
 
+/// The value of a header, or an empty string. `name` is in lower case.
+std::string headerValue(const HttpHeaders &headers, const std::string &name);
+
 struct HttpRequest
 {
     std::string method;
@@ -129,6 +132,9 @@
     TimedOut, // sent, and no whole response within the time
 };
 
+/// True if the failure guarantees that no byte of the request left this process.
+bool isCertainlyUnsent(HttpFailure failure);
+
 struct HttpResult
 {
     HttpFailure failure = HttpFailure::None;
--- a/src/adapters/http.cpp
+++ b/src/adapters/http.cpp
@@ -66,15 +66,6 @@
     return it == headers.end() ? std::string() : it->second;
 }
 
-std::optional<std::uint64_t> parseNumber(const std::string &text)
-{
-    // 19 digits always fit into 64 bits.
-    if (text.empty() || text.size() > 19
-        || text.find_first_not_of("0123456789") != std::string::npos)
-        return std::nullopt;
-    return std::stoull(text);
-}
-
 std::optional<nlohmann::json> parseObject(const std::string &text)
 {
     nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -24,12 +24,6 @@
 /// False if Content-Length headers differ or one of them is not a plain decimal number.
 bool hasConsistentContentLength(const evkeyvalq *headers);
 
-/// The value of a header, or an empty string. `name` is in lower case.
-std::string headerValue(const HttpHeaders &headers, const std::string &name);
-
-/// Parses a decimal number of at most 19 digits without sign or spaces.
-std::optional<std::uint64_t> parseNumber(const std::string &text);
-
 /// Parses a JSON object. The result is empty if the text is none.
 std::optional<nlohmann::json> parseObject(const std::string &text);
 
@@ -37,7 +31,4 @@
 /// peer's delayed acknowledgement.
 void setNoDelay(bufferevent *bev);
 
-/// True if the failure guarantees that no byte of the request left this process.
-bool isCertainlyUnsent(HttpFailure failure);
-
 } // namespace monsoonledge
--- a/src/app/httpapi.cpp
+++ b/src/app/httpapi.cpp
@@ -49,7 +49,7 @@
 }
 
 /// Parses a decimal number of at most nine digits; -1 if the text is none.
-long parseNumber(const std::string &text)
+long parseSmallNumber(const std::string &text)
 {
     const bool digits = !text.empty() && text.size() <= 9
                         && text.find_first_not_of("0123456789") == std::string::npos;
@@ -340,7 +340,7 @@
     }
     const std::string deadline = header(request, "x-deadline-ms");
     if (!deadline.empty()) {
-        const long value = parseNumber(deadline);
+        const long value = parseSmallNumber(deadline);
         if (value <= 0) {
             respond(badInput(400, "X-Deadline-Ms", "expected a positive number of milliseconds"));
             return;
@@ -356,7 +356,7 @@
     if (!authorize(request, Role::Operator, respond))
         return;
     const auto expect = request.query.find("expect");
-    const long revision = expect == request.query.end() ? -1 : parseNumber(expect->second);
+    const long revision = expect == request.query.end() ? -1 : parseSmallNumber(expect->second);
     if (revision < 0) {
         respond(badInput(400, "expect", "expected the revision in force, as ?expect=N"));
         return;
--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -93,4 +93,13 @@
     return static_cast<double>(next() >> 11) * 0x1.0p-53;
 }
 
+std::optional<std::uint64_t> parseNumber(const std::string &text)
+{
+    // 19 digits always fit into 64 bits.
+    if (text.empty() || text.size() > 19
+        || text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return std::stoull(text);
+}
+
 } // namespace monsoonledge
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <ostream>
 #include <stdexcept>
 #include <string>
@@ -191,6 +192,9 @@
     Findings findings_;
 };
 
+/// Parses a decimal number of at most 19 digits without sign or spaces.
+std::optional<std::uint64_t> parseNumber(const std::string &text);
+
 // [4] Hashing
 
 /// A 64-bit hash that is the same on every machine and in every version of the program, because
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -12,7 +12,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <charconv>
 
 namespace monsoonledge {
 
@@ -25,16 +24,6 @@
 constexpr std::size_t RemovalsPerWrite = (MaxTransactionEntries - 1) / 3; // three keys a job
 constexpr Duration MaxJobAge = seconds(600);
 
-std::optional<std::uint64_t> parseDecimal(const std::string &text)
-{
-    std::uint64_t value = 0;
-    const char *end = text.data() + text.size();
-    const auto [position, error] = std::from_chars(text.data(), end, value);
-    if (error != std::errc() || position != end)
-        return std::nullopt;
-    return value;
-}
-
 } // namespace
 
 // [1] Loading
@@ -49,7 +38,7 @@
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
                                    onJobsLoaded(items, later);
                                },
-                               [](const std::vector<KeyValue> &, Time) {}});
+                               {}});
     registry_ = std::make_unique<PrefixWatch>(
             ports_, settings_.workerPrefix, settings_.watchWait, settings_.workerPause,
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
@@ -63,7 +52,7 @@
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
                                    onUnreachedLoaded(items, later);
                                },
-                               [](const std::vector<KeyValue> &, Time) {}});
+                               {}});
     jobsLoad_->start();
     registry_->start();
     unreachedLoad_->start();
@@ -100,7 +89,7 @@
 {
     for (const KeyValue &item : items) {
         const WorkerId id(item.key.substr(keys::UnreachedPrefix.size()));
-        const std::optional<std::uint64_t> incarnation = parseDecimal(item.value);
+        const std::optional<std::uint64_t> incarnation = parseNumber(item.value);
         if (incarnation)
             unreached_[id].value = *incarnation;
         else
@@ -125,7 +114,7 @@
     settings_.scheduling.longestLease = std::chrono::duration_cast<Duration>(
             settings_.maxWorkerLease / WorkerClockRate + LapseMargin);
     scheduler_ = std::make_unique<Scheduler>(settings_.scheduling, lostLease, ports_.log, now);
-    scheduler_->setConfig(hooks_.config(), now);
+    scheduler_->setConfig(hooks_.config());
     scheduler_->setWallClock(ports_.wallNow(), now);
     publishWorkers(now);
     std::unordered_map<JobId, JobProgress> progress;
@@ -242,11 +231,11 @@
     }
 }
 
-void Coordinator::onConfig(Time now)
+void Coordinator::onConfig()
 {
     if (!scheduler_)
         return;
-    scheduler_->setConfig(hooks_.config(), now);
+    scheduler_->setConfig(hooks_.config());
     planSoon();
 }
 
@@ -360,7 +349,7 @@
     };
     const auto record = find(keys::Coordinator);
     if (record == result.items.end() || record->revision != record_) {
-        depose("the record belongs to another process", now);
+        depose("the record belongs to another process");
         return;
     }
     for (const JobChange &change : write->changes) {
@@ -405,7 +394,7 @@
     });
 }
 
-void Coordinator::depose(const std::string &reason, Time now)
+void Coordinator::depose(const std::string &reason)
 {
     if (isDeposed_)
         return;
@@ -415,11 +404,10 @@
                 reason,
                 {{"token", std::to_string(token_.value)}}});
     // The owner destroys this object, which must not happen inside its own functions.
-    ports_.timers.after(Duration::zero(), [this, alive = std::weak_ptr<int>(alive_)](Time later) {
+    ports_.timers.after(Duration::zero(), [this, alive = std::weak_ptr<int>(alive_)](Time) {
         if (!alive.expired())
-            hooks_.deposed(later);
+            hooks_.deposed();
     });
-    (void)now;
 }
 
 } // namespace monsoonledge
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -216,6 +216,7 @@
     struct Hooks
     {
         std::function<void(const std::vector<KeyValue> &items, Time now)> loaded;
+        // Unset: the keys are loaded once and not watched.
         std::function<void(const std::vector<KeyValue> &events, Time now)> changed;
     };
 
@@ -354,8 +355,7 @@
 public:
     struct Hooks
     {
-        std::function<void(Time now)>
-                deposed; // another process is the coordinator, or may become it
+        std::function<void()> deposed; // another process is the coordinator, or may become it
         std::function<QueueConfig()> config;
     };
 
@@ -368,7 +368,7 @@
 
     /// The lease of the record was renewed by a call sent at `sentAt`.
     void onContact(Time sentAt);
-    void onConfig(Time now);
+    void onConfig();
     /// False if most workers cannot be reached from here.
     bool reachesWorkers(Time now) const;
     /// The scheduler, or null while the records are loaded.
@@ -423,7 +423,7 @@
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCall &call, Time now);
     std::uint64_t leaseEnd(const WorkerId &id, Time now);
     bool mayExtend(Time now) const { return now - lastContact_ < settings_.extendFor; }
-    void depose(const std::string &reason, Time now);
+    void depose(const std::string &reason);
 
     FleetSettings settings_;
     FleetPorts ports_;
@@ -473,9 +473,9 @@
     FleetNode(const FleetNode &) = delete;
     FleetNode &operator=(const FleetNode &) = delete;
 
-    void start(Time now);
+    void start();
     /// Gives up the coordinator's record and reports not ready. Requests are still answered.
-    void drain(Time now);
+    void drain();
 
     bool isReady(Time now) const;
     bool isCoordinator() const { return coordinator_ != nullptr; }
@@ -496,20 +496,20 @@
     int backlog(const QueueId &queue) const { return view_.backlog(queue); }
 
 private:
-    void onConfigItems(const std::vector<KeyValue> &items, Time now);
+    void onConfigItems(const std::vector<KeyValue> &items);
     void onRecordItems(const std::vector<KeyValue> &items, Time now);
     void checkStore();
     void readState(const JobId &id, JobState known, StateDone done);
     void followJobs();
     void onRecordItem(const KeyValue &item, Time now);
     void challengeIfStronger(Time now);
-    void onChallenge(double cores, Time now);
+    void onChallenge(double cores);
     void standLater();
     void stand(Time now);
-    void onLeaseGranted(LeaseId lease, Time sentAt, Time now);
+    void onLeaseGranted(LeaseId lease, Time sentAt);
     void becomeCoordinator(StoreRevision record, Time sentAt, Time now);
     void keep();
-    void stepDown(Time now);
+    void stepDown();
     void log(LogLevel level, const std::string &event, const std::string &message,
              std::vector<std::pair<std::string, std::string>> fields = {});
 
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -15,7 +15,6 @@
 constexpr Duration MaxStandDelay = milliseconds(250); // of the weakest host
 constexpr std::uint64_t StandJitterMs = 60;
 constexpr Duration StandRetryDelay = milliseconds(300);
-constexpr Duration KeepRetryDelay = milliseconds(200);
 constexpr Duration ResignPause = seconds(5); // before standing again after resigning
 
 } // namespace
@@ -27,12 +26,9 @@
 {
     configWatch_ = std::make_unique<PrefixWatch>(
             ports_, settings_.configPrefix, settings_.configWait, Duration::zero(),
-            PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
-                                   onConfigItems(items, later);
-                               },
-                               [this](const std::vector<KeyValue> &items, Time later) {
-                                   onConfigItems(items, later);
-                               }});
+            PrefixWatch::Hooks{
+                    [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); },
+                    [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); }});
     recordWatch_ = std::make_unique<PrefixWatch>(
             ports_, keys::Coordinator, settings_.watchWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time later) {
@@ -52,9 +48,8 @@
     ports_.log({level, event, message, std::move(fields)});
 }
 
-void FleetNode::start(Time now)
+void FleetNode::start()
 {
-    (void)now;
     configWatch_->start();
     recordWatch_->start();
     followJobs();
@@ -97,7 +92,7 @@
     jobsWatch_->start();
 }
 
-void FleetNode::onConfigItems(const std::vector<KeyValue> &items, Time now)
+void FleetNode::onConfigItems(const std::vector<KeyValue> &items)
 {
     for (const KeyValue &item : items) {
         if (item.key != settings_.configKey || item.deleted)
@@ -115,7 +110,7 @@
             {{"version", std::to_string(config_.version)},
              {"queues", std::to_string(config_.queues.size())}});
         if (coordinator_)
-            coordinator_->onConfig(now);
+            coordinator_->onConfig();
     }
 }
 
@@ -132,7 +127,7 @@
 void FleetNode::onRecordItem(const KeyValue &item, Time now)
 {
     if (item.key == keys::Challenge && !item.deleted)
-        onChallenge(std::strtod(item.value.c_str(), nullptr), now);
+        onChallenge(std::strtod(item.value.c_str(), nullptr));
     if (item.key != keys::Coordinator)
         return;
     hasRecord_ = !item.deleted;
@@ -164,14 +159,14 @@
 }
 
 /// Gives the record up to a stronger host; all stand for it then, the strongest first.
-void FleetNode::onChallenge(double cores, Time now)
+void FleetNode::onChallenge(double cores)
 {
     if (!coordinator_ || cores < settings_.challengeFactor * settings_.cpuShare)
         return;
     log(LogLevel::Info, "coordinator-resigned", "a stronger host asks for the record",
         {{"cores", std::to_string(settings_.cpuShare)}, {"challenger", std::to_string(cores)}});
     const LeaseId lease = lease_;
-    stepDown(now);
+    stepDown();
     ports_.store.endLease(lease, [](const KeyValueResult &, Time) {}); // or it lapses
 }
 
@@ -209,7 +204,7 @@
                                 if (alive.expired())
                                     return;
                                 if (result.status == KeyValueStatus::Ok) {
-                                    onLeaseGranted(result.lease, sentAt, later);
+                                    onLeaseGranted(result.lease, sentAt);
                                     return;
                                 }
                                 isStanding_ = false;
@@ -218,7 +213,7 @@
                             });
 }
 
-void FleetNode::onLeaseGranted(LeaseId lease, Time sentAt, Time now)
+void FleetNode::onLeaseGranted(LeaseId lease, Time sentAt)
 {
     Transaction transaction;
     transaction.conditions.push_back({keys::Coordinator, StoreRevision{}});
@@ -241,7 +236,6 @@
         if (!hasRecord_)
             standLater();
     });
-    (void)now;
 }
 
 void FleetNode::becomeCoordinator(StoreRevision record, Time sentAt, Time now)
@@ -252,8 +246,7 @@
     jobsWatch_.reset(); // the coordinator knows the records without it
     coordinator_ = std::make_unique<Coordinator>(
             settings_, ports_, view_, record,
-            Coordinator::Hooks{[this](Time later) { stepDown(later); }, [this] { return config_; }},
-            now);
+            Coordinator::Hooks{[this] { stepDown(); }, [this] { return config_; }}, now);
     coordinator_->onContact(sentAt);
     lastContact_ = now;
     keep();
@@ -268,7 +261,7 @@
         if (!coordinator_->reachesWorkers(sentAt)) {
             log(LogLevel::Warning, "coordinator-resigned", "most workers cannot be reached");
             notBefore_ = sentAt + ResignPause;
-            stepDown(sentAt);
+            stepDown();
             ports_.store.endLease(lease, [](const KeyValueResult &, Time) {}); // or it lapses
             return;
         }
@@ -278,7 +271,7 @@
                 return;
             if (result.status == KeyValueStatus::NotFound) {
                 log(LogLevel::Warning, "coordinator-deposed", "the lease of the record has ended");
-                stepDown(now);
+                stepDown();
                 return;
             }
             if (result.status == KeyValueStatus::Ok) {
@@ -290,7 +283,7 @@
     });
 }
 
-void FleetNode::stepDown(Time now)
+void FleetNode::stepDown()
 {
     if (!coordinator_)
         return;
@@ -300,10 +293,9 @@
     // The watch may have shown the loss of the record before.
     if (!hasRecord_)
         standLater();
-    (void)now;
 }
 
-void FleetNode::drain(Time now)
+void FleetNode::drain()
 {
     if (isDraining_)
         return;
@@ -311,7 +303,7 @@
     if (!coordinator_)
         return;
     const LeaseId lease = lease_;
-    stepDown(now);
+    stepDown();
     ports_.store.endLease(lease, [](const KeyValueResult &, Time) {}); // or it lapses
 }
 
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -41,7 +41,7 @@
                                 if (alive.expired() || isDeposed_)
                                     return;
                                 if (call.status == CallStatus::Fenced)
-                                    depose("a worker has seen a newer coordinator", later);
+                                    depose("a worker has seen a newer coordinator");
                                 scheduler_->onStopAnswered(order, call.status == CallStatus::Ok,
                                                            later);
                                 if (call.status == CallStatus::Ok)
@@ -87,7 +87,7 @@
                     outcome = StartOutcome::Unknown;
                     break;
                 case CallStatus::Fenced:
-                    depose("a worker has seen a newer coordinator", later);
+                    depose("a worker has seen a newer coordinator");
                     return;
                 case CallStatus::Refused:
                 case CallStatus::OtherIncarnation:
@@ -175,12 +175,12 @@
         transaction.removals.push_back(keys::unreached(id));
     }
     ports_.store.commit(transaction, [this, id, isUnreached, alive = std::weak_ptr<int>(alive_)](
-                                             const KeyValueResult &result, Time now) {
+                                             const KeyValueResult &result, Time) {
         if (alive.expired() || isDeposed_)
             return;
         const auto link = links_.find(id);
         if (result.status == KeyValueStatus::Conflict) {
-            depose("the record belongs to another process", now);
+            depose("the record belongs to another process");
         } else if (link != links_.end()) {
             const bool isDone = result.status == KeyValueStatus::Ok;
             // While the outcome is unknown, the record counts as written, and is removed later.
@@ -236,7 +236,7 @@
     Link &link = links_[id];
     link.inFlight = false;
     if (call.status == CallStatus::Fenced) {
-        depose("a worker has seen a newer coordinator", now);
+        depose("a worker has seen a newer coordinator");
         return;
     }
     if (call.status != CallStatus::Ok) {
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -72,7 +72,8 @@
     isLoaded_ = true;
     const std::vector<KeyValue> items = std::move(pages_);
     pages_.clear();
-    later(Duration::zero(), &PrefixWatch::watchNext);
+    if (hooks_.changed)
+        later(Duration::zero(), &PrefixWatch::watchNext);
     hooks_.loaded(items, now); // may destroy this object
 }
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -46,7 +46,7 @@
 
 Scheduler::~Scheduler() = default;
 
-void Scheduler::setConfig(const QueueConfig &config, Time now)
+void Scheduler::setConfig(const QueueConfig &config)
 {
     config_ = config;
     for (auto &[id, job] : jobs_) {
@@ -54,7 +54,6 @@
         if (const QueueSpec *queue = config.find(job->spec.queue))
             job->queue = *queue;
     }
-    (void)now;
 }
 
 void Scheduler::setWallClock(WallMilliseconds wall, Time now)
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -367,7 +367,7 @@
     Scheduler(const Scheduler &) = delete;
     Scheduler &operator=(const Scheduler &) = delete;
 
-    void setConfig(const QueueConfig &config, Time now);
+    void setConfig(const QueueConfig &config);
 
     /// Adds a job. `progress` is empty for a new one.
     void addJob(const JobSpec &spec, const std::optional<JobProgress> &progress, Time submittedAt,
@@ -435,6 +435,7 @@
     bool isRunnable(const ScheduledJob &job, const ScheduledTask &task) const;
 
     void logListed(const WorkerEntry &entry);
+    void beginLife(ScheduledWorker &worker, Time now);
     void reserve(ScheduledWorker &worker, ScheduledTask &task);
     void release(ScheduledTask &task);
     void noteChanged(ScheduledWorker &worker);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -37,12 +37,8 @@
             worker->listed = true; // the entry is older than what the worker itself has said
             continue;
         } else if (entry.incarnation != worker->entry.incarnation) {
-            loseWorkerRuns(*worker, now); // a restarted worker runs nothing of before
+            beginLife(*worker, now);
             worker->known = false;
-            worker->acknowledged = 0;
-            worker->lastEnd = 0;
-            worker->pendingEnds.clear();
-            worker->failuresInRow = 0;
         }
         const bool isNew = worker->entry.id.isEmpty();
         if (isNew || entry.draining != worker->entry.draining
@@ -70,6 +66,16 @@
     }
 }
 
+/// A restarted worker runs nothing of before, and its ends are counted anew.
+void Scheduler::beginLife(ScheduledWorker &worker, Time now)
+{
+    loseWorkerRuns(worker, now);
+    worker.acknowledged = 0;
+    worker.lastEnd = 0;
+    worker.pendingEnds.clear();
+    worker.failuresInRow = 0;
+}
+
 void Scheduler::logListed(const WorkerEntry &entry)
 {
     log_({LogLevel::Info,
@@ -162,10 +168,7 @@
     if (report.incarnation != worker.entry.incarnation) {
         if (report.incarnation < worker.entry.incarnation)
             return; // a late answer of a former life
-        loseWorkerRuns(worker, now);
-        worker.acknowledged = 0;
-        worker.lastEnd = 0;
-        worker.pendingEnds.clear();
+        beginLife(worker, now);
         worker.entry.incarnation = report.incarnation;
     }
     // From now on the worker refuses renewals by former coordinators.
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -71,7 +71,7 @@
                                [this] { return wall(); },
                                [this](const LogEvent &event) { log.push_back(event.event); }};
         process.node = std::make_unique<FleetNode>(settings, ports, random.next(), clock.now());
-        process.node->start(clock.now());
+        process.node->start();
     }
 
     void kill(int index)
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -26,7 +26,7 @@
         config.version = 1;
         config.queues.push_back(queue("urgent", 0));
         config.queues.push_back(queue("batch", 2));
-        scheduler.setConfig(config, now);
+        scheduler.setConfig(config);
         for (int i = 0; i < workerCount; ++i) {
             WorkerEntry entry;
             entry.id = WorkerId("w" + std::to_string(i));
