--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -116,6 +116,19 @@
     assert all(entry.call("GET", "/fit/")[0] == 200 for entry in bed.entries)
 
 
+def check_reload(bed):
+    """A bad settings file leaves the old settings in force, with and without a signal."""
+    entry = bed.entries[0]
+    settings = pathlib.Path(entry.environment["MONSOONLEDGE_SETTINGS"])
+    good = settings.read_text()
+    settings.write_text("NodeName: [")
+    bed.wait(lambda: "reload-failed" in entry.log.read_text(), "noticing a bad file")
+    assert entry.call("GET", "/renewal/") == (200, {"Backlog": 0})
+    settings.write_text(good.replace("GracePeriodS: 6", "GracePeriodS: 7"))
+    entry.signal(signal.SIGHUP)
+    bed.wait(lambda: '"graceMs":"7000"' in entry.log.read_text(), "reading a good file")
+
+
 def scenario(bed):
     check_path(bed)
     check_wrong_requests(bed)
@@ -123,6 +136,7 @@
     check_coordinator_change(bed, 20, lambda entry: stop_planned(bed, entry))
     check_store_away(bed)
     check_config(bed)
+    check_reload(bed)
 
 
 platformbed.run_test(scenario)
