Count a job as begun only when a worker has shown one of its runs

Cause: a start without an answer is stopped, and when the worker shows that the run is not there, the task becomes free with the end 'stopped'. Ruled out: the count of the view itself, which follows the states. Change: only an end that a worker lists makes a job count as begun. scheduler_test, 'a job whose only start never arrived counts as waiting', failed before.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -263,8 +263,6 @@
 {
     ScheduledJob &job = *task.job;
     const StepSpec &step = stepOf(task);
-    if (job.state == JobState::Pending && end != RunEnd::Lapsed)
-        job.state = JobState::Active; // it ended before its start was confirmed
     if (!checkpoint.empty())
         task.progress.checkpoint = checkpoint;
     if (end == RunEnd::Done) {
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -202,6 +202,10 @@
         const bool isCurrent = task->progress.phase == TaskPhase::Assigned
                                && task->progress.run == end.run
                                && task->progress.worker == worker.entry.id;
+        if (task->job->state == JobState::Pending) { // it ended before its start was confirmed
+            task->job->state = JobState::Active;
+            markChanged(*task->job);
+        }
         if (isCurrent) {
             endRun(*task, end.end, end.checkpoint, now);
         } else if (end.end == RunEnd::Done && task->progress.phase == TaskPhase::Waiting
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -284,6 +284,26 @@
     CHECK(bench.scheduler.takeChanges(10).at(0).state == JobState::Active);
 }
 
+TEST_CASE("a job whose only start never arrived counts as waiting")
+{
+    Bench bench(1);
+    bench.add("a", {Bench::step(1)});
+    bench.scheduler.plan(bench.now);
+    for (const JobChange &change : bench.scheduler.takeChanges(10))
+        bench.scheduler.onSaved(change.job, change.version, bench.now);
+    const StartOrder order = bench.scheduler.takeStarts().at(0);
+    bench.scheduler.onStartAnswered(order, StartOutcome::Unknown, bench.now);
+    bench.now += milliseconds(100);
+    bench.report(); // does not show the run, which may still arrive, so it is stopped
+    const StopOrder stop = bench.scheduler.takeStops().at(0);
+    bench.scheduler.onStopAnswered(stop, true, bench.now);
+    bench.now += milliseconds(100);
+    bench.report();
+    const ScheduledJob &job = *bench.scheduler.jobs().at(JobId("a"));
+    CHECK(job.tasks.front().progress.phase == TaskPhase::Waiting);
+    CHECK(job.state == JobState::Pending);
+}
+
 TEST_CASE("ends are acknowledged only after the record of their job is stored")
 {
     Bench bench(1);
