Stop the runs of a job that a former coordinator recorded as cancelled

Cause: the record of a cancelled job can be stored before all of its runs are stopped. Ruled out: the late stop order itself; other runs of the job on the same worker were stopped.

--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -264,6 +264,11 @@
         task->percent = running.percent;
         task->progressAt = now;
     }
+    // A former coordinator may have recorded the end of the job and not stopped all of its runs.
+    if (isFinal(task->job->state) && task->knowledge != RunKnowledge::Stopping) {
+        stopRun(*task, now);
+        return;
+    }
     switch (task->knowledge) {
     case RunKnowledge::Sent:
     case RunKnowledge::Uncertain:
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -304,6 +304,27 @@
     CHECK(job.state == JobState::Pending);
 }
 
+TEST_CASE("runs of a job that a former coordinator recorded as cancelled are stopped")
+{
+    Bench bench(1);
+    JobSpec spec;
+    spec.id = JobId("a");
+    spec.queue = QueueId("urgent");
+    spec.steps = {Bench::step(1)};
+    JobProgress progress;
+    progress.state = JobState::Cancelled;
+    progress.tasks.resize(1);
+    progress.tasks[0].phase = TaskPhase::Assigned;
+    progress.tasks[0].run.value = 1;
+    progress.tasks[0].worker = WorkerId("w0");
+    progress.tasks[0].incarnation.value = 1;
+    bench.scheduler.addJob(spec, progress, bench.now, bench.now);
+    bench.running[WorkerId("w0")].push_back({{JobId("a"), 0, 0, 0}, RunNumber{1}, {}, 50, 0});
+    bench.now += milliseconds(100);
+    bench.report();
+    CHECK(bench.scheduler.takeStops().size() == 1);
+}
+
 TEST_CASE("ends are acknowledged only after the record of their job is stored")
 {
     Bench bench(1);
