Log failed calls of a watch, and the size and duration of the answer that brought a configuration

The logs did not tell whether a process that is behind gets no answer, a late one, or one without events. watch-failed, watch-recovered (of several failures in a row only the first is logged), the size of the answer in config-applied, and two metrics of the configuration's watch.

Late handling and missing events are ruled out: no call succeeded without events while others got them. wholeMilliseconds() moves to base, where it replaces a second conversion.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -145,6 +145,12 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+/// A duration in whole milliseconds, rounded towards zero, for logs.
+inline std::int64_t wholeMilliseconds(Duration d)
+{
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
 /// A duration in fractional milliseconds, for logs and tables.
 inline double toMilliseconds(Duration d)
 {
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -161,7 +161,7 @@
                 {{"token", std::to_string(token_.value)},
                  {"jobs", std::to_string(scheduler_->jobs().size())},
                  {"workers", std::to_string(scheduler_->workers().size())},
-                 {"loadMs", std::to_string(toMillis(now - startedAt_))}}});
+                 {"loadMs", std::to_string(wholeMilliseconds(now - startedAt_))}}});
     loadedJobItems_.clear();
     scheduleTick();
 }
--- a/src/fleet/coordinator_p.h
+++ b/src/fleet/coordinator_p.h
@@ -3,8 +3,6 @@
 
 #include "base/base.h"
 
-#include <cstdint>
-
 namespace monsoonledge {
 
 /// Lowest assumed rate of a worker's clock relative to this host's. The clock may run 2% slow.
@@ -12,9 +10,4 @@
 /// Added to the end of a worker's lease before the lease counts as expired.
 constexpr Duration LeaseExpiryMargin = milliseconds(150);
 
-inline std::int64_t toMillis(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace monsoonledge
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -235,6 +235,13 @@
         // If unset, the keys are loaded once and not watched.
         std::function<void(const std::vector<KeyValue> &events, Time now)> changed;
     };
+    /// An answer of the store, for logs.
+    struct Answer
+    {
+        Duration took{}; // since the call; of a watch, including the wait for an event
+        std::size_t items = 0; // keys, or events of a watch
+        std::size_t bytes = 0; // of their values
+    };
 
     PrefixWatch(const FleetPorts &ports, std::string prefix, Duration wait, Duration pause,
                 Hooks hooks);
@@ -250,14 +257,20 @@
     StoreRevision revision() const { return revision_; }
     /// Time of the store's last successful answer.
     Time lastStoreContact() const { return lastStoreContact_; }
+    /// The answer that is being delivered or was delivered last.
+    const Answer &lastAnswer() const { return lastAnswer_; }
+    /// Calls that were not answered successfully since this object was created.
+    std::uint64_t failedCalls() const { return failedCalls_; }
 
 private:
-    void loadPage(const std::string &afterKey);
+    void loadPage(const std::string &afterKey, Time now);
     void onPage(const KeyValueResult &result, Time now);
-    void watchNext();
+    void watchNext(Time now);
     void onEvents(const KeyValueResult &result, Time now);
-    void scheduleStep(Duration delay, void (PrefixWatch::*step)());
-    void reload();
+    void onCallFailed(const std::string &call, const KeyValueResult &result, Time now);
+    void onCallAnswered(const KeyValueResult &result, Time now);
+    void scheduleStep(Duration delay, void (PrefixWatch::*step)(Time now));
+    void reload(Time now);
 
     FleetPorts ports_;
     std::string prefix_;
@@ -268,6 +281,11 @@
     StoreRevision revision_; // events up to this revision were delivered
     std::vector<KeyValue> loadedItems_; // items of the pages loaded so far
     Time lastStoreContact_{};
+    Time callSentAt_{}; // of the call in flight
+    Answer lastAnswer_;
+    std::uint64_t failedCalls_ = 0;
+    std::uint64_t failuresInARow_ = 0;
+    Time failingSince_{}; // when the first of the failures in a row was sent
     // Expires with this object. Pending callbacks check it before they use the object.
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
@@ -510,6 +528,8 @@
     const QueueConfig &config() const { return config_; }
     /// True if the store has answered recently.
     bool reachesStore(Time now) const;
+    /// The watch that delivers the configuration.
+    const PrefixWatch &configWatch() const { return *configWatch_; }
 
     void submit(const JobSpec &spec, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -111,7 +111,10 @@
         config_ = *config;
         log(LogLevel::Info, "config-applied", "a new configuration is in force",
             {{"version", std::to_string(config_.version)},
-             {"queues", std::to_string(config_.queues.size())}});
+             {"queues", std::to_string(config_.queues.size())},
+             {"answerMs", std::to_string(wholeMilliseconds(configWatch_->lastAnswer().took))},
+             {"answerItems", std::to_string(configWatch_->lastAnswer().items)},
+             {"answerBytes", std::to_string(configWatch_->lastAnswer().bytes)}});
         if (coordinator_)
             coordinator_->onConfigChanged();
     }
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -135,8 +135,10 @@
     if (workerLink.clock == 0 || workerLink.incarnation != worker->second->entry.incarnation
         || now - worker->second->lastReport > MaxWorkerSilence + settings_.renewWait)
         return 0;
-    const auto elapsed = static_cast<std::uint64_t>(toMillis(now - workerLink.clockReceivedAt));
-    const auto lease = static_cast<std::uint64_t>(toMillis(settings_.requestedWorkerLease));
+    const auto elapsed =
+            static_cast<std::uint64_t>(wholeMilliseconds(now - workerLink.clockReceivedAt));
+    const auto lease =
+            static_cast<std::uint64_t>(wholeMilliseconds(settings_.requestedWorkerLease));
     const std::uint64_t end = workerLink.clock + elapsed + lease;
     // If the worker's clock is slow, the lease lasts longer in real time.
     const auto longestMs = static_cast<std::int64_t>(static_cast<double>(end - workerLink.clock)
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -18,55 +18,94 @@
 
 void PrefixWatch::start()
 {
-    reload();
+    scheduleStep(Duration::zero(), &PrefixWatch::reload);
 }
 
 void PrefixWatch::startAfter(StoreRevision revision)
 {
     isLoaded_ = true;
     revision_ = revision;
-    watchNext();
+    scheduleStep(Duration::zero(), &PrefixWatch::watchNext);
 }
 
-void PrefixWatch::reload()
+void PrefixWatch::reload(Time now)
 {
     loadedItems_.clear();
     revision_ = {};
-    loadPage({});
+    loadPage({}, now);
 }
 
-void PrefixWatch::scheduleStep(Duration delay, void (PrefixWatch::*step)())
+void PrefixWatch::scheduleStep(Duration delay, void (PrefixWatch::*step)(Time now))
 {
-    ports_.timers.after(delay, [this, step, alive = std::weak_ptr<int>(alive_)](Time) {
+    ports_.timers.after(delay, [this, step, alive = std::weak_ptr<int>(alive_)](Time now) {
         if (!alive.expired())
-            (this->*step)();
+            (this->*step)(now);
     });
 }
 
-void PrefixWatch::loadPage(const std::string &afterKey)
+/// Logs the first of several failures in a row. The line of the first success after it counts them.
+void PrefixWatch::onCallFailed(const std::string &call, const KeyValueResult &result, Time now)
 {
-    ports_.store.range(
-            prefix_, afterKey,
-            [this, alive = std::weak_ptr<int>(alive_)](const KeyValueResult &result, Time now) {
-                if (!alive.expired())
-                    onPage(result, now);
-            });
+    ++failedCalls_;
+    if (++failuresInARow_ > 1)
+        return;
+    failingSince_ = callSentAt_;
+    ports_.log({LogLevel::Info,
+                "watch-failed",
+                "the store has not answered a call of the watch; it is repeated",
+                {{"prefix", prefix_},
+                 {"call", call},
+                 {"after", std::to_string(revision_.value)},
+                 {"tookMs", std::to_string(wholeMilliseconds(now - callSentAt_))},
+                 {"error", result.detail}}});
+}
+
+void PrefixWatch::onCallAnswered(const KeyValueResult &result, Time now)
+{
+    lastStoreContact_ = now;
+    lastAnswer_ = {now - callSentAt_, result.items.size(), 0};
+    for (const KeyValue &item : result.items)
+        lastAnswer_.bytes += item.value.size();
+    if (failuresInARow_ == 0)
+        return;
+    ports_.log({LogLevel::Info,
+                "watch-recovered",
+                "the store answers the calls of the watch again",
+                {{"prefix", prefix_},
+                 {"failures", std::to_string(failuresInARow_)},
+                 {"forMs", std::to_string(wholeMilliseconds(now - failingSince_))},
+                 {"tookMs", std::to_string(wholeMilliseconds(lastAnswer_.took))},
+                 {"items", std::to_string(lastAnswer_.items)},
+                 {"bytes", std::to_string(lastAnswer_.bytes)}}});
+    failuresInARow_ = 0;
+}
+
+void PrefixWatch::loadPage(const std::string &afterKey, Time now)
+{
+    callSentAt_ = now;
+    ports_.store.range(prefix_, afterKey,
+                       [this, alive = std::weak_ptr<int>(alive_)](const KeyValueResult &result,
+                                                                  Time eventTime) {
+                           if (!alive.expired())
+                               onPage(result, eventTime);
+                       });
 }
 
 void PrefixWatch::onPage(const KeyValueResult &result, Time now)
 {
     if (result.status != KeyValueStatus::Ok) {
+        onCallFailed("load", result, now);
         scheduleStep(RetryDelay, &PrefixWatch::reload);
         return;
     }
-    lastStoreContact_ = now;
+    onCallAnswered(result, now);
     // Keys may change between the reads of two pages. The watch starts at the revision of the first
     // page and so reports these changes, some of them a second time.
     if (revision_.value == 0)
         revision_ = result.storeRevision;
     loadedItems_.insert(loadedItems_.end(), result.items.begin(), result.items.end());
     if (result.hasMore && !result.items.empty()) {
-        loadPage(result.items.back().key);
+        loadPage(result.items.back().key, now);
         return;
     }
     isLoaded_ = true;
@@ -77,14 +116,15 @@
     hooks_.loaded(items, now); // may destroy this object
 }
 
-void PrefixWatch::watchNext()
+void PrefixWatch::watchNext(Time now)
 {
-    ports_.store.watch(
-            prefix_, revision_, wait_,
-            [this, alive = std::weak_ptr<int>(alive_)](const KeyValueResult &result, Time now) {
-                if (!alive.expired())
-                    onEvents(result, now);
-            });
+    callSentAt_ = now;
+    ports_.store.watch(prefix_, revision_, wait_,
+                       [this, alive = std::weak_ptr<int>(alive_)](const KeyValueResult &result,
+                                                                  Time eventTime) {
+                           if (!alive.expired())
+                               onEvents(result, eventTime);
+                       });
 }
 
 void PrefixWatch::onEvents(const KeyValueResult &result, Time now)
@@ -93,15 +133,18 @@
         ports_.log({LogLevel::Info,
                     "watch-compacted",
                     "the store has compacted its history; the keys are loaded again",
-                    {{"prefix", prefix_}}});
-        reload();
+                    {{"prefix", prefix_},
+                     {"after", std::to_string(revision_.value)},
+                     {"failures", std::to_string(failuresInARow_)}}});
+        reload(now);
         return;
     }
     if (result.status != KeyValueStatus::Ok) {
+        onCallFailed("watch", result, now);
         scheduleStep(RetryDelay, &PrefixWatch::watchNext);
         return;
     }
-    lastStoreContact_ = now;
+    onCallAnswered(result, now);
     revision_ = std::max(revision_, result.storeRevision);
     scheduleStep(result.items.empty() ? Duration::zero() : pause_, &PrefixWatch::watchNext);
     if (!result.items.empty())
