Load the latest configuration when its watch has fallen behind

Cause: the watch returns every version since the last one, in full. A process that was slow for a while had several versions of 327 KB to fetch; the answer did not fit the time limit of the call (1.5 s), and the same call was repeated, from the same revision, until the store dropped its history or the load went away. Change: the watch of the configuration needs the latest state only. When an answer holds several versions of a key, or a call has failed, the keys are loaded, which costs one version whatever was missed, until a load finds nothing new. Of an answer only the newest version is decoded. A load that fails goes on with the page that failed instead of the first.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -229,6 +229,12 @@
 class PrefixWatch
 {
 public:
+    enum class Delivery {
+        EveryChange,
+        // Changes may be left out if newer ones of the same keys follow. A watch that is behind
+        // then loads the keys, whose size does not grow with the number of changes.
+        LatestState,
+    };
     struct Hooks
     {
         std::function<void(const std::vector<KeyValue> &items, Time now)> loaded;
@@ -244,7 +250,7 @@
     };
 
     PrefixWatch(const FleetPorts &ports, std::string prefix, Duration wait, Duration pause,
-                Hooks hooks);
+                Hooks hooks, Delivery delivery = Delivery::EveryChange);
     ~PrefixWatch();
     PrefixWatch(const PrefixWatch &) = delete;
     PrefixWatch &operator=(const PrefixWatch &) = delete;
@@ -263,8 +269,10 @@
     std::uint64_t failedCalls() const { return failedCalls_; }
 
 private:
-    void loadPage(const std::string &afterKey, Time now);
+    void loadPage(Time now);
     void onPage(const KeyValueResult &result, Time now);
+    void onLoaded(Time now);
+    void scheduleWatch(bool isBehind, Duration delay);
     void watchNext(Time now);
     void onEvents(const KeyValueResult &result, Time now);
     void onCallFailed(const std::string &call, const KeyValueResult &result, Time now);
@@ -277,9 +285,12 @@
     Duration wait_;
     Duration pause_;
     Hooks hooks_;
+    Delivery delivery_;
     bool isLoaded_ = false;
     StoreRevision revision_; // events up to this revision were delivered
+    StoreRevision newestItem_; // highest revision of a delivered key
     std::vector<KeyValue> loadedItems_; // items of the pages loaded so far
+    std::string lastLoadedKey_; // the next page starts after it
     Time lastStoreContact_{};
     Time callSentAt_{}; // of the call in flight
     Answer lastAnswer_;
@@ -542,6 +553,7 @@
 
 private:
     void onConfigItems(const std::vector<KeyValue> &items);
+    void applyConfig(const QueueConfig &config);
     void onCoordinatorItems(const std::vector<KeyValue> &items, Time now);
     void scheduleStoreCheck();
     void readState(const JobId &id, JobState known, StateCallback done);
@@ -562,6 +574,7 @@
     FleetPorts ports_;
     Random random_;
     QueueConfig config_;
+    StoreRevision configRevision_; // of the item that was decoded last
     JobView jobView_;
     OnceWriter writer_;
     std::unique_ptr<PrefixWatch> configWatch_;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -28,7 +28,8 @@
             ports_, settings_.configPrefix, settings_.configWatchWait, Duration::zero(),
             PrefixWatch::Hooks{
                     [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); },
-                    [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); }});
+                    [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); }},
+            PrefixWatch::Delivery::LatestState);
     coordinatorWatch_ = std::make_unique<PrefixWatch>(
             ports_, keys::Coordinator, settings_.watchWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
@@ -94,32 +95,42 @@
     jobsWatch_->start();
 }
 
+/// Applies the newest configuration among the items that can be decoded, if it is newer than the
+/// one in force.
 void FleetNode::onConfigItems(const std::vector<KeyValue> &items)
 {
-    for (const KeyValue &item : items) {
-        if (item.key != settings_.configKey || item.deleted)
-            continue;
-        const std::optional<QueueConfig> config = ports_.decoders.config(item.value);
-        if (!config) {
-            log(LogLevel::Error, "config-unreadable",
-                "a new configuration is malformed; the one in force remains",
-                {{"revision", std::to_string(item.revision.value)}});
+    for (auto item = items.rbegin(); item != items.rend(); ++item) {
+        if (item->key != settings_.configKey || item->deleted)
             continue;
+        if (item->revision <= configRevision_)
+            return;
+        const std::optional<QueueConfig> config = ports_.decoders.config(item->value);
+        if (config) {
+            configRevision_ = item->revision;
+            applyConfig(*config);
+            return;
         }
-        if (config->version <= config_.version)
-            continue;
-        config_ = *config;
-        log(LogLevel::Info, "config-applied", "a new configuration is in force",
-            {{"version", std::to_string(config_.version)},
-             {"queues", std::to_string(config_.queues.size())},
-             {"answerMs", std::to_string(wholeMilliseconds(configWatch_->lastAnswer().took))},
-             {"answerItems", std::to_string(configWatch_->lastAnswer().items)},
-             {"answerBytes", std::to_string(configWatch_->lastAnswer().bytes)}});
-        if (coordinator_)
-            coordinator_->onConfigChanged();
+        log(LogLevel::Error, "config-unreadable",
+            "a new configuration is malformed; the one in force remains",
+            {{"revision", std::to_string(item->revision.value)}});
     }
 }
 
+void FleetNode::applyConfig(const QueueConfig &config)
+{
+    if (config.version <= config_.version)
+        return;
+    config_ = config;
+    log(LogLevel::Info, "config-applied", "a new configuration is in force",
+        {{"version", std::to_string(config_.version)},
+         {"queues", std::to_string(config_.queues.size())},
+         {"answerMs", std::to_string(wholeMilliseconds(configWatch_->lastAnswer().took))},
+         {"answerItems", std::to_string(configWatch_->lastAnswer().items)},
+         {"answerBytes", std::to_string(configWatch_->lastAnswer().bytes)}});
+    if (coordinator_)
+        coordinator_->onConfigChanged();
+}
+
 // Election
 
 void FleetNode::onCoordinatorItems(const std::vector<KeyValue> &items, Time now)
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -1,17 +1,35 @@
 #include "fleet/fleet.h"
 
+#include <algorithm>
+#include <unordered_set>
+
 namespace monsoonledge {
 
 namespace {
 
 constexpr Duration RetryDelay = milliseconds(150);
 
+StoreRevision highestRevision(const std::vector<KeyValue> &items)
+{
+    StoreRevision highest;
+    for (const KeyValue &item : items)
+        highest = std::max(highest, item.revision);
+    return highest;
+}
+
+bool hasRepeatedKey(const std::vector<KeyValue> &items)
+{
+    std::unordered_set<std::string> keys;
+    return std::any_of(items.begin(), items.end(),
+                       [&keys](const KeyValue &item) { return !keys.insert(item.key).second; });
+}
+
 } // namespace
 
 PrefixWatch::PrefixWatch(const FleetPorts &ports, std::string prefix, Duration wait, Duration pause,
-                         Hooks hooks)
+                         Hooks hooks, Delivery delivery)
     : ports_(ports), prefix_(std::move(prefix)), wait_(wait), pause_(pause),
-      hooks_(std::move(hooks))
+      hooks_(std::move(hooks)), delivery_(delivery)
 { }
 
 PrefixWatch::~PrefixWatch() = default;
@@ -31,8 +49,17 @@
 void PrefixWatch::reload(Time now)
 {
     loadedItems_.clear();
+    lastLoadedKey_.clear();
     revision_ = {};
-    loadPage({}, now);
+    loadPage(now);
+}
+
+/// Continues with a watch, or, if the owner needs only the latest state and has fallen behind,
+/// loads it.
+void PrefixWatch::scheduleWatch(bool isBehind, Duration delay)
+{
+    const bool loads = isBehind && delivery_ == Delivery::LatestState;
+    scheduleStep(delay, loads ? &PrefixWatch::reload : &PrefixWatch::watchNext);
 }
 
 void PrefixWatch::scheduleStep(Duration delay, void (PrefixWatch::*step)(Time now))
@@ -80,10 +107,10 @@
     failuresInARow_ = 0;
 }
 
-void PrefixWatch::loadPage(const std::string &afterKey, Time now)
+void PrefixWatch::loadPage(Time now)
 {
     callSentAt_ = now;
-    ports_.store.range(prefix_, afterKey,
+    ports_.store.range(prefix_, lastLoadedKey_,
                        [this, alive = std::weak_ptr<int>(alive_)](const KeyValueResult &result,
                                                                   Time eventTime) {
                            if (!alive.expired())
@@ -95,7 +122,7 @@
 {
     if (result.status != KeyValueStatus::Ok) {
         onCallFailed("load", result, now);
-        scheduleStep(RetryDelay, &PrefixWatch::reload);
+        scheduleStep(RetryDelay, &PrefixWatch::loadPage);
         return;
     }
     onCallAnswered(result, now);
@@ -105,14 +132,24 @@
         revision_ = result.storeRevision;
     loadedItems_.insert(loadedItems_.end(), result.items.begin(), result.items.end());
     if (result.hasMore && !result.items.empty()) {
-        loadPage(result.items.back().key, now);
+        lastLoadedKey_ = result.items.back().key;
+        loadPage(now);
         return;
     }
-    isLoaded_ = true;
+    onLoaded(now);
+}
+
+void PrefixWatch::onLoaded(Time now)
+{
     const std::vector<KeyValue> items = std::move(loadedItems_);
     loadedItems_.clear();
+    // A load that finds changes took long enough for more of them to follow.
+    const StoreRevision newest = highestRevision(items);
+    const bool isBehind = isLoaded_ && newest > newestItem_;
+    newestItem_ = std::max(newestItem_, newest);
+    isLoaded_ = true;
     if (hooks_.changed)
-        scheduleStep(Duration::zero(), &PrefixWatch::watchNext);
+        scheduleWatch(isBehind, Duration::zero());
     hooks_.loaded(items, now); // may destroy this object
 }
 
@@ -141,12 +178,13 @@
     }
     if (result.status != KeyValueStatus::Ok) {
         onCallFailed("watch", result, now);
-        scheduleStep(RetryDelay, &PrefixWatch::watchNext);
+        scheduleWatch(true, RetryDelay);
         return;
     }
     onCallAnswered(result, now);
     revision_ = std::max(revision_, result.storeRevision);
-    scheduleStep(result.items.empty() ? Duration::zero() : pause_, &PrefixWatch::watchNext);
+    newestItem_ = std::max(newestItem_, highestRevision(result.items));
+    scheduleWatch(hasRepeatedKey(result.items), result.items.empty() ? Duration::zero() : pause_);
     if (!result.items.empty())
         hooks_.changed(result.items, now); // may destroy this object
 }
--- a/tests/fakes/fakekeyvalue.h
+++ b/tests/fakes/fakekeyvalue.h
@@ -1,8 +1,8 @@
 // The platform's store in virtual time: transactions, leases, watches with a limited history.
 //
 // One FakeKeyValueStore is shared by all processes of a test. Each process has a FakeKeyValuePort,
-// through which faults are injected: refusing, silence, and answers that are lost after the call
-// took effect, at once or late.
+// through which faults are injected: refusing, silence, answers that are lost after the call took
+// effect, at once or late, and a slow link.
 #pragma once
 
 #include "fakes/faketimers.h"
@@ -20,6 +20,17 @@
 
 /// Small, so that tests load several pages.
 constexpr std::size_t FakePageSize = 50;
+/// The store ends the answer to a watch with the event that reaches this size.
+constexpr std::size_t FakeMaxWatchBytes = 1024 * 1024;
+
+/// Sum of the sizes of all values.
+inline std::size_t valueBytes(const KeyValueResult &result)
+{
+    std::size_t bytes = 0;
+    for (const KeyValue &item : result.items)
+        bytes += item.value.size();
+    return bytes;
+}
 
 class FakeKeyValueStore
 {
@@ -140,8 +151,13 @@
             return result;
         }
         for (const KeyValue &event : history_) {
-            if (event.revision > after && event.key.compare(0, prefix.size(), prefix) == 0)
-                result.items.push_back(event);
+            if (event.revision <= after || event.key.compare(0, prefix.size(), prefix) != 0)
+                continue;
+            result.items.push_back(event);
+            if (valueBytes(result) < FakeMaxWatchBytes)
+                continue;
+            result.storeRevision = event.revision; // the next call continues from here
+            break;
         }
         return result;
     }
@@ -209,6 +225,7 @@
     bool silent = false; // nothing arrives there, and nothing comes back
     bool losesAnswers = false; // of changes, which are made
     Duration lostAreLate{}; // the changes whose answers are lost are made so much later
+    std::uint64_t bytesPerSecond = 0; // of the host's link from the store; 0: not limited
 
     void get(const std::string &key, KeyValueCallback done) override
     {
@@ -262,9 +279,10 @@
         if (fail(done))
             return;
         auto answered = std::make_shared<bool>(false);
-        const auto answer = [this, answered, done](const KeyValueResult &result) {
+        const Time deadline = store_.clock().now() + wait + Timeout;
+        const auto answer = [this, answered, deadline, done](const KeyValueResult &result) {
             *answered = true;
-            deliver(result, done);
+            deliver(result, deadline, done);
         };
         const auto look = [this, prefix, after, answered, answer] {
             if (*answered)
@@ -288,11 +306,20 @@
 private:
     static constexpr Duration Timeout = milliseconds(900);
 
-    /// Delivers through the process's own timers, so that a dead process hears nothing.
-    void deliver(const KeyValueResult &result, const KeyValueCallback &done)
+    /// Delivers through the process's own timers, so that a dead process hears nothing. An answer
+    /// that has not arrived as a whole by the deadline is lost.
+    void deliver(const KeyValueResult &result, Time deadline, const KeyValueCallback &done)
     {
-        const bool isLost = silent;
-        timers_.after(isLost ? Timeout : latency, [result, done, isLost](Time now) {
+        if (silent) {
+            timers_.after(Timeout, [done](Time now) { done({}, now); });
+            return;
+        }
+        const Duration transfer = bytesPerSecond == 0
+                                          ? Duration::zero()
+                                          : Duration(valueBytes(result) * 1000000 / bytesPerSecond);
+        const Duration left = deadline - store_.clock().now();
+        const bool isLost = bytesPerSecond > 0 && latency + transfer > left;
+        timers_.after(isLost ? left : latency + transfer, [result, done, isLost](Time now) {
             done(isLost ? KeyValueResult{} : result, now);
         });
     }
@@ -314,10 +341,11 @@
             return;
         const bool isLost = isChange && losesAnswers;
         const Duration delay = isLost ? latency + lostAreLate : latency;
-        store_.clock().after(delay, [this, act = std::move(act), done, isLost] {
+        const Time deadline = store_.clock().now() + Timeout;
+        store_.clock().after(delay, [this, act = std::move(act), deadline, done, isLost] {
             const KeyValueResult result = act();
             if (!isLost)
-                deliver(result, done);
+                deliver(result, deadline, done);
         });
         if (isLost)
             timers_.after(Timeout, [done](Time now) { done({}, now); });
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -5,6 +5,7 @@
 #include "fakes/fakekeyvalue.h"
 #include "fakes/fakerunners.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -42,7 +43,13 @@
             start(i);
     }
 
-    void putConfig(std::uint64_t version) { store.put("op/config", std::to_string(version)); }
+    /// Writes a configuration whose value is padded to at least `bytes`.
+    void putConfig(std::uint64_t version, std::size_t bytes = 0)
+    {
+        std::string value = std::to_string(version);
+        value.resize(std::max(value.size(), bytes), ' ');
+        store.put("op/config", value);
+    }
 
     void publish(const std::string &id)
     {
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -226,6 +226,25 @@
     CHECK(world.state(1 - other, "a") == JobState::Completed);
 }
 
+TEST_CASE("a process that is behind on large configurations does not stay behind")
+{
+    // One version takes 0.4 s on this link, the four versions that fill an answer take longer than
+    // the call may.
+    constexpr std::size_t ConfigBytes = 330 * 1024;
+    FleetWorld world(2);
+    world.clock.advance(seconds(2));
+    for (int i = 0; i < 2; ++i)
+        world.process(i).store->bytesPerSecond = 825 * 1024;
+    std::uint64_t version = 1;
+    for (int i = 0; i < 20; ++i) {
+        world.putConfig(++version, ConfigBytes);
+        world.clock.advance(milliseconds(200));
+    }
+    world.clock.advance(milliseconds(1800)); // 2 s after the last version was written
+    for (int i = 0; i < 2; ++i)
+        CHECK(world.node(i).config().version == version);
+}
+
 TEST_CASE("random failures: no job is lost, run twice or run after its cancellation")
 {
     runSchedules(40, [](std::uint64_t seed) -> std::string {
