Do not cut off a response of the store that keeps arriving

Cause: the time limit of a call to the store covered the whole response. Change: HttpClient has a stall timeout. The time limit of a request then covers the wait for the response; once that arrives, the request fails when nothing more has come for the stall timeout, at the latest after 10 s. Tests 'with a stall timeout, ...': the first case times out without a stall timeout, as all calls did.

--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -150,6 +150,10 @@
     int maxConnectionsPerAddress = 16;
     Duration connectTimeout = seconds(1);
     std::size_t maxBodyBytes = 2 * 1024 * 1024; // of a response
+    // If set, a response that has begun to arrive within the timeout of its request may take longer
+    // as a whole: the request then fails when nothing has arrived for this long.
+    Duration stallTimeout{};
+    Duration maxResponseTime = seconds(10); // limit for a whole request with a stall timeout
 };
 
 /// HTTP client with persistent connections, on each of which one request runs at a time. Never
--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <cstring>
 #include <deque>
+#include <optional>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -45,6 +46,8 @@
     HttpClient::ResponseValidator validator;
     TimerId timer = 0;
     TimerId connectTimer = 0;
+    Time latestEnd{}; // when the request fails even if its response is still arriving
+    std::optional<Time> lastReceivedAt; // when a part of the response last arrived
     std::weak_ptr<Connection> connection; // empty while the request is queued
     bool maybeSent = false; // bytes are in the socket's output buffer and may have been sent
     HttpResult result;
@@ -204,7 +207,10 @@
     void abortRequest(const std::shared_ptr<OutgoingRequest> &request, const std::string &detail);
     void invokeCallback(const std::shared_ptr<OutgoingRequest> &request);
     void cancelTimers(OutgoingRequest &request);
+    void scheduleTimeout(const std::shared_ptr<OutgoingRequest> &request, Duration delay);
+    void onTimeout(const std::shared_ptr<OutgoingRequest> &request, Time now);
 
+    static void onInput(evbuffer *, const evbuffer_cb_info *info, void *arg);
     static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg);
     static void onConnectEvent(bufferevent *bev, short what, void *arg);
     static void onClosed(evhttp_connection *, void *arg);
@@ -282,6 +288,7 @@
     evhttp_connection_set_max_headers_size(evcon, MaxResponseHeaderBytes);
     evhttp_connection_set_max_body_size(evcon, static_cast<ev_ssize_t>(settings.maxBodyBytes));
     evhttp_connection_set_closecb(evcon, &onClosed, connection.get());
+    evbuffer_add_cb(bufferevent_get_input(bev), &onInput, connection.get());
     evbuffer_add_cb(bufferevent_get_output(bev), &onOutput, connection.get());
     pool.connections.push_back(connection);
     return connection;
@@ -350,6 +357,15 @@
     connection->originalEvent(bev, what, connection->originalArg);
 }
 
+void HttpClient::Private::onInput(evbuffer *, const evbuffer_cb_info *info, void *arg)
+{
+    auto *connection = static_cast<Connection *>(arg);
+    if (info->n_added == 0)
+        return;
+    if (connection->request)
+        connection->request->lastReceivedAt = connection->client->loop.now();
+}
+
 void HttpClient::Private::onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg)
 {
     auto *connection = static_cast<Connection *>(arg);
@@ -467,6 +483,33 @@
     done(request->result, loop.now());
 }
 
+void HttpClient::Private::scheduleTimeout(const std::shared_ptr<OutgoingRequest> &request,
+                                          Duration delay)
+{
+    request->timer =
+            loop.after(delay, [weak = weak_from_this(),
+                               weakRequest = std::weak_ptr<OutgoingRequest>(request)](Time now) {
+                const std::shared_ptr<Private> self = weak.lock();
+                const std::shared_ptr<OutgoingRequest> expired = weakRequest.lock();
+                if (self && expired)
+                    self->onTimeout(expired, now);
+            });
+}
+
+/// Fails the request, unless its response is still arriving and may take longer.
+void HttpClient::Private::onTimeout(const std::shared_ptr<OutgoingRequest> &request, Time now)
+{
+    if (request->lastReceivedAt && settings.stallTimeout > Duration::zero()) {
+        const Time end =
+                std::min(*request->lastReceivedAt + settings.stallTimeout, request->latestEnd);
+        if (now < end) {
+            scheduleTimeout(request, end - now);
+            return;
+        }
+    }
+    abortRequest(request, "time-out");
+}
+
 void HttpClient::Private::cancelTimers(OutgoingRequest &request)
 {
     loop.cancel(request.timer);
@@ -537,14 +580,8 @@
                        });
         return;
     }
-    const auto onTimeout = [weak = d_->weak_from_this(),
-                            weakRequest = std::weak_ptr<OutgoingRequest>(request)](Time) {
-        const std::shared_ptr<Private> self = weak.lock();
-        const std::shared_ptr<OutgoingRequest> expired = weakRequest.lock();
-        if (self && expired)
-            self->abortRequest(expired, "time-out");
-    };
-    request->timer = d_->loop.after(timeout, onTimeout);
+    request->latestEnd = d_->loop.now() + std::max(timeout, d_->settings.maxResponseTime);
+    d_->scheduleTimeout(request, timeout);
     d_->pools[address].queuedRequests.push_back(std::move(request));
     d_->dispatch(address);
 }
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -71,6 +71,48 @@
     CHECK(post(loop, client, server.address).response.body == "new");
 }
 
+TEST_CASE("with a stall timeout, a response that keeps arriving is not cut off by the time limit")
+{
+    struct Case
+    {
+        Duration stallTimeout;
+        int parts; // of the response that are sent, one each 20 ms
+        HttpFailure failure;
+    };
+    constexpr int PartsInResponse = 10;
+    for (const Case &c : {Case{milliseconds(100), PartsInResponse, HttpFailure::None},
+                          Case{milliseconds(100), 3, HttpFailure::TimedOut}, // it stalls
+                          Case{Duration::zero(), PartsInResponse, HttpFailure::TimedOut}}) {
+        TestLoop loop;
+        std::function<void(RawSocket &, int)> sendPart = [&](RawSocket &socket, int part) {
+            socket.write("x");
+            if (part < c.parts)
+                loop.after(milliseconds(20), [&, part](Time) { sendPart(socket, part + 1); });
+        };
+        RawServer server(loop, [&](RawSocket &socket, int) {
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(PartsInResponse)
+                         + "\r\n\r\n");
+            sendPart(socket, 1);
+        });
+        HttpClientSettings settings;
+        settings.stallTimeout = c.stallTimeout;
+        HttpClient client(loop, settings);
+        CHECK(post(loop, client, server.address, milliseconds(60)).failure == c.failure);
+    }
+}
+
+TEST_CASE("with a stall timeout, a request without a response still fails after its time limit")
+{
+    TestLoop loop;
+    RawServer server(loop, [](RawSocket &, int) {});
+    HttpClientSettings settings;
+    settings.stallTimeout = seconds(10);
+    HttpClient client(loop, settings);
+    const Time sentAt = loop.now();
+    CHECK(post(loop, client, server.address, milliseconds(40)).failure == HttpFailure::TimedOut);
+    CHECK(loop.now() - sentAt < seconds(1));
+}
+
 TEST_CASE("requests of which no byte was sent are reported as unsent, never from inside send()")
 {
     TestLoop loop;
