Read a large response in few passes of the event loop

Cause of the slow answers at the coordinator: libevent 2.1 reads 4096 bytes of a connection in one pass of the event loop. Change: when libevent has filled such a read, the client reads on into the same buffer, up to 256 KiB a pass.

--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -29,6 +29,11 @@
 // evhttp's own timeout is only a fallback, because each request has its own timer.
 constexpr Duration FallbackTimeout = std::chrono::hours(1);
 constexpr ev_ssize_t MaxResponseHeaderBytes = 64 * 1024;
+// libevent reads at most this much from a socket in one pass of the event loop. While the loop is
+// busy, a large response would take hundreds of passes, so the client reads on by itself.
+constexpr std::size_t LibeventReadBytes = 4096;
+constexpr std::size_t DrainChunkBytes = 64 * 1024;
+constexpr std::size_t MaxDrainedBytes = 256 * 1024; // per pass, to be fair to other connections
 
 using ResultCallback = std::function<void(const HttpResult &, Time now)>;
 
@@ -70,6 +75,7 @@
     std::shared_ptr<OutgoingRequest> request; // empty while idle
     bool completed = false; // the result is set and the callback is scheduled
     bool unusable = false; // closed by the peer, or a request has failed on it
+    bool isDraining = false; // drainSocket() is adding to the input buffer
     Time idleSince{};
     int connectErrno = 0; // errno of a failed connect, 0 if none
     const char *evhttpError = nullptr; // evhttp's reason for a failed request, or null
@@ -210,7 +216,8 @@
     void scheduleTimeout(const std::shared_ptr<OutgoingRequest> &request, Duration delay);
     void onTimeout(const std::shared_ptr<OutgoingRequest> &request, Time now);
 
-    static void onInput(evbuffer *, const evbuffer_cb_info *info, void *arg);
+    static void onInput(evbuffer *input, const evbuffer_cb_info *info, void *arg);
+    static void drainSocket(Connection &connection, evbuffer *input);
     static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg);
     static void onConnectEvent(bufferevent *bev, short what, void *arg);
     static void onClosed(evhttp_connection *, void *arg);
@@ -357,13 +364,33 @@
     connection->originalEvent(bev, what, connection->originalArg);
 }
 
-void HttpClient::Private::onInput(evbuffer *, const evbuffer_cb_info *info, void *arg)
+void HttpClient::Private::onInput(evbuffer *input, const evbuffer_cb_info *info, void *arg)
 {
     auto *connection = static_cast<Connection *>(arg);
     if (info->n_added == 0)
         return;
     if (connection->request)
         connection->request->lastReceivedAt = connection->client->loop.now();
+    if (info->n_added >= LibeventReadBytes && !connection->isDraining)
+        drainSocket(*connection, input);
+}
+
+/// Moves what else has arrived into the input buffer, while libevent is reading into it. Errors and
+/// the end of the stream are left to libevent's next read, which reports them.
+void HttpClient::Private::drainSocket(Connection &connection, evbuffer *input)
+{
+    connection.isDraining = true;
+    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection.evcon));
+    std::array<char, DrainChunkBytes> chunk;
+    std::size_t drained = 0;
+    while (drained < MaxDrainedBytes) {
+        const ssize_t n = recv(fd, chunk.data(), chunk.size(), MSG_DONTWAIT);
+        if (n <= 0)
+            break;
+        evbuffer_add(input, chunk.data(), static_cast<std::size_t>(n));
+        drained += static_cast<std::size_t>(n);
+    }
+    connection.isDraining = false;
 }
 
 void HttpClient::Private::onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg)
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -101,6 +101,44 @@
     }
 }
 
+TEST_CASE("a large response takes few passes of the event loop, so that a busy loop does not delay "
+          "it")
+{
+    constexpr std::size_t BodyBytes = 200 * 1024;
+    constexpr int MaxPasses = 25; // at least 8 KiB in each
+    TestLoop loop;
+    int passes = 0;
+    int passesAtRequest = 0;
+    RawServer server(loop, [&](RawSocket &socket, int) {
+        passesAtRequest = passes;
+        const std::string response =
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n"
+                + std::string(BodyBytes, 'x');
+        const int fd = bufferevent_getfd(socket.bev);
+        const int sendBuffer = 2 * static_cast<int>(BodyBytes);
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &sendBuffer, sizeof sendBuffer);
+        // At once, because a bufferevent would write it over several passes.
+        CHECK(send(fd, response.data(), response.size(), MSG_DONTWAIT)
+              == static_cast<ssize_t>(response.size()));
+    });
+    std::function<void(Time)> countPass = [&](Time) {
+        ++passes;
+        usleep(2000); // the work of a busy pass
+        loop.after(Duration::zero(), countPass);
+    };
+    HttpClient client(loop, {});
+    HttpResult result;
+    bool isDone = false;
+    client.send(server.address, "GET", "/x", {}, {}, seconds(2), [&](const HttpResult &r, Time) {
+        result = r;
+        isDone = true;
+    });
+    countPass(loop.now());
+    REQUIRE(loop.runUntil([&] { return isDone; }));
+    CHECK(result.response.body.size() == BodyBytes);
+    CHECK(passes - passesAtRequest < MaxPasses);
+}
+
 TEST_CASE("with a stall timeout, a request without a response still fails after its time limit")
 {
     TestLoop loop;
