Follow submissions only, and report the backlog from the coordinator

Change: only submissions and cancellations are followed. The progress of a job is read when a client asks for it, as was done already for jobs that had not ended. The coordinator writes the backlog each second, with the revision up to which submissions are counted; the others add the submissions after it.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -275,6 +275,7 @@
         scheduler_->setWallClock(ports_.wallNow(), now);
         runPass(now);
         removeFinishedJobs(now);
+        publishBacklog(now);
         scheduleTick();
     });
 }
@@ -408,6 +409,25 @@
     });
 }
 
+/// Writes the backlog for the other processes. If the call fails, the next report replaces it.
+void Coordinator::publishBacklog(Time now)
+{
+    if (now < nextBacklogAt_)
+        return;
+    nextBacklogAt_ = now + settings_.backlogInterval;
+    BacklogReport report;
+    report.revision = jobInputWatch_->revision().value;
+    for (const auto &[queue, jobs] : jobView_.backlogs()) {
+        if (jobs > 0)
+            report.jobs[queue] = jobs;
+    }
+    jobView_.forgetSubmissions(jobInputWatch_->revision());
+    Transaction transaction;
+    transaction.conditions.push_back({keys::Coordinator, recordRevision_});
+    transaction.puts.push_back({keys::Backlog, encodeBacklog(report), LeaseId{}});
+    ports_.store.commit(transaction, [](const KeyValueResult &, Time) {});
+}
+
 void Coordinator::depose(const std::string &reason)
 {
     if (isDeposed_)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -12,6 +12,8 @@
 //                          it, under its lease
 //   coordinator/challenge  host cores of a process on a much stronger host, which asks the
 //                          coordinator to resign; under a lease of a few seconds
+//   coordinator/backlog    number of jobs of each queue that have not started; written by the
+//                          coordinator each second
 //   jobs/in/spec/ID        specification of a job; written once, by the process that accepts it
 //   jobs/in/cancel/ID      cancellation of a job; written once
 //   jobs/progress/ID       progress of a job; written by the coordinator
@@ -31,6 +33,7 @@
 
 #include "scheduling/scheduling.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -187,10 +190,8 @@
     Duration maxWorkerLease = seconds(6); // the workers shorten longer leases to this
     Duration requestedWorkerLease = milliseconds(5500); // requested at a start or renewal
     Duration renewWait = seconds(1); // after which a worker without news answers a renewal
-    // Between two watches of the jobs' records. It does not delay the state that clients see,
-    // because the state of a job that has not ended is read from the store when a client asks for
-    // it.
-    Duration jobWatchPause = milliseconds(700);
+    Duration jobWatchPause = milliseconds(700); // between two watches of submitted jobs
+    Duration backlogInterval = seconds(1); // between two reports of the backlog by the coordinator
     Duration registryWatchPause = milliseconds(400); // between two watches of the workers' entries
     // After which a watch without events returns. A dead connection is detected after this and the
     // timeout of the call.
@@ -360,6 +361,9 @@
 // [6] View of all jobs
 
 /// State of all jobs as this process has last seen it in the store, for answers to clients.
+/// Processes other than the coordinator follow submissions and cancellations only. They read the
+/// progress of a job when a client asks for it: following the progress of all jobs would take more
+/// than a small host's link can carry.
 class JobView
 {
 public:
@@ -376,8 +380,13 @@
     bool isCancelled(const JobId &id) const;
     /// The state to report to clients, or nothing if the job is not known.
     std::optional<JobState> state(const JobId &id) const;
-    /// Number of accepted jobs of the queue of which no task has been started.
-    int backlog(const QueueId &queue) const;
+    /// Number of accepted jobs of each queue of which no task has been started. Valid only if the
+    /// progress of all jobs is known.
+    const std::unordered_map<QueueId, int> &backlogs() const { return backlogs_; }
+    /// Number of watched submissions to the queue after the revision that were not cancelled.
+    int submissionsAfter(StoreRevision revision, const QueueId &queue) const;
+    /// Submissions up to the revision are not asked for by submissionsAfter() any more.
+    void forgetSubmissions(StoreRevision upTo);
 
 private:
     struct Entry
@@ -391,7 +400,14 @@
     template<typename Change> void updateEntry(const JobId &id, Change apply);
 
     std::unordered_map<JobId, Entry> entries_;
+    struct Submission
+    {
+        StoreRevision revision;
+        JobId job;
+    };
+
     std::unordered_map<QueueId, int> backlogs_;
+    std::deque<Submission> submissions_; // ordered by revision
 };
 
 // [7] Coordinator
@@ -461,6 +477,7 @@
     void onWriteConflict(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
                          Time now);
     void removeFinishedJobs(Time now);
+    void publishBacklog(Time now);
     void sendOrders(Time now);
     void sendStart(const StartOrder &order, Time now);
     void renewLeases(Time now);
@@ -503,6 +520,7 @@
     int writesInFlight_ = 0;
     Time writeNotBefore_{};
     Time lastCleanup_{};
+    Time nextBacklogAt_{};
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
@@ -549,7 +567,9 @@
     /// `state` is valid only if the answer is Accepted.
     using StateCallback = std::function<void(JobAnswer, JobState state, Time now)>;
     void state(const JobId &id, StateCallback done, Time now);
-    int backlog(const QueueId &queue) const { return jobView_.backlog(queue); }
+    /// Number of accepted jobs of the queue of which no task has been started. Jobs that started
+    /// since the coordinator's last report are still counted.
+    int backlog(const QueueId &queue) const;
 
 private:
     void onConfigItems(const std::vector<KeyValue> &items);
@@ -557,7 +577,11 @@
     void onCoordinatorItems(const std::vector<KeyValue> &items, Time now);
     void scheduleStoreCheck();
     void readState(const JobId &id, JobState known, StateCallback done);
+    /// True if this process is the coordinator and has loaded the progress of all jobs.
+    bool knowsAllProgress() const { return coordinator_ && coordinator_->scheduler(); }
+    void learnSpec(const JobId &id, const KeyValue &item);
     void watchJobs();
+    void onBacklogItem(const KeyValue &item);
     void onCoordinatorItem(const KeyValue &item, Time now);
     void challengeIfStronger(Time now);
     void onChallenge(double cores);
@@ -576,6 +600,7 @@
     QueueConfig config_;
     StoreRevision configRevision_; // of the item that was decoded last
     JobView jobView_;
+    BacklogReport backlogReport_; // the coordinator's last one; revision 0: none was received yet
     OnceWriter writer_;
     std::unique_ptr<PrefixWatch> configWatch_;
     std::unique_ptr<PrefixWatch> coordinatorWatch_;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -35,6 +35,8 @@
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
                                    isRecordPresent_ = false;
                                    onCoordinatorItems(items, eventTime);
+                                   if (!jobsWatch_ && !coordinator_)
+                                       watchJobs();
                                },
                                [this](const std::vector<KeyValue> &items, Time eventTime) {
                                    onCoordinatorItems(items, eventTime);
@@ -52,8 +54,7 @@
 void FleetNode::start()
 {
     configWatch_->start();
-    coordinatorWatch_->start();
-    watchJobs();
+    coordinatorWatch_->start(); // the watch of the jobs follows when its keys are loaded
     scheduleStoreCheck();
 }
 
@@ -77,6 +78,8 @@
     });
 }
 
+/// Watches submissions and cancellations. Those that the last report of the backlog covers are left
+/// out; the store has the rest in its history, or the watch loads them all.
 void FleetNode::watchJobs()
 {
     const auto apply = [this](const std::vector<KeyValue> &items, Time) {
@@ -88,11 +91,14 @@
         }
     };
     jobsWatch_ = std::make_unique<PrefixWatch>(
-            ports_, keys::JobsPrefix, settings_.watchWait, settings_.jobWatchPause,
+            ports_, keys::JobInputPrefix, settings_.watchWait, settings_.jobWatchPause,
             PrefixWatch::Hooks{
                     [this](const std::vector<KeyValue> &items, Time) { jobView_.reset(items); },
                     apply});
-    jobsWatch_->start();
+    if (backlogReport_.revision > 0)
+        jobsWatch_->startAfter({backlogReport_.revision});
+    else
+        jobsWatch_->start();
 }
 
 /// Applies the newest configuration among the items that can be decoded, if it is newer than the
@@ -145,6 +151,8 @@
 {
     if (item.key == keys::Challenge && !item.deleted)
         onChallenge(std::strtod(item.value.c_str(), nullptr));
+    if (item.key == keys::Backlog && !item.deleted)
+        onBacklogItem(item);
     if (item.key != keys::Coordinator)
         return;
     isRecordPresent_ = !item.deleted;
@@ -152,6 +160,18 @@
     coordinatorCores_ = std::strtod(item.value.c_str(), nullptr); // the name follows after a space
 }
 
+void FleetNode::onBacklogItem(const KeyValue &item)
+{
+    const std::optional<BacklogReport> report = decodeBacklog(item.value);
+    if (!report) {
+        log(LogLevel::Error, "record-unreadable",
+            "the report of the backlog is malformed; the last one is used", {{"key", item.key}});
+        return;
+    }
+    backlogReport_ = *report;
+    jobView_.forgetSubmissions({report->revision});
+}
+
 /// Asks the coordinator to resign if this host has many more cores. After outages a weak host may
 /// have become the coordinator, and with hundreds of workers it cannot keep up.
 void FleetNode::challengeIfStronger(Time now)
@@ -381,6 +401,13 @@
     writer_.create(keys::spec(spec.id), encodeSpec(spec), deadline, onCreateDone, now);
 }
 
+/// Notes that the job exists, also if its specification cannot be decoded.
+void FleetNode::learnSpec(const JobId &id, const KeyValue &item)
+{
+    const std::optional<JobSpec> spec = decodeSpec(item.value);
+    jobView_.setSpec(id, spec ? spec->queue : QueueId());
+}
+
 void FleetNode::cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                        Time now)
 {
@@ -400,10 +427,7 @@
                      eventTime);
                 return;
             }
-            if (const std::optional<JobSpec> spec = decodeSpec(result.items.front().value))
-                jobView_.setSpec(id, spec->queue);
-            else
-                jobView_.setSpec(id, {});
+            learnSpec(id, result.items.front());
             cancel(id, deadline, done, eventTime);
         });
         return;
@@ -419,6 +443,17 @@
     writer_.create(keys::cancel(id), settings_.name, deadline, onCreateDone, now);
 }
 
+int FleetNode::backlog(const QueueId &queue) const
+{
+    const auto count = [&queue](const auto &counts) {
+        const auto it = counts.find(queue);
+        return it == counts.end() ? 0 : it->second;
+    };
+    if (knowsAllProgress())
+        return count(jobView_.backlogs());
+    return count(backlogReport_.jobs) + jobView_.submissionsAfter({backlogReport_.revision}, queue);
+}
+
 /// Reads the state of a job that had not ended when last seen, so that clients see its end at once.
 void FleetNode::readState(const JobId &id, JobState known, StateCallback done)
 {
@@ -439,7 +474,7 @@
 void FleetNode::state(const JobId &id, StateCallback done, Time now)
 {
     if (const std::optional<JobState> known = jobView_.state(id)) {
-        const bool isCurrent = isFinal(*known) || coordinator_;
+        const bool isCurrent = isFinal(*known) || knowsAllProgress();
         if (isCurrent || !reachesStore(now) || writer_.isStalled(now))
             done(JobAnswer::Accepted, *known, now);
         else
@@ -447,10 +482,14 @@
         return;
     }
     ports_.store.get(keys::spec(id),
-                     [done = std::move(done)](const KeyValueResult &result, Time eventTime) {
+                     [this, id, done = std::move(done), alive = std::weak_ptr<int>(alive_)](
+                             const KeyValueResult &result, Time eventTime) {
+                         if (alive.expired())
+                             return;
                          switch (result.status) {
-                         case KeyValueStatus::Ok: // accepted just now by another process
-                             done(JobAnswer::Accepted, JobState::Pending, eventTime);
+                         case KeyValueStatus::Ok: // accepted by another process
+                             learnSpec(id, result.items.front());
+                             readState(id, JobState::Pending, done);
                              return;
                          case KeyValueStatus::NotFound:
                              done(JobAnswer::NotFound, JobState::Pending, eventTime);
--- a/src/fleet/jobview.cpp
+++ b/src/fleet/jobview.cpp
@@ -2,6 +2,8 @@
 
 #include "fleet/keys_p.h"
 
+#include <algorithm>
+
 namespace monsoonledge {
 
 bool JobView::isInBacklog(const Entry &entry)
@@ -52,9 +54,11 @@
             return true;
         }
         const std::optional<JobSpec> spec = decodeSpec(item.value);
-        if (spec)
-            setSpec(*id, spec->queue);
-        return spec.has_value();
+        if (!spec)
+            return false;
+        setSpec(*id, spec->queue);
+        submissions_.push_back({item.revision, *id});
+        return true;
     }
     if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key)) {
         if (!item.deleted)
@@ -76,8 +80,12 @@
 {
     entries_.clear();
     backlogs_.clear();
+    submissions_.clear();
     for (const KeyValue &item : items)
         apply(item);
+    // Loaded keys arrive in alphabetical order.
+    std::sort(submissions_.begin(), submissions_.end(),
+              [](const Submission &a, const Submission &b) { return a.revision < b.revision; });
 }
 
 bool JobView::contains(const JobId &id) const
@@ -104,10 +112,20 @@
     return entry.state;
 }
 
-int JobView::backlog(const QueueId &queue) const
+int JobView::submissionsAfter(StoreRevision revision, const QueueId &queue) const
+{
+    return static_cast<int>(
+            std::count_if(submissions_.begin(), submissions_.end(), [&](const Submission &s) {
+                const auto it = entries_.find(s.job);
+                return s.revision > revision && it != entries_.end() && it->second.queue == queue
+                       && isInBacklog(it->second);
+            }));
+}
+
+void JobView::forgetSubmissions(StoreRevision upTo)
 {
-    const auto it = backlogs_.find(queue);
-    return it == backlogs_.end() ? 0 : it->second;
+    while (!submissions_.empty() && submissions_.front().revision <= upTo)
+        submissions_.pop_front();
 }
 
 } // namespace monsoonledge
--- a/src/fleet/keys_p.h
+++ b/src/fleet/keys_p.h
@@ -10,6 +10,7 @@
 
 inline const std::string Coordinator = "coordinator";
 inline const std::string Challenge = "coordinator/challenge";
+inline const std::string Backlog = "coordinator/backlog";
 inline const std::string JobsPrefix = "jobs/"; // covers all records of jobs
 inline const std::string JobInputPrefix = "jobs/in/"; // submissions and cancellations by clients
 inline const std::string SpecPrefix = "jobs/in/spec/";
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -15,6 +15,7 @@
 #include "base/base.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -159,6 +160,13 @@
     const QueueSpec *find(const QueueId &id) const;
 };
 
+/// Number of accepted jobs of which no task has started, as the coordinator publishes it.
+struct BacklogReport
+{
+    std::uint64_t revision = 0; // of the store: jobs submitted up to it are counted
+    std::map<QueueId, int> jobs; // by queue; queues without a backlog are left out
+};
+
 // [5] Records
 
 /// Compact binary records for the store. Decoding returns nothing if the bytes are not a valid
@@ -169,5 +177,7 @@
 std::optional<JobProgress> decodeProgress(const std::string &bytes);
 /// Decodes only the state, which is cheaper than decoding the tasks.
 std::optional<JobState> decodeState(const std::string &progressBytes);
+std::string encodeBacklog(const BacklogReport &report);
+std::optional<BacklogReport> decodeBacklog(const std::string &bytes);
 
 } // namespace monsoonledge
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -12,6 +12,7 @@
 // processor time and traffic between failure domains.
 constexpr int SpecFormat = 1;
 constexpr int ProgressFormat = 1;
+constexpr int BacklogFormat = 1;
 constexpr unsigned char CborArrayOfThree = 0x83; // first byte of a CBOR array of three items
 
 enum StepFlag : unsigned {
@@ -178,4 +179,28 @@
     }
 }
 
+std::string encodeBacklog(const BacklogReport &report)
+{
+    Json jobs = Json::array();
+    for (const auto &[queue, count] : report.jobs)
+        jobs.push_back({queue.str(), count});
+    return toBytes(Json::array({BacklogFormat, report.revision, jobs}));
+}
+
+std::optional<BacklogReport> decodeBacklog(const std::string &bytes)
+{
+    try {
+        const Json json = Json::from_cbor(bytes);
+        if (json.at(0).get<int>() != BacklogFormat)
+            return std::nullopt;
+        BacklogReport report;
+        report.revision = json.at(1).get<std::uint64_t>();
+        for (const Json &row : json.at(2))
+            report.jobs[QueueId(row.at(0).get<std::string>())] = row.at(1).get<int>();
+        return report;
+    } catch (const std::exception &) { // the caller logs the key of the record
+        return std::nullopt;
+    }
+}
+
 } // namespace monsoonledge
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -245,6 +245,63 @@
         CHECK(world.node(i).config().version == version);
 }
 
+TEST_CASE("a process on a slow link reports the backlog although it cannot follow all progress")
+{
+    FleetWorld world(2);
+    world.clock.advance(seconds(2));
+    const int other = 1 - world.coordinator();
+    world.process(other).store->bytesPerSecond = 10 * 1024; // the records are small here
+    for (int i = 0; i < 80; ++i) { // 48 jobs a second, as in a burst
+        world.submit(1 - other, FleetWorld::job("busy" + std::to_string(i), 40));
+        world.clock.advance(milliseconds(20));
+    }
+    constexpr int WaitingJobs = 30;
+    JobSpec tooLarge = FleetWorld::job("waiting", 1);
+    tooLarge.steps.front().cpu.value = 1000 * 1000; // no worker has so much
+    for (int i = 0; i < WaitingJobs; ++i) {
+        tooLarge.id = JobId("waiting" + std::to_string(i));
+        CHECK(world.submit(1 - other, tooLarge) == JobAnswer::Accepted);
+    }
+    world.clock.advance(seconds(2)); // the report may be this old
+    CHECK(world.node(other).backlog(QueueId("renewal")) >= WaitingJobs);
+    world.clock.advance(seconds(4));
+    CHECK(world.node(other).backlog(QueueId("renewal")) == WaitingJobs);
+}
+
+TEST_CASE("a process that becomes coordinator, resigns or restarts goes on reporting the backlog")
+{
+    FleetWorld world(2);
+    world.clock.advance(seconds(2));
+    JobSpec tooLarge = FleetWorld::job("waiting", 1);
+    tooLarge.steps.front().cpu.value = 1000 * 1000; // no worker has so much
+    const QueueId queue("renewal");
+    CHECK(world.submit(0, tooLarge) == JobAnswer::Accepted);
+    CHECK(world.submit(0, FleetWorld::job("short", 1)) == JobAnswer::Accepted);
+    world.clock.advance(seconds(2));
+    const int first = world.coordinator();
+    for (int i = 0; i < 2; ++i)
+        CHECK(world.node(i).backlog(queue) == 1);
+    world.kill(first);
+    tooLarge.id = JobId("later");
+    CHECK(world.submit(1 - first, tooLarge) == JobAnswer::Accepted);
+    world.clock.advance(seconds(1)); // nobody is the coordinator
+    CHECK(world.node(1 - first).backlog(queue) == 2);
+    world.clock.advance(seconds(4));
+    CHECK(world.coordinator() == 1 - first);
+    world.start(first);
+    world.clock.advance(seconds(2));
+    for (int i = 0; i < 2; ++i)
+        CHECK(world.node(i).backlog(queue) == 2);
+    CHECK(world.state(first, "short") == JobState::Completed);
+    CHECK(world.state(first, "later") == JobState::Pending);
+    world.node(1 - first).drain();
+    CHECK(world.cancel(first, "later") == JobAnswer::Accepted);
+    world.clock.advance(seconds(3));
+    CHECK(world.coordinator() == first);
+    for (int i = 0; i < 2; ++i)
+        CHECK(world.node(i).backlog(queue) == 1);
+}
+
 TEST_CASE("random failures: no job is lost, run twice or run after its cancellation")
 {
     runSchedules(40, [](std::uint64_t seed) -> std::string {
