Answer 404 for an unknown queue only while the configuration is known to be current

404 is final for a caller: a process that the store does not reach, or whose watch is behind, may not know a queue that was added seconds ago. When the store has not confirmed the configuration for 2 s, an unknown queue is answered 503 with Retry-After. Test 'an unknown queue is answered 404 only while ...': the 503 was a 404 before.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -557,6 +557,8 @@
     const QueueConfig &config() const { return config_; }
     /// True if the store has answered recently.
     bool reachesStore(Time now) const;
+    /// True if the store has recently confirmed that the configuration in force is the newest.
+    bool isConfigCurrent(Time now) const;
     /// The watch that delivers the configuration.
     const PrefixWatch &configWatch() const { return *configWatch_; }
 
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration StoreContactTimeout = milliseconds(2600); // then the store counts as unreachable
+constexpr Duration MaxConfigAge = seconds(2); // then a new configuration should be in force
 constexpr Duration StoreCheckInterval = milliseconds(500);
 constexpr Duration MaxCandidacyDelay = milliseconds(250); // limit for a host with few cores
 constexpr std::uint64_t CandidacyJitterMs = 60;
@@ -366,6 +367,11 @@
     return now - last < StoreContactTimeout;
 }
 
+bool FleetNode::isConfigCurrent(Time now) const
+{
+    return config_.version > 0 && now - configWatch_->lastStoreContact() < MaxConfigAge;
+}
+
 bool FleetNode::isReady(Time now) const
 {
     return config_.version > 0 && !isDraining_ && reachesStore(now);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -2,6 +2,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "fakes/fleetworld.h"
 #include "findings.h"
 #include "platform/platform.h"
 
@@ -148,3 +149,30 @@
     CHECK_FALSE(decodeQueueConfig("{}"));
     CHECK_FALSE(decodeQueueConfig(R"({"ConfigVersion":8,"Routes":5,"Services":[]})"));
 }
+
+TEST_CASE("an unknown queue is answered 404 only while the configuration is known to be current")
+{
+    FleetWorld world(1);
+    world.clock.advance(seconds(2));
+    Frontend frontend(
+            world.node(0), [&] { return world.wall(); }, [](const LogEvent &) {});
+    const auto ask = [&] {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/added/";
+        request.headers["host"] = "desk.example";
+        HttpResponse response;
+        frontend.handle(
+                request, [&](const HttpResponse &r) { response = r; }, world.clock.now());
+        return response;
+    };
+    CHECK(ask().status == 404);
+    world.process(0).store->silent = true;
+    world.clock.advance(milliseconds(2500));
+    const HttpResponse response = ask();
+    CHECK(response.status == 503);
+    CHECK(response.headers.count("Retry-After") == 1);
+    world.process(0).store->silent = false;
+    world.clock.advance(seconds(2));
+    CHECK(ask().status == 404);
+}
