--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -50,10 +50,14 @@
 void Scheduler::setConfig(const QueueConfig &config)
 {
     config_ = config;
+    std::unordered_map<QueueId, const QueueSpec *> queues;
+    for (const QueueSpec &queue : config_.queues)
+        queues.emplace(queue.id, &queue);
     for (auto &[id, job] : jobs_) {
         // Jobs of a removed queue continue with its last configuration; new jobs are not accepted.
-        if (const QueueSpec *queue = config.find(job->spec.queue))
-            job->queue = *queue;
+        const auto it = queues.find(job->spec.queue);
+        if (it != queues.end())
+            job->queue = *it->second;
     }
 }
 
