Move the calls of clients out of fleetnode.cpp

A move without a change: submissions, cancellations, states and the backlog are in clients.cpp, the configuration, the election and the contact to the store stay.

--- /dev/null
+++ b/src/fleet/clients.cpp
@@ -0,0 +1,139 @@
+// Calls of clients on jobs, as an entry process answers them: submissions, cancellations, states
+// and the backlog of a queue.
+#include "fleet/fleet.h"
+
+#include "fleet/keys_p.h"
+
+namespace monsoonledge {
+
+void FleetNode::submit(const JobSpec &spec, Time deadline,
+                       std::function<void(JobAnswer, Time)> done, Time now)
+{
+    if (jobView_.contains(spec.id)) {
+        done(JobAnswer::Accepted, now);
+        return;
+    }
+    if (!reachesStore(now)) {
+        done(JobAnswer::NotAccepted, now);
+        return;
+    }
+    const auto onCreateDone = [this, id = spec.id, queue = spec.queue,
+                               done = std::move(done)](CreateOutcome outcome, Time eventTime) {
+        switch (outcome) {
+        case CreateOutcome::Created:
+        case CreateOutcome::Exists:
+            jobView_.setSpec(id, queue);
+            done(JobAnswer::Accepted, eventTime);
+            return;
+        case CreateOutcome::NotApplied:
+            done(JobAnswer::NotAccepted, eventTime);
+            return;
+        case CreateOutcome::Unknown:
+            done(JobAnswer::Unknown, eventTime);
+            return;
+        }
+    };
+    writer_.create(keys::spec(spec.id), encodeSpec(spec), deadline, onCreateDone, now);
+}
+
+/// Notes that the job exists, also if its specification cannot be decoded.
+void FleetNode::learnSpec(const JobId &id, const KeyValue &item)
+{
+    const std::optional<JobSpec> spec = decodeSpec(item.value);
+    jobView_.setSpec(id, spec ? spec->queue : QueueId());
+}
+
+void FleetNode::cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
+                       Time now)
+{
+    if (jobView_.isCancelled(id)) {
+        done(JobAnswer::Accepted, now);
+        return;
+    }
+    if (!jobView_.contains(id)) { // accepted just now by another process, or unknown
+        ports_.store.get(keys::spec(id), [this, id, deadline, done = std::move(done),
+                                          alive = std::weak_ptr<int>(alive_)](
+                                                 const KeyValueResult &result, Time eventTime) {
+            if (alive.expired())
+                return;
+            if (result.status != KeyValueStatus::Ok) {
+                done(result.status == KeyValueStatus::NotFound ? JobAnswer::NotFound
+                                                               : JobAnswer::Unknown,
+                     eventTime);
+                return;
+            }
+            learnSpec(id, result.items.front());
+            cancel(id, deadline, done, eventTime);
+        });
+        return;
+    }
+    const auto onCreateDone = [this, id, done = std::move(done)](CreateOutcome outcome,
+                                                                 Time eventTime) {
+        const bool isWritten =
+                outcome == CreateOutcome::Created || outcome == CreateOutcome::Exists;
+        if (isWritten)
+            jobView_.setCancelled(id);
+        done(isWritten ? JobAnswer::Accepted : JobAnswer::Unknown, eventTime);
+    };
+    writer_.create(keys::cancel(id), settings_.name, deadline, onCreateDone, now);
+}
+
+int FleetNode::backlog(const QueueId &queue) const
+{
+    const auto count = [&queue](const auto &counts) {
+        const auto it = counts.find(queue);
+        return it == counts.end() ? 0 : it->second;
+    };
+    if (knowsAllProgress())
+        return count(jobView_.backlogs());
+    return count(backlogReport_.jobs) + jobView_.submissionsAfter({backlogReport_.revision}, queue);
+}
+
+/// Reads the state of a job that had not ended when last seen, so that clients see its end at once.
+void FleetNode::readState(const JobId &id, JobState known, StateCallback done)
+{
+    ports_.store.get(keys::progress(id), [this, id, known, done = std::move(done),
+                                          alive = std::weak_ptr<int>(alive_)](
+                                                 const KeyValueResult &result, Time now) {
+        if (alive.expired())
+            return;
+        if (result.status == KeyValueStatus::Ok) {
+            if (const std::optional<JobState> state = decodeState(result.items.front().value))
+                jobView_.setState(id, *state);
+        }
+        // If the store does not answer, the last known state is returned.
+        done(JobAnswer::Accepted, jobView_.state(id).value_or(known), now);
+    });
+}
+
+void FleetNode::state(const JobId &id, StateCallback done, Time now)
+{
+    if (const std::optional<JobState> known = jobView_.state(id)) {
+        const bool isCurrent = isFinal(*known) || knowsAllProgress();
+        if (isCurrent || !reachesStore(now) || writer_.isStalled(now))
+            done(JobAnswer::Accepted, *known, now);
+        else
+            readState(id, *known, std::move(done));
+        return;
+    }
+    ports_.store.get(keys::spec(id),
+                     [this, id, done = std::move(done), alive = std::weak_ptr<int>(alive_)](
+                             const KeyValueResult &result, Time eventTime) {
+                         if (alive.expired())
+                             return;
+                         switch (result.status) {
+                         case KeyValueStatus::Ok: // accepted by another process
+                             learnSpec(id, result.items.front());
+                             readState(id, JobState::Pending, done);
+                             return;
+                         case KeyValueStatus::NotFound:
+                             done(JobAnswer::NotFound, JobState::Pending, eventTime);
+                             return;
+                         default:
+                             done(JobAnswer::Unknown, JobState::Pending, eventTime);
+                             return;
+                         }
+                     });
+}
+
+} // namespace monsoonledge
