--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -33,7 +33,6 @@
 
 #include "scheduling/scheduling.h"
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -400,14 +399,8 @@
     template<typename Change> void updateEntry(const JobId &id, Change apply);
 
     std::unordered_map<JobId, Entry> entries_;
-    struct Submission
-    {
-        StoreRevision revision;
-        JobId job;
-    };
-
     std::unordered_map<QueueId, int> backlogs_;
-    std::deque<Submission> submissions_; // ordered by revision
+    std::unordered_map<JobId, StoreRevision> submissions_; // watched and not forgotten yet
 };
 
 // [7] Coordinator
--- a/src/fleet/jobview.cpp
+++ b/src/fleet/jobview.cpp
@@ -2,7 +2,7 @@
 
 #include "fleet/keys_p.h"
 
-#include <algorithm>
+#include <iterator>
 
 namespace monsoonledge {
 
@@ -57,7 +57,7 @@
         if (!spec)
             return false;
         setSpec(*id, spec->queue);
-        submissions_.push_back({item.revision, *id});
+        submissions_[*id] = item.revision;
         return true;
     }
     if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key)) {
@@ -83,9 +83,6 @@
     submissions_.clear();
     for (const KeyValue &item : items)
         apply(item);
-    // Loaded keys arrive in alphabetical order.
-    std::sort(submissions_.begin(), submissions_.end(),
-              [](const Submission &a, const Submission &b) { return a.revision < b.revision; });
 }
 
 bool JobView::contains(const JobId &id) const
@@ -114,18 +111,20 @@
 
 int JobView::submissionsAfter(StoreRevision revision, const QueueId &queue) const
 {
-    return static_cast<int>(
-            std::count_if(submissions_.begin(), submissions_.end(), [&](const Submission &s) {
-                const auto it = entries_.find(s.job);
-                return s.revision > revision && it != entries_.end() && it->second.queue == queue
-                       && isInBacklog(it->second);
-            }));
+    int count = 0;
+    for (const auto &[id, submittedAt] : submissions_) {
+        const auto it = entries_.find(id);
+        const bool isCounted = submittedAt > revision && it != entries_.end()
+                               && it->second.queue == queue && isInBacklog(it->second);
+        count += isCounted ? 1 : 0;
+    }
+    return count;
 }
 
 void JobView::forgetSubmissions(StoreRevision upTo)
 {
-    while (!submissions_.empty() && submissions_.front().revision <= upTo)
-        submissions_.pop_front();
+    for (auto it = submissions_.begin(); it != submissions_.end();)
+        it = it->second <= upTo ? submissions_.erase(it) : std::next(it);
 }
 
 } // namespace monsoonledge
