--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -79,10 +79,10 @@
         int parts; // of the response that are sent, one each 20 ms
         HttpFailure failure;
     };
-    constexpr int PartsInResponse = 10;
-    for (const Case &c : {Case{milliseconds(100), PartsInResponse, HttpFailure::None},
+    constexpr int partsInResponse = 10;
+    for (const Case &c : {Case{milliseconds(100), partsInResponse, HttpFailure::None},
                           Case{milliseconds(100), 3, HttpFailure::TimedOut}, // it stalls
-                          Case{Duration::zero(), PartsInResponse, HttpFailure::TimedOut}}) {
+                          Case{Duration::zero(), partsInResponse, HttpFailure::TimedOut}}) {
         TestLoop loop;
         std::function<void(RawSocket &, int)> sendPart = [&](RawSocket &socket, int part) {
             socket.write("x");
@@ -90,7 +90,7 @@
                 loop.after(milliseconds(20), [&, part](Time) { sendPart(socket, part + 1); });
         };
         RawServer server(loop, [&](RawSocket &socket, int) {
-            socket.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(PartsInResponse)
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(partsInResponse)
                          + "\r\n\r\n");
             sendPart(socket, 1);
         });
@@ -104,18 +104,18 @@
 TEST_CASE("a large response takes few passes of the event loop, so that a busy loop does not delay "
           "it")
 {
-    constexpr std::size_t BodyBytes = 200 * 1024;
-    constexpr int MaxPasses = 25; // at least 8 KiB in each
+    constexpr std::size_t bodyBytes = 200 * 1024;
+    constexpr int maxPasses = 25; // at least 8 KiB in each
     TestLoop loop;
     int passes = 0;
     int passesAtRequest = 0;
     RawServer server(loop, [&](RawSocket &socket, int) {
         passesAtRequest = passes;
         const std::string response =
-                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n"
-                + std::string(BodyBytes, 'x');
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+                + std::string(bodyBytes, 'x');
         const int fd = bufferevent_getfd(socket.bev);
-        const int sendBuffer = 2 * static_cast<int>(BodyBytes);
+        const int sendBuffer = 2 * static_cast<int>(bodyBytes);
         setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &sendBuffer, sizeof sendBuffer);
         // At once, because a bufferevent would write it over several passes.
         CHECK(send(fd, response.data(), response.size(), MSG_DONTWAIT)
@@ -135,8 +135,8 @@
     });
     countPass(loop.now());
     REQUIRE(loop.runUntil([&] { return isDone; }));
-    CHECK(result.response.body.size() == BodyBytes);
-    CHECK(passes - passesAtRequest < MaxPasses);
+    CHECK(result.response.body.size() == bodyBytes);
+    CHECK(passes - passesAtRequest < maxPasses);
 }
 
 TEST_CASE("with a stall timeout, a request without a response still fails after its time limit")
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -230,14 +230,14 @@
 {
     // One version takes 0.4 s on this link, the four versions that fill an answer take longer than
     // the call may.
-    constexpr std::size_t ConfigBytes = 330 * 1024;
+    constexpr std::size_t configBytes = 330 * 1024;
     FleetWorld world(2);
     world.clock.advance(seconds(2));
     for (int i = 0; i < 2; ++i)
         world.process(i).store->bytesPerSecond = 825 * 1024;
     std::uint64_t version = 1;
     for (int i = 0; i < 20; ++i) {
-        world.putConfig(++version, ConfigBytes);
+        world.putConfig(++version, configBytes);
         world.clock.advance(milliseconds(200));
     }
     world.clock.advance(milliseconds(1800)); // 2 s after the last version was written
@@ -255,17 +255,17 @@
         world.submit(1 - other, FleetWorld::job("busy" + std::to_string(i), 40));
         world.clock.advance(milliseconds(20));
     }
-    constexpr int WaitingJobs = 30;
+    constexpr int waitingJobs = 30;
     JobSpec tooLarge = FleetWorld::job("waiting", 1);
     tooLarge.steps.front().cpu.value = 1000 * 1000; // no worker has so much
-    for (int i = 0; i < WaitingJobs; ++i) {
+    for (int i = 0; i < waitingJobs; ++i) {
         tooLarge.id = JobId("waiting" + std::to_string(i));
         CHECK(world.submit(1 - other, tooLarge) == JobAnswer::Accepted);
     }
     world.clock.advance(seconds(2)); // the report may be this old
-    CHECK(world.node(other).backlog(QueueId("renewal")) >= WaitingJobs);
+    CHECK(world.node(other).backlog(QueueId("renewal")) >= waitingJobs);
     world.clock.advance(seconds(4));
-    CHECK(world.node(other).backlog(QueueId("renewal")) == WaitingJobs);
+    CHECK(world.node(other).backlog(QueueId("renewal")) == waitingJobs);
 }
 
 TEST_CASE("a process that becomes coordinator, resigns or restarts goes on reporting the backlog")
