--- a/src/adapters/storeclient.cpp
+++ b/src/adapters/storeclient.cpp
@@ -73,9 +73,9 @@
 
     void watch(const std::string &key, Version known, StoreDone done) override
     {
-        const std::string target =
-                "/watch/" + percentEncode(key) + "?after=" + std::to_string(known.value) + "&wait="
-                + std::to_string(std::chrono::duration_cast<milliseconds>(WatchWait).count());
+        const std::string target = "/watch/" + percentEncode(key)
+                                   + "?after=" + std::to_string(known.value)
+                                   + "&wait=" + std::to_string(wholeMilliseconds(WatchWait));
         watchHttp_.send(address_, "GET", target, {}, {}, WatchWait + timeout_,
                         [done = std::move(done), known](const HttpResult &result, Time now) {
                             if (result.failure == HttpFailure::None
--- a/src/adapters/workerclient.cpp
+++ b/src/adapters/workerclient.cpp
@@ -13,11 +13,6 @@
 constexpr int MaxConnections = 4;
 constexpr std::size_t MaxReportBytes = 1024 * 1024;
 
-std::int64_t toMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 const char *commandName(TaskCommand command)
 {
     switch (command) {
@@ -39,12 +34,12 @@
 {
     nlohmann::json body = nlohmann::json::object();
     if (order.command == TaskCommand::Start || order.command == TaskCommand::Renew)
-        body["leaseMs"] = toMilliseconds(order.lease);
+        body["leaseMs"] = wholeMilliseconds(order.lease);
     if (order.command == TaskCommand::Start) {
         body["cores"] = static_cast<double>(order.cores.value) / 1000;
         body["memoryMb"] = order.memory.value;
         body["accelerators"] = order.accelerators;
-        body["runMs"] = toMilliseconds(order.runTime);
+        body["runMs"] = wholeMilliseconds(order.runTime);
         body["checkpoint"] = order.checkpoint;
     }
     if (order.command == TaskCommand::Throttle)
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -31,11 +31,6 @@
     return bytes;
 }
 
-std::int64_t toWholeMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 unsigned stepFlags(const StepSpec &step)
 {
     unsigned flags = 0;
@@ -51,9 +46,9 @@
 Json encodeStep(const StepSpec &step)
 {
     return Json::array({step.count, step.cpu.value, step.memory.value, step.accelerators,
-                        toWholeMilliseconds(step.estimate), step.after, stepFlags(step),
+                        wholeMilliseconds(step.estimate), step.after, stepFlags(step),
                         step.requirement, step.affinity, step.antiAffinity, step.image,
-                        toWholeMilliseconds(step.tailLatencyTarget), step.maxUnavailable});
+                        wholeMilliseconds(step.tailLatencyTarget), step.maxUnavailable});
 }
 
 StepSpec decodeStep(const Json &json)
@@ -115,7 +110,7 @@
         steps.push_back(encodeStep(step));
     return toBytes(Json::array({SpecFormat, spec.id.str(), spec.queue.str(), spec.payload, steps,
                                 spec.occurrences, spec.firstDue.value,
-                                toWholeMilliseconds(spec.interval), spec.submitted.value}));
+                                wholeMilliseconds(spec.interval), spec.submitted.value}));
 }
 
 std::optional<JobSpec> decodeSpec(const std::string &bytes)
