Measure the event loop by kind of work, and check only the workers whose renewal is due

Now: renewals are looked for where the last one was answered, all workers are checked each 100 ms; steps without waiting tasks are skipped; workers are checked for silence and pace each 50 ms; a stored record causes no planning.

--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -53,6 +53,10 @@
     static void setLogHook(LogHook hook);
 
     event_base *base() const;
+    /// Measures the work of the loop's thread by the steady clock.
+    WorkMeter &workMeter();
+    /// The processor time that this process has used.
+    static Duration processorTime();
 
 private:
     struct Private;
@@ -154,6 +158,7 @@
     // as a whole: the request then fails when nothing has arrived for this long.
     Duration stallTimeout{};
     Duration maxResponseTime = seconds(10); // limit for a whole request with a stall timeout
+    WorkKind workKind = WorkKind::WorkerCalls; // that the time of calls counts for
 };
 
 /// HTTP client with persistent connections, on each of which one request runs at a time. Never
--- a/src/adapters/eventloop.cpp
+++ b/src/adapters/eventloop.cpp
@@ -27,6 +27,18 @@
     return hook;
 }
 
+std::chrono::nanoseconds readClock(clockid_t clock)
+{
+    timespec ts{};
+    clock_gettime(clock, &ts);
+    return seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec);
+}
+
+std::chrono::nanoseconds steadyNanoseconds()
+{
+    return readClock(CLOCK_MONOTONIC);
+}
+
 void onLibeventMessage(int severity, const char *message)
 {
     if (libeventLogHook() && severity >= EVENT_LOG_WARN)
@@ -56,6 +68,7 @@
     std::unordered_map<TimerId, std::unique_ptr<Timer>> timers;
     std::vector<std::unique_ptr<Signal>> signals;
     std::exception_ptr callbackException; // thrown by a callback, rethrown by run()
+    WorkMeter workMeter{&steadyNanoseconds};
 
     /// Catches exceptions, which must not propagate through the C code of libevent.
     static void invokeCallback(EventLoop *loop, const std::function<void(Time)> &callback)
@@ -126,17 +139,13 @@
 
 Time EventLoop::now() const
 {
-    timespec ts{};
-    clock_gettime(CLOCK_BOOTTIME, &ts);
-    return Time(seconds(ts.tv_sec) + microseconds(ts.tv_nsec / 1000));
+    return Time(std::chrono::duration_cast<Duration>(readClock(CLOCK_BOOTTIME)));
 }
 
 std::uint64_t EventLoop::wallMilliseconds()
 {
-    timespec ts{};
-    clock_gettime(CLOCK_REALTIME, &ts);
-    return static_cast<std::uint64_t>(ts.tv_sec) * 1000
-           + static_cast<std::uint64_t>(ts.tv_nsec / 1000000);
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(readClock(CLOCK_REALTIME)).count());
 }
 
 TimerId EventLoop::after(Duration delay, std::function<void(Time now)> callback)
@@ -181,4 +190,14 @@
     return d_->base;
 }
 
+WorkMeter &EventLoop::workMeter()
+{
+    return d_->workMeter;
+}
+
+Duration EventLoop::processorTime()
+{
+    return std::chrono::duration_cast<Duration>(readClock(CLOCK_PROCESS_CPUTIME_ID));
+}
+
 } // namespace monsoonledge
--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -468,8 +468,10 @@
     loop.after(Duration::zero(), [weak = weak_from_this(), weakConnection = connection.self](Time) {
         const std::shared_ptr<Private> self = weak.lock();
         const std::shared_ptr<Connection> c = weakConnection.lock();
-        if (self && c)
-            self->finishRequest(c);
+        if (!self || !c)
+            return;
+        const WorkMeter::Scope scope(&self->loop.workMeter(), self->settings.workKind);
+        self->finishRequest(c);
     });
 }
 
@@ -590,6 +592,7 @@
                       ResponseValidator validator)
 {
     assert(done);
+    const WorkMeter::Scope scope(&d_->loop.workMeter(), d_->settings.workKind);
     auto request = std::make_shared<OutgoingRequest>();
     request->address = address;
     request->method = parseMethod(method);
--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -102,4 +102,51 @@
     return std::stoull(text);
 }
 
+WorkMeter::Scope::Scope(WorkMeter *meter, WorkKind kind) : meter_(meter)
+{
+    if (!meter_)
+        return;
+    outer_ = meter_->current_;
+    ++meter_->totals_[static_cast<std::size_t>(kind)].scopes;
+    meter_->switchTo(kind);
+}
+
+WorkMeter::Scope::~Scope()
+{
+    if (meter_)
+        meter_->switchTo(outer_);
+}
+
+void WorkMeter::switchTo(std::optional<WorkKind> kind)
+{
+    const std::chrono::nanoseconds now = clock_();
+    if (current_)
+        totals_[static_cast<std::size_t>(*current_)].time += now - currentSince_;
+    current_ = kind;
+    currentSince_ = now;
+}
+
+const char *workKindName(WorkKind kind)
+{
+    switch (kind) {
+    case WorkKind::Planning:
+        return "planning";
+    case WorkKind::Reports:
+        return "reports";
+    case WorkKind::Encoding:
+        return "encoding";
+    case WorkKind::Decoding:
+        return "decoding";
+    case WorkKind::WorkerCalls:
+        return "worker-calls";
+    case WorkKind::StoreCalls:
+        return "store-calls";
+    case WorkKind::ClientRequests:
+        return "client-requests";
+    case WorkKind::Logging:
+        return "logging";
+    }
+    return "unknown";
+}
+
 } // namespace monsoonledge
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -6,8 +6,10 @@
 //   [3] Findings
 //   [4] Hashing
 //   [5] Random numbers
+//   [6] Time by kind of work
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -229,6 +231,65 @@
     std::uint64_t state_;
 };
 
+// [6] Time by kind of work
+
+/// Kinds of work whose time a process measures separately.
+enum class WorkKind {
+    Planning, // decisions on all jobs and workers
+    Reports, // taking in what a worker reports, and the pace of its tasks
+    Encoding, // of messages and records
+    Decoding,
+    WorkerCalls, // sending calls to workers and taking in the responses
+    StoreCalls, // the same for the store
+    ClientRequests,
+    Logging,
+};
+constexpr std::size_t WorkKindCount = 8;
+
+/// Adds up the time that one thread spends on each kind of work. While a scope is open within
+/// another, its time counts for the inner one only.
+class WorkMeter
+{
+public:
+    using Clock = std::function<std::chrono::nanoseconds()>;
+
+    /// `clock` returns a time that only increases.
+    explicit WorkMeter(Clock clock) : clock_(std::move(clock)) { }
+
+    /// Measures the work between its construction and its destruction. Without a meter it does
+    /// nothing. Scopes must be destroyed in the reverse order of their construction.
+    class Scope
+    {
+    public:
+        Scope(WorkMeter *meter, WorkKind kind);
+        ~Scope();
+        Scope(const Scope &) = delete;
+        Scope &operator=(const Scope &) = delete;
+
+    private:
+        WorkMeter *meter_;
+        std::optional<WorkKind> outer_;
+    };
+
+    struct Total
+    {
+        std::chrono::nanoseconds time{};
+        std::uint64_t scopes = 0; // number of scopes that were opened
+    };
+    const Total &total(WorkKind kind) const { return totals_[static_cast<std::size_t>(kind)]; }
+
+private:
+    void switchTo(std::optional<WorkKind> kind);
+
+    Clock clock_;
+    std::array<Total, WorkKindCount> totals_{};
+    std::optional<WorkKind> current_;
+    std::chrono::nanoseconds currentSince_{};
+};
+
+/// Name of a kind of work in metrics and logs, such as "worker-calls".
+const char *workKindName(WorkKind kind);
+
 } // namespace monsoonledge
 
 namespace std {
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -237,6 +237,7 @@
     for (const auto &[key, entry] : registryEntries_)
         entries.push_back(entry);
     scheduler_->setWorkers(entries, now);
+    nextLinkCheckAt_ = now;
     for (auto it = links_.begin(); it != links_.end();) {
         const bool isGone =
                 scheduler_->workers().count(it->first) == 0 && !it->second.isRenewalInFlight;
@@ -284,8 +285,10 @@
 {
     if (!scheduler_ || isDeposed_)
         return;
-    if (isWithinRenewalGrace(now))
+    if (isWithinRenewalGrace(now)) {
+        const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Planning);
         scheduler_->plan(now);
+    }
     writeChanges(now);
     sendOrders(now);
     renewLeases(now);
@@ -296,7 +299,10 @@
     while (scheduler_->hasChanges() && writesInFlight_ < settings_.maxWritesInFlight
            && now >= writeNotBefore_) {
         auto write = std::make_shared<ProgressWrite>();
-        write->changes = scheduler_->takeChanges(ChangesPerWrite);
+        {
+            const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Encoding);
+            write->changes = scheduler_->takeChanges(ChangesPerWrite);
+        }
         if (write->changes.empty()) // each changed job still has a write in flight
             return;
         write->transaction.conditions.push_back({keys::Coordinator, recordRevision_});
@@ -349,10 +355,14 @@
         break;
     }
     --writesInFlight_;
-    if (result.status == KeyValueStatus::Ok)
-        runPass(now);
-    else
+    if (result.status != KeyValueStatus::Ok) {
         schedulePass();
+        return;
+    }
+    // A stored record frees no room, so there is nothing to plan.
+    writeChanges(now);
+    sendOrders(now);
+    renewLeases(now);
 }
 
 void Coordinator::onWriteConflict(const std::shared_ptr<ProgressWrite> &write,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -220,6 +220,7 @@
     FleetDecoders decoders;
     std::function<WallMilliseconds()> wallNow; // time of day on this host; it may jump
     LogHook log;
+    WorkMeter *workMeter = nullptr; // null: the time of the work is not measured
 };
 
 // [4] Watching a key prefix
@@ -474,12 +475,14 @@
     void sendOrders(Time now);
     void sendStart(const StartOrder &order, Time now);
     void renewLeases(Time now);
+    void checkLink(const WorkerId &id, Time now);
     void sendRenewal(const WorkerEntry &worker, WorkerLink &link, Time now);
     void requestReport(const WorkerId &id, Time now);
     void updateUnreachableRecord(const ScheduledWorker &worker, WorkerLink &link, Time now);
     void writeUnreachableRecord(const WorkerId &id, bool isUnreachable);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCallResult &callResult, Time now);
+    void takeReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now);
     std::uint64_t grantWorkerLease(const WorkerId &id, Time now);
     bool isWithinRenewalGrace(Time now) const
     {
@@ -504,6 +507,8 @@
     std::map<std::string, WorkerEntry> registryEntries_; // by key in the store
     std::unordered_map<JobId, StoreRevision> progressRevisions_; // of the records in the store
     std::map<WorkerId, WorkerLink> links_;
+    std::vector<WorkerId> linksToCheck_; // in the next pass; a renewal may be due
+    Time nextLinkCheckAt_{}; // of all links
     std::vector<KeyValue> loadedJobItems_; // records of jobs, kept until the scheduler is created
     bool areJobsLoaded_ = false;
     bool areWorkersLoaded_ = false;
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Duration RenewRetryDelay = milliseconds(250); // from the second failure in a row on
+constexpr Duration LinkCheckInterval = milliseconds(100); // between two checks of all workers
 constexpr Duration MaxStoredEndsWait = milliseconds(400); // that a renewal waits for stored records
 // Long-poll waits of renewals, instead of the one in the settings: for a worker with interference
 // near the target of a serving task, and for a worker without tasks.
@@ -148,18 +149,36 @@
     return end;
 }
 
+/// Renews the leases that are due. In between two checks of all workers, only those are checked
+/// whose last renewal was answered, or whose ended runs had to be stored first.
 void Coordinator::renewLeases(Time now)
 {
-    for (const auto &[id, worker] : scheduler_->workers()) {
-        WorkerLink &link = links_[id];
-        if (link.awaitsStoredEnds && !scheduler_->hasPendingAcknowledgements(id)) {
-            link.awaitsStoredEnds = false;
-            link.nextRenewalAt = now;
-        }
-        updateUnreachableRecord(*worker, link, now);
-        if (!link.isRenewalInFlight && now >= link.nextRenewalAt)
-            sendRenewal(worker->entry, link, now);
+    const std::vector<WorkerId> due = std::exchange(linksToCheck_, {});
+    if (now < nextLinkCheckAt_) {
+        for (const WorkerId &id : due)
+            checkLink(id, now);
+        return;
     }
+    nextLinkCheckAt_ = now + LinkCheckInterval;
+    for (const auto &[id, worker] : scheduler_->workers())
+        checkLink(id, now);
+}
+
+void Coordinator::checkLink(const WorkerId &id, Time now)
+{
+    const auto worker = scheduler_->workers().find(id);
+    if (worker == scheduler_->workers().end())
+        return;
+    WorkerLink &link = links_[id];
+    if (link.awaitsStoredEnds && !scheduler_->hasPendingAcknowledgements(id)) {
+        link.awaitsStoredEnds = false;
+        link.nextRenewalAt = now;
+    }
+    updateUnreachableRecord(*worker->second, link, now);
+    if (!link.isRenewalInFlight && now >= link.nextRenewalAt)
+        sendRenewal(worker->second->entry, link, now);
+    else if (link.awaitsStoredEnds)
+        linksToCheck_.push_back(id);
 }
 
 /// Stores a record that a worker is unreachable and its leases are not renewed, and removes the
@@ -247,7 +266,7 @@
                              if (alive.expired() || isDeposed_
                                  || callResult.status != WorkerCallStatus::Ok)
                                  return;
-                             scheduler_->onReport(id, sentAt, callResult.report, eventTime);
+                             takeReport(id, sentAt, callResult.report, eventTime);
                              schedulePass();
                          });
 }
@@ -257,6 +276,7 @@
 {
     WorkerLink &link = links_[id];
     link.isRenewalInFlight = false;
+    linksToCheck_.push_back(id);
     if (callResult.status == WorkerCallStatus::Fenced) {
         depose("a worker has seen a higher fencing token; another process is the coordinator");
         return;
@@ -276,7 +296,7 @@
     link.clockReceivedAt = now;
     link.isConfirmed = true;
     link.nextRenewalAt = now;
-    scheduler_->onReport(id, sentAt, callResult.report, now);
+    takeReport(id, sentAt, callResult.report, now);
     if (scheduler_->hasPendingAcknowledgements(id)) {
         link.awaitsStoredEnds = true;
         link.nextRenewalAt = now + MaxStoredEndsWait;
@@ -284,6 +304,12 @@
     schedulePass();
 }
 
+void Coordinator::takeReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now)
+{
+    const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Reports);
+    scheduler_->onReport(id, sentAt, report, now);
+}
+
 void Coordinator::onStoreContact(Time sentAt)
 {
     lastStoreContact_ = std::max(lastStoreContact_, sentAt);
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -9,6 +9,7 @@
 //   [2] Burn of error budgets
 //   [3] Reports of several entry processes
 //   [4] Metrics of one entry process
+//   [5] Load of the event loop
 #pragma once
 
 #include "base/base.h"
@@ -207,4 +208,52 @@
     Revision revision_;
 };
 
+// [5] Load of the event loop
+
+/// Measures how late the event loop runs its timers, and what it spends its time on. While it is
+/// busy, writes one log line a second that says on what.
+class LoopMonitor
+{
+public:
+    struct Hooks
+    {
+        std::function<Duration()> processorTime; // used by this process since its start
+        LogHook log;
+    };
+
+    LoopMonitor(TimerPort &timers, const WorkMeter &meter, Hooks hooks);
+    ~LoopMonitor();
+    LoopMonitor(const LoopMonitor &) = delete;
+    LoopMonitor &operator=(const LoopMonitor &) = delete;
+
+    void start(Time now);
+    /// Delays of the timers of this monitor.
+    const LatencyHistogram &delays() const { return delays_; }
+    /// The longest delay within the last whole second.
+    Duration recentDelay() const { return recentDelay_; }
+
+private:
+    /// Totals at the start of the present second.
+    struct Totals
+    {
+        Time at{};
+        Duration processorTime{};
+        std::array<WorkMeter::Total, WorkKindCount> work{};
+    };
+
+    void scheduleCheck(Time now);
+    void check(Duration delay, Time now);
+    void logIfBusy(const Totals &totals);
+    Totals readTotals(Time now) const;
+
+    TimerPort &timers_;
+    const WorkMeter &meter_;
+    Hooks hooks_;
+    LatencyHistogram delays_;
+    Totals secondStart_;
+    Duration longestDelay_{}; // in the present second
+    Duration recentDelay_{};
+    std::shared_ptr<int> alive_ = std::make_shared<int>();
+};
+
 } // namespace monsoonledge
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -81,14 +81,14 @@
     return std::clamp(idle / wanted, 0.0, 1.0);
 }
 
-bool Scheduler::isRunnable(const ScheduledJob &job, const ScheduledTask &task) const
+bool Scheduler::isStepRunnable(const ScheduledJob &job, int occurrence, int step)
 {
-    if (task.progress.phase != TaskPhase::Waiting)
+    if (job.waitingTaskCounts[job.stepIndex(occurrence, step)] == 0)
         return false;
-    const std::vector<int> &after = stepOf(task).after;
-    return std::all_of(after.begin(), after.end(), [&](int step) {
-        return job.doneTaskCounts[job.stepIndex(task.ref.occurrence, step)]
-               >= job.spec.steps[static_cast<std::size_t>(step)].count;
+    const std::vector<int> &after = job.spec.steps[static_cast<std::size_t>(step)].after;
+    return std::all_of(after.begin(), after.end(), [&](int earlier) {
+        return job.doneTaskCounts[job.stepIndex(occurrence, earlier)]
+               >= job.spec.steps[static_cast<std::size_t>(earlier)].count;
     });
 }
 
@@ -153,7 +153,10 @@
 
 void Scheduler::plan(Time now)
 {
-    checkWorkers(now);
+    if (now >= nextWorkerCheckAt_) {
+        nextWorkerCheckAt_ = now + settings_.workerCheckInterval;
+        checkWorkers(now);
+    }
     addDueOccurrences(now);
     beginPass(now);
     for (ScheduledJob *job : orderJobs(now))
@@ -163,45 +166,63 @@
 void Scheduler::assignJob(ScheduledJob &job, Time now)
 {
     std::vector<const ScheduledTask *> assigned;
-    std::vector<Candidate> candidates; // for the tasks of one step: their requirements are the same
-    std::ptrdiff_t candidateStep = -1;
-    std::ptrdiff_t refusedStep = -1;
-    for (ScheduledTask &task : job.tasks) {
-        const auto step = static_cast<std::ptrdiff_t>(job.stepIndex(task.ref));
-        if (step == refusedStep || task.earliestStart > now || !isRunnable(job, task))
-            continue;
-        if (stepOf(task).gang) {
-            if (task.ref.index == 0)
-                assignGang(job, task.ref.occurrence, task.ref.step, now);
-            continue;
-        }
-        if (step != candidateStep) {
-            const UnplacedRequest *request = findUnplacedRequest(task);
-            const bool isRefusedInThisPass =
-                    request && request->lastTriedInPass == planCache_->passNumber;
-            candidates.clear();
-            if (!isRefusedInThisPass)
-                candidates = candidatesFor(task, request ? request->lastTriedInPass : 0, now);
-            candidateStep = step;
+    const int steps = static_cast<int>(job.spec.steps.size());
+    const int occurrences = steps == 0 ? 0 : static_cast<int>(job.doneTaskCounts.size()) / steps;
+    for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
+        for (int step = 0; step < steps; ++step) {
+            if (isStepRunnable(job, occurrence, step))
+                assignStep(job, occurrence, step, assigned, now);
         }
+    }
+    logAssigned(job, assigned, now);
+}
+
+/// Assigns the waiting tasks of a step, until one of them finds no worker.
+void Scheduler::assignStep(ScheduledJob &job, int occurrence, int step,
+                           std::vector<const ScheduledTask *> &assigned, Time now)
+{
+    const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
+    const int first =
+            occurrence * job.tasksPerOccurrence + job.stepOffsets[static_cast<std::size_t>(step)];
+    if (spec.gang) {
+        assignGang(job, occurrence, step, now);
+        return;
+    }
+    std::optional<std::vector<Candidate>> candidates; // the tasks of a step share them
+    for (int index = first; index < first + spec.count; ++index) {
+        ScheduledTask &task = job.tasks[static_cast<std::size_t>(index)];
+        if (task.progress.phase != TaskPhase::Waiting || task.earliestStart > now)
+            continue;
+        if (!candidates)
+            candidates = untriedCandidates(task, now);
         if (!task.failedOn.empty()) { // workers where it failed have another score
-            if (ScheduledWorker *worker = candidates.empty() ? nullptr : chooseWorker(task, now)) {
+            if (ScheduledWorker *worker = candidates->empty() ? nullptr : chooseWorker(task, now)) {
                 assign(task, *worker);
                 assigned.push_back(&task);
-                candidateStep = -1;
+                candidates.reset();
                 continue;
             }
-        } else if (assignToBest(task, candidates, now)) {
+        } else if (assignToBest(task, *candidates, now)) {
             assigned.push_back(&task);
             continue;
         }
         recordUnplacedRequest(task);
-        refusedStep = step;
-        if (stepOf(task).longRunning && task.progress.run.value > 0
+        if (spec.longRunning && task.progress.run.value > 0
             && now - task.waitingSince > settings_.preemptAfter)
             preemptFor(task, now);
+        return;
     }
-    logAssigned(job, assigned, now);
+}
+
+/// The workers that can run the task, without those that were tried before and have not changed
+/// since.
+std::vector<Scheduler::Candidate> Scheduler::untriedCandidates(const ScheduledTask &task,
+                                                               Time now) const
+{
+    const UnplacedRequest *request = findUnplacedRequest(task);
+    if (request && request->lastTriedInPass == planCache_->passNumber)
+        return {};
+    return candidatesFor(task, request ? request->lastTriedInPass : 0, now);
 }
 
 /// A recorded request that no worker could take and that asks for no more than this task, or null.
@@ -416,7 +437,7 @@
     task.progress.incarnation = worker.entry.incarnation;
     task.runState = RunState::AwaitingRecord;
     task.stopConfirmed = false;
-    --job.waitingTasks;
+    countWaiting(task, -1);
     reserve(worker, task);
     markChanged(job);
     task.assignedInVersion = job.version;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -111,6 +111,7 @@
             job.tasks.push_back(std::move(task));
         }
         job.doneTaskCounts.push_back(0);
+        job.waitingTaskCounts.push_back(job.spec.steps[step].count);
         job.stepLoads.emplace_back();
     }
     job.waitingTasks += job.tasksPerOccurrence;
@@ -154,6 +155,13 @@
     jobs_.emplace(spec.id, std::move(newJob));
 }
 
+/// Counts a task that began (1) or ceased (-1) to wait.
+void Scheduler::countWaiting(const ScheduledTask &task, int change)
+{
+    task.job->waitingTasks += change;
+    task.job->waitingTaskCounts[task.job->stepIndex(task.ref)] += change;
+}
+
 /// Restores a task from the record of a former coordinator.
 void Scheduler::restoreTask(ScheduledTask &task, const TaskProgress &progress)
 {
@@ -161,7 +169,7 @@
     task.progress = progress;
     if (progress.phase == TaskPhase::Waiting)
         return;
-    --job.waitingTasks;
+    countWaiting(task, -1);
     if (progress.phase == TaskPhase::Done)
         ++job.doneTaskCounts[job.stepIndex(task.ref)];
     if (progress.phase != TaskPhase::Assigned)
@@ -263,7 +271,7 @@
     task.progress.phase = TaskPhase::Waiting;
     task.earliestStart = now + delay;
     task.waitingSince = now;
-    ++task.job->waitingTasks;
+    countWaiting(task, 1);
     markChanged(*task.job);
 }
 
@@ -320,7 +328,7 @@
     if (!isExhausted || isFinal(job.state))
         return;
     task.progress.phase = TaskPhase::Failed;
-    --job.waitingTasks;
+    countWaiting(task, -1);
     log_({LogLevel::Info,
           "job-failed",
           "a task of the job has reached the maximum number of failed attempts",
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -173,6 +173,7 @@
     double placementOverTargetCost = 1.5;
     Duration measurementAge = milliseconds(300); // of usages and tails, which cover the last 0.5 s
 
+    Duration workerCheckInterval = milliseconds(50); // for decisions that depend on time alone
     Duration paceInterval = milliseconds(250); // between two decisions on a worker's paces
     Duration paceHorizon = milliseconds(600); // how far ahead loads are predicted for pacing
     // Best-effort tasks get a very low pace, later pace 0, beside a serving task that has exceeded
@@ -334,6 +335,7 @@
     std::vector<int> stepOffsets; // by step: offset of its first task within an occurrence
     int tasksPerOccurrence = 0;
     int waitingTasks = 0;
+    std::vector<int> waitingTaskCounts; // by stepIndex()
     Time submittedAt{};
     Duration criticalPathEstimate{}; // duration of the critical path by the estimates
     double estimatedCoreSeconds = 0;
@@ -476,7 +478,8 @@
     void markChanged(ScheduledJob &job);
     void markRunning(ScheduledTask &task, Time now);
     void completeIfDone(ScheduledJob &job, Time now);
-    bool isRunnable(const ScheduledJob &job, const ScheduledTask &task) const;
+    static bool isStepRunnable(const ScheduledJob &job, int occurrence, int step);
+    static void countWaiting(const ScheduledTask &task, int change);
 
     void logRegistration(const WorkerEntry &entry);
     void resetWorker(ScheduledWorker &worker, Time now);
@@ -529,12 +532,15 @@
     void drainWorker(ScheduledWorker &worker, Time now);
     bool acceptsTasks(const ScheduledWorker &worker, Time now) const;
     std::vector<ScheduledJob *> orderJobs(Time now);
+    struct Candidate;
     void assignJob(ScheduledJob &job, Time now);
+    void assignStep(ScheduledJob &job, int occurrence, int step,
+                    std::vector<const ScheduledTask *> &assigned, Time now);
+    std::vector<Candidate> untriedCandidates(const ScheduledTask &task, Time now) const;
     void assignGang(ScheduledJob &job, int occurrence, int step, Time now);
     UnplacedRequest *findUnplacedRequest(const ScheduledTask &task) const;
     void recordUnplacedRequest(const ScheduledTask &task);
     void beginPass(Time now);
-    struct Candidate;
     std::optional<double> scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
                                   Time now) const;
     std::vector<Candidate> candidatesFor(const ScheduledTask &task, std::uint64_t sincePass,
@@ -550,6 +556,7 @@
     Duration formerLeaseTimeout_;
     LogHook log_;
     Time startedAt_;
+    Time nextWorkerCheckAt_{};
     std::map<QueueId, double> durationFactors_; // ratio of measured to estimated durations
     std::optional<std::int64_t> wallOffset_; // time of day minus the steady clock, in ms
     QueueConfig config_;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -218,7 +218,7 @@
                    && finished.run == task->progress.run) {
             // The run was considered lost, but it succeeded and no other run has been assigned
             // since, so its result counts.
-            --task->job->waitingTasks;
+            countWaiting(*task, -1);
             task->progress.phase = TaskPhase::Assigned;
             endRun(*task, finished.outcome, finished.checkpoint, now);
         }
--- a/tests/fakes/fakekeyvalue.h
+++ b/tests/fakes/fakekeyvalue.h
@@ -150,8 +150,12 @@
             result.status = KeyValueStatus::Compacted;
             return result;
         }
-        for (const KeyValue &event : history_) {
-            if (event.revision <= after || event.key.compare(0, prefix.size(), prefix) != 0)
+        const auto first = std::partition_point(
+                history_.begin(), history_.end(),
+                [after](const KeyValue &event) { return event.revision <= after; });
+        for (auto it = first; it != history_.end(); ++it) {
+            const KeyValue &event = *it;
+            if (event.key.compare(0, prefix.size(), prefix) != 0)
                 continue;
             result.items.push_back(event);
             if (valueBytes(result) < FakeMaxWatchBytes)
--- a/tests/unit/base_test.cpp
+++ b/tests/unit/base_test.cpp
@@ -34,3 +34,33 @@
     for (const char *text : {"127.0.0.1", "127.0.0.1:", ":80", "1.2.3.4:0", "1.2.3.4:65536", "a:b"})
         CHECK_THROWS_AS(parseAddress(text), std::invalid_argument);
 }
+
+TEST_CASE("the time of a nested scope counts for its own kind of work only")
+{
+    std::chrono::nanoseconds now{0};
+    WorkMeter meter([&now] { return now; });
+    {
+        const WorkMeter::Scope calls(&meter, WorkKind::WorkerCalls);
+        now += std::chrono::nanoseconds(300);
+        {
+            const WorkMeter::Scope decoding(&meter, WorkKind::Decoding);
+            now += std::chrono::nanoseconds(50);
+        }
+        now += std::chrono::nanoseconds(7);
+    }
+    now += seconds(1); // outside of any scope
+    {
+        const WorkMeter::Scope calls(&meter, WorkKind::WorkerCalls);
+        now += std::chrono::nanoseconds(3);
+    }
+    CHECK(meter.total(WorkKind::WorkerCalls).time == std::chrono::nanoseconds(310));
+    CHECK(meter.total(WorkKind::WorkerCalls).scopes == 2);
+    CHECK(meter.total(WorkKind::Decoding).time == std::chrono::nanoseconds(50));
+    CHECK(meter.total(WorkKind::Planning).scopes == 0);
+}
+
+TEST_CASE("a scope without a meter measures nothing")
+{
+    const WorkMeter::Scope scope(nullptr, WorkKind::Planning);
+    CHECK(std::string(workKindName(WorkKind::Planning)) == "planning");
+}
