--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 
 PACKAGES := g++ cmake ninja-build make ccache pkg-config python3 clang-format clang-tidy clang-tools \
 	libsigc++-3.0-dev libevent-dev libwebsocketpp-dev nlohmann-json3-dev libboost-dev \
-	libboost-program-options-dev libeasyloggingpp-dev doctest-dev libyaml-cpp-dev
+	libboost-program-options-dev libeasyloggingpp-dev doctest-dev libyaml-cpp-dev \
+	libcbor-dev rapidjson-dev
 
 .PHONY: help deps build quick check check-asan soak bench demo format format-check lint docs-check test clean
 
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -1,7 +1,10 @@
 #include "jobs/jobs.h"
 
+#include <cbor.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 namespace monsoonledge {
 
 namespace {
@@ -76,12 +79,44 @@
     return step;
 }
 
-Json encodeTask(const TaskProgress &task)
+/// Appends CBOR items to a string. Progress records are written so often that building a tree of
+/// values first would cost several times more.
+class CborWriter
+{
+public:
+    void beginArray(std::size_t size) { append(cbor_encode_array_start, size); }
+    void add(std::uint64_t number) { append(cbor_encode_uint, number); }
+    void add(const std::string &text)
+    {
+        append(cbor_encode_string_start, text.size());
+        bytes_ += text;
+    }
+    std::string take() { return std::move(bytes_); }
+
+private:
+    template<typename Encode, typename Value> void append(Encode encode, Value value)
+    {
+        std::array<unsigned char, 9> head{}; // the longest one: a type and a number of 8 bytes
+        const std::size_t size = encode(value, head.data(), head.size());
+        bytes_.append(reinterpret_cast<const char *>(head.data()), size);
+    }
+
+    std::string bytes_;
+};
+
+void encodeTask(const TaskProgress &task, CborWriter &out)
 {
-    if (task.phase == TaskPhase::Waiting && task.run.value == 0)
-        return 0; // short form; most tasks of a waiting job have it
-    return Json::array({static_cast<int>(task.phase), task.run.value, task.failures,
-                        task.worker.str(), task.incarnation.value, task.checkpoint});
+    if (task.phase == TaskPhase::Waiting && task.run.value == 0) {
+        out.add(0); // short form; most tasks of a waiting job have it
+        return;
+    }
+    out.beginArray(6);
+    out.add(static_cast<std::uint64_t>(task.phase));
+    out.add(task.run.value);
+    out.add(static_cast<std::uint64_t>(task.failures));
+    out.add(task.worker.str());
+    out.add(task.incarnation.value);
+    out.add(task.checkpoint);
 }
 
 TaskProgress decodeTask(const Json &json)
@@ -137,10 +172,14 @@
 
 std::string encodeProgress(const JobProgress &progress)
 {
-    Json tasks = Json::array();
+    CborWriter out;
+    out.beginArray(3);
+    out.add(ProgressFormat);
+    out.add(static_cast<std::uint64_t>(progress.state));
+    out.beginArray(progress.tasks.size());
     for (const TaskProgress &task : progress.tasks)
-        tasks.push_back(encodeTask(task));
-    return toBytes(Json::array({ProgressFormat, static_cast<int>(progress.state), tasks}));
+        encodeTask(task, out);
+    return out.take();
 }
 
 std::optional<JobState> decodeState(const std::string &progressBytes)
