--- a/src/adapters/peercodec.cpp
+++ b/src/adapters/peercodec.cpp
@@ -52,60 +52,17 @@
 }
 
 /// Returns the number of fields of the top-level map. Throws on input that the encoder never
-/// produces: nesting beyond MaxDepth, more than MaxItems items, indefinite lengths, tags, and
-/// lengths beyond the end of the message. This must run before json::from_cbor, which recurses on
-/// nested containers and indefinite strings, so that deep input would overflow the stack.
+/// produces. This must run before json::from_cbor.
 std::size_t checkStructure(const std::string &bytes)
 {
-    std::size_t position = 0;
-    std::size_t fieldCount = 0;
-    std::size_t items = 0;
-    std::vector<std::uint64_t> remainingPerLevel{1}; // remaining items at each nesting level
-    while (!remainingPerLevel.empty()) {
-        if (remainingPerLevel.back() == 0) {
-            remainingPerLevel.pop_back();
-            continue;
-        }
-        --remainingPerLevel.back();
-        if (++items > MaxItems)
-            throwInvalid("too many items");
-        if (position == bytes.size())
-            throwInvalid("truncated");
-        const auto initialByte = static_cast<unsigned char>(bytes[position++]);
-        const unsigned majorType = initialByte >> 5U;
-        const unsigned additionalInfo = initialByte & 31U;
-        std::uint64_t argument = additionalInfo;
-        if (additionalInfo >= 28)
-            throwInvalid("indefinite or reserved length of an item");
-        if (additionalInfo >= 24) {
-            argument = 0;
-            for (unsigned left = 1U << (additionalInfo - 24U); left > 0; --left) {
-                if (position == bytes.size())
-                    throwInvalid("truncated");
-                argument = (argument << 8U) | static_cast<unsigned char>(bytes[position++]);
-            }
-        }
-        if (remainingPerLevel.size() == 1 && majorType != 5)
+    try {
+        const CborItem message = checkCbor(bytes, {MaxDepth, MaxItems});
+        if (message.type != CborType::Map)
             throwInvalid("message is not a map");
-        if (majorType == 6)
-            throwInvalid("tag");
-        if (majorType < 2 || majorType == 7)
-            continue;
-        if (argument > bytes.size() - position)
-            throwInvalid("length of an item exceeds the message");
-        if (majorType == 2 || majorType == 3) {
-            position += argument;
-            continue;
-        }
-        if (remainingPerLevel.size() > MaxDepth)
-            throwInvalid("nested too deeply");
-        if (remainingPerLevel.size() == 1)
-            fieldCount = argument;
-        remainingPerLevel.push_back(majorType == 5 ? argument * 2 : argument);
+        return message.size;
+    } catch (const std::invalid_argument &error) {
+        throwInvalid(error.what());
     }
-    if (position != bytes.size())
-        throwInvalid("unexpected bytes after the message");
-    return fieldCount;
 }
 
 // [3] Writer and reader of fields. Both have the same member functions, so that one function
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -7,6 +7,7 @@
 //   [4] Hashing
 //   [5] Random numbers
 //   [6] Time by kind of work
+//   [7] Structure of CBOR
 #pragma once
 
 #include <array>
@@ -290,6 +291,29 @@
 /// Name of a kind of work in metrics and logs, such as "worker-calls".
 const char *workKindName(WorkKind kind);
 
+// [7] Structure of CBOR
+
+/// Major types of CBOR items, by their number in the encoding.
+enum class CborType { Unsigned, Negative, Bytes, Text, Array, Map, Tag, Simple };
+
+struct CborItem
+{
+    CborType type = CborType::Simple;
+    std::uint64_t size = 0; // array: items; map: pairs; text and bytes: bytes
+};
+
+struct CborLimits
+{
+    std::size_t maxDepth = 8; // of arrays and maps within each other
+    std::size_t maxItems = SIZE_MAX; // of one byte or more; bounds the memory of a parsed message
+};
+
+/// Checks that the bytes are one CBOR item and returns its type and size. Throws
+/// std::invalid_argument on input over the limits, indefinite lengths, tags, and lengths beyond the
+/// end. This must run before a parser that recurses on nested items, because deep input would
+/// overflow its stack.
+CborItem checkCbor(std::string_view bytes, CborLimits limits = {});
+
 } // namespace monsoonledge
 
 namespace std {
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -34,6 +34,13 @@
     return bytes;
 }
 
+/// Throws std::exception if the bytes are malformed.
+Json parseRecord(const std::string &bytes)
+{
+    checkCbor(bytes); // from_cbor() recurses on nested items
+    return Json::from_cbor(bytes);
+}
+
 unsigned stepFlags(const StepSpec &step)
 {
     unsigned flags = 0;
@@ -151,7 +158,7 @@
 std::optional<JobSpec> decodeSpec(const std::string &bytes)
 {
     try {
-        const Json json = Json::from_cbor(bytes);
+        const Json json = parseRecord(bytes);
         if (json.at(0).get<int>() != SpecFormat)
             return std::nullopt;
         JobSpec spec;
@@ -198,7 +205,7 @@
 std::optional<JobProgress> decodeProgress(const std::string &bytes)
 {
     try {
-        const Json json = Json::from_cbor(bytes);
+        const Json json = parseRecord(bytes);
         const int state = json.at(1).get<int>();
         if (json.at(0).get<int>() != ProgressFormat || state < 0
             || state > static_cast<int>(JobState::Cancelled))
@@ -224,7 +231,7 @@
 std::optional<BacklogReport> decodeBacklog(const std::string &bytes)
 {
     try {
-        const Json json = Json::from_cbor(bytes);
+        const Json json = parseRecord(bytes);
         if (json.at(0).get<int>() != BacklogFormat)
             return std::nullopt;
         BacklogReport report;
