--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -352,18 +352,23 @@
 }
 
 /// The common pace of the best-effort tasks that interfere little: the work that they get done is
-/// weighed against the expected number of serving tasks over their targets.
+/// weighed against the expected number of serving tasks over their targets. Another pace than the
+/// current one must be worth the orders.
 double Scheduler::chooseCommonPace(const std::vector<ServingSlack> &servings,
-                                   double commonPaceTasks) const
+                                   double commonPaceTasks, double currentPace) const
 {
-    double best = 0;
-    double bestPace = 1;
-    for (const double pace : CommonPaces) {
+    const auto valueOf = [&](double pace) {
         double value = commonPaceTasks * pace;
         for (const ServingSlack &serving : servings)
             value -= settings_.overTargetCost
                      * overTargetProbability(serving.load, pace * serving.increaseAtFullPace);
-        if (pace == 1 || value > best) {
+        return value;
+    };
+    double best = valueOf(currentPace) + settings_.minCommonPaceGain * commonPaceTasks;
+    double bestPace = currentPace;
+    for (const double pace : CommonPaces) {
+        const double value = valueOf(pace);
+        if (value > best) {
             best = value;
             bestPace = pace;
         }
@@ -456,12 +461,12 @@
             serving.increaseAtFullPace += interference_.coefficient(task->image, serving.image)
                                           * static_cast<double>(stepOf(*task).cpu.value) / cpu;
     }
-    const double commonPace = chooseCommonPace(commonPaceServings, commonPaceTasks);
+    worker.commonPace = chooseCommonPace(commonPaceServings, commonPaceTasks, worker.commonPace);
     for (ScheduledTask *task : worker.tasks) {
         if (!stepOf(*task).bestEffort || task->runState != RunState::Running)
             continue;
-        const double ownPace =
-                needsOwnPace(*task, cpu, servings) ? paceOf(*task, cpu, servings) : commonPace;
+        const double ownPace = needsOwnPace(*task, cpu, servings) ? paceOf(*task, cpu, servings)
+                                                                  : worker.commonPace;
         const int pace = static_cast<int>(100 * std::min(paceLimit(worker, *task, now), ownPace));
         const bool isExtreme = (pace == 100 || pace == 0) && task->pace != pace;
         if (!isExtreme && std::abs(pace - task->pace) < MinPaceChange)
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -171,6 +171,9 @@
     // later.
     double overTargetCost = 2.7;
     double placementOverTargetCost = 1.5;
+    // Gain that another common pace must bring, in tasks for each task: each change costs a call to
+    // the worker for every one of them.
+    double minCommonPaceGain = 0.1;
     Duration measurementAge = milliseconds(300); // of usages and tails, which cover the last 0.5 s
 
     Duration workerCheckInterval = milliseconds(50); // for decisions that depend on time alone
@@ -394,6 +397,7 @@
     Time startBackoffUntil{}; // no new tasks until then, after a refusal for lack of capacity
     std::uint64_t changedInPass = 0; // last planning pass in which free capacity may have grown
     Time pacedAt{}; // last decision on the paces of its best-effort tasks
+    double commonPace = 1; // as last decided, of those that share one
 };
 
 // [6] Scheduler
@@ -519,8 +523,8 @@
                   const std::vector<ServingSlack> &servings) const;
     bool needsOwnPace(const ScheduledTask &bestEffort, double cpu,
                       const std::vector<ServingSlack> &servings) const;
-    double chooseCommonPace(const std::vector<ServingSlack> &servings,
-                            double commonPaceTasks) const;
+    double chooseCommonPace(const std::vector<ServingSlack> &servings, double commonPaceTasks,
+                            double currentPace) const;
     double bestEffortCpuGain(const ScheduledWorker &worker, const ScheduledTask &bestEffort,
                              Time now) const;
     LoadTrend &loadTrendOf(const ScheduledTask &serving);
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -20,9 +20,9 @@
 {
 public:
     explicit SchedulerHarness(int workerCount, std::uint64_t cpu = 16000,
-                              std::uint64_t memory = 64000)
+                              std::uint64_t memory = 64000, SchedulingSettings settings = {})
         : scheduler(
-                {}, seconds(10), [](const LogEvent &) {}, now)
+                settings, seconds(10), [](const LogEvent &) {}, now)
     {
         QueueConfig config;
         config.version = 1;
@@ -382,6 +382,67 @@
         CHECK(pace == 0);
 }
 
+/// Load pattern: the load of a serving task varies a little around the point at which another
+/// common pace of the best-effort tasks beside it becomes better. Returns the number of orders on
+/// the pace of four such tasks in 30 s.
+int paceOrdersAroundLoad(double load, double minGain, std::uint64_t seed)
+{
+    constexpr double Coefficient = 2; // increase of service times, per share of the worker
+    SchedulingSettings settings;
+    settings.minCommonPaceGain = minGain;
+    SchedulerHarness harness(1, 16000, 64000, settings);
+    StepSpec serving = SchedulerHarness::step(3, 2000);
+    serving.longRunning = true;
+    serving.image = "desk";
+    serving.tailLatencyTarget = milliseconds(100);
+    harness.add("serving", {serving});
+    REQUIRE(harness.planAndStart().size() == 3);
+    StepSpec bestEffortStep = SchedulerHarness::step(4, 250);
+    bestEffortStep.bestEffort = true;
+    bestEffortStep.image = "report";
+    harness.add("best-effort", {bestEffortStep}, "batch");
+    REQUIRE(harness.planAndStart().size() == 4);
+    Random random(seed);
+    std::vector<int> paces(4, 100);
+    int orders = 0;
+    for (int i = 0; i < 120; ++i) {
+        double share = 0; // of the worker, used by best-effort tasks
+        for (const int pace : paces)
+            share += pace / 100.0 * 250 / 16000;
+        const double current = load + 0.04 * (random.unit() - 0.5);
+        const double slowdown = 1 + Coefficient * share;
+        const double tail = 100.0 / 6 * slowdown / std::max(1 - current * slowdown, 0.02);
+        for (ActiveRun &row : harness.running[WorkerId("w0")]) {
+            const bool isServing = row.task.job.str() == "serving";
+            row.percent = isServing ? 100 : 10;
+            row.usage = isServing ? tail : 2.5 * paces.at(static_cast<std::size_t>(row.task.index));
+        }
+        harness.now += milliseconds(250);
+        harness.reportWorkers();
+        for (const PaceOrder &order : harness.scheduler.takePaces()) {
+            paces.at(static_cast<std::size_t>(order.task.index)) = order.percent;
+            ++orders;
+        }
+    }
+    return orders;
+}
+
+TEST_CASE("a common pace that would be only a little better is not ordered")
+{
+    int orders = 0;
+    int ordersForAnyGain = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const double load : {0.64, 0.65, 0.66, 0.67}) {
+            orders += paceOrdersAroundLoad(load, SchedulingSettings().minCommonPaceGain, seed);
+            ordersForAnyGain += paceOrdersAroundLoad(load, 0, seed);
+        }
+    }
+    CAPTURE(orders);
+    CAPTURE(ordersForAnyGain);
+    CHECK(ordersForAnyGain > 0);
+    CHECK(orders * 3 < ordersForAnyGain * 2);
+}
+
 TEST_CASE("best-effort tasks avoid workers where they interfere strongly with serving tasks")
 {
     // Two workers run serving tasks of different images; "report" interferes with "desk" only.
