Try a quarantined worker again although a long-running task goes on there

Cause: after its quarantine a worker got a new task only when it ran none, until a run succeeded. A long-running task never ends, so a worker that kept one was out of use for good. Change: the one trial task is marked; a long-running one has succeeded when it is at work. Ruled out: leaked reservations (the sum of the tasks agrees with what is reserved). The new case of scheduler_test failed before.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -16,6 +16,7 @@
 #include "scheduling/planpass_p.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace monsoonledge {
@@ -26,6 +27,7 @@
         0.3; // per unit of the average pace, as a share of the task's CPU demand
 constexpr double AffinityBonus = 1e6; // exceeds any difference between scores based on CPU
 constexpr double FailurePenalty = 1e7; // exceeds the affinity bonus
+constexpr Duration WaitLogInterval = seconds(2); // of one task
 constexpr Duration UnplacedRequestLifetime = milliseconds(200); // then every worker is tried again
 
 bool contains(const std::vector<std::string> &labels, const std::string &label)
@@ -100,8 +102,10 @@
         return false;
     if (now < worker.quarantinedUntil)
         return false;
-    // After its quarantine, a worker runs one task at a time until a run succeeds.
-    return worker.consecutiveFailures < settings_.failuresToQuarantine || worker.tasks.empty();
+    // After its quarantine, a worker gets one new task at a time until a run succeeds.
+    const bool hasTrial = std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                                      [](const ScheduledTask *task) { return task->isTrial; });
+    return !awaitsTrial(worker) || !hasTrial;
 }
 
 void Scheduler::addDueOccurrences(Time now)
@@ -207,9 +211,11 @@
             continue;
         }
         recordUnplacedRequest(task);
-        if (spec.longRunning && task.progress.run.value > 0
-            && now - task.waitingSince > settings_.preemptAfter)
-            preemptFor(task, now);
+        if (spec.longRunning && task.progress.run.value > 0) {
+            logWaiting(task, now);
+            if (now - task.waitingSince > settings_.preemptAfter)
+                preemptFor(task, now);
+        }
         return;
     }
 }
@@ -313,26 +319,101 @@
     logAssigned(job, {members.begin(), members.end()}, now);
 }
 
-/// The score of a worker for the task; the worker with the highest score is chosen. Nothing if the
-/// task cannot run there.
-std::optional<double> Scheduler::scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
-                                         Time now) const
+/// Why a task cannot run on a worker now.
+enum class Scheduler::Obstacle {
+    None,
+    NotAccepting, // unreachable, draining, quarantined, or refused a run a moment ago
+    OtherService,
+    Memory,
+    Accelerators,
+    Processors,
+    Label,
+    AntiAffinity,
+    Count
+};
+
+const char *Scheduler::obstacleName(Obstacle obstacle)
+{
+    switch (obstacle) {
+    case Obstacle::NotAccepting:
+        return "notAccepting";
+    case Obstacle::OtherService:
+        return "otherService";
+    case Obstacle::Memory:
+        return "memory";
+    case Obstacle::Accelerators:
+        return "accelerators";
+    case Obstacle::Processors:
+        return "processors";
+    case Obstacle::Label:
+        return "label";
+    case Obstacle::AntiAffinity:
+        return "antiAffinity";
+    case Obstacle::None:
+    case Obstacle::Count:
+        break;
+    }
+    return "none";
+}
+
+Scheduler::Obstacle Scheduler::obstacleOn(const ScheduledWorker &worker, const ScheduledTask &task,
+                                          Time now) const
 {
     const StepSpec &step = stepOf(task);
     const WorkerEntry &entry = worker.entry;
-    if (!acceptsTasks(worker, now) || entry.service != task.job->queue.service)
-        return std::nullopt;
+    if (!acceptsTasks(worker, now))
+        return Obstacle::NotAccepting;
+    if (entry.service != task.job->queue.service)
+        return Obstacle::OtherService;
     const auto memory = static_cast<std::int64_t>(step.memory.value);
     const auto cpu = static_cast<std::int64_t>(step.cpu.value);
-    if (worker.reservedMemory + memory > static_cast<std::int64_t>(entry.memory.value)
-        || worker.reservedAccelerators + step.accelerators > entry.accelerators)
-        return std::nullopt;
+    if (worker.reservedMemory + memory > static_cast<std::int64_t>(entry.memory.value))
+        return Obstacle::Memory;
+    if (worker.reservedAccelerators + step.accelerators > entry.accelerators)
+        return Obstacle::Accelerators;
     if (!step.bestEffort && worker.reservedCpu + cpu > static_cast<std::int64_t>(entry.cpu.value))
-        return std::nullopt;
+        return Obstacle::Processors;
     if (!step.requirement.empty() && !contains(entry.labels, step.requirement))
-        return std::nullopt;
+        return Obstacle::Label;
     if (step.antiAffinity > 0 && countTasksOfStep(worker, task.ref) >= step.antiAffinity)
+        return Obstacle::AntiAffinity;
+    return Obstacle::None;
+}
+
+/// Logs now and then why a long-running task that was interrupted still waits: the number of
+/// workers by what keeps the task from running there.
+void Scheduler::logWaiting(ScheduledTask &task, Time now) const
+{
+    if (now - std::max(task.waitingSince, task.waitLoggedAt) < WaitLogInterval)
+        return;
+    task.waitLoggedAt = now;
+    std::array<int, static_cast<std::size_t>(Obstacle::Count)> workers{};
+    for (const auto &[id, worker] : workers_)
+        ++workers.at(static_cast<std::size_t>(obstacleOn(*worker, task, now)));
+    LogEvent event{LogLevel::Info,
+                   "task-waiting",
+                   "an interrupted long-running task finds no worker; the fields count workers by "
+                   "what keeps it from running there",
+                   {{"task", formatTaskRef(task.ref)},
+                    {"waitedMs", std::to_string(wholeMilliseconds(now - task.waitingSince))}}};
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        if (workers.at(i) > 0)
+            event.fields.emplace_back(obstacleName(static_cast<Obstacle>(i)),
+                                      std::to_string(workers.at(i)));
+    }
+    log_(event);
+}
+
+/// The score of a worker for the task; the worker with the highest score is chosen. Nothing if the
+/// task cannot run there.
+std::optional<double> Scheduler::scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
+                                         Time now) const
+{
+    if (obstacleOn(worker, task, now) != Obstacle::None)
         return std::nullopt;
+    const StepSpec &step = stepOf(task);
+    const WorkerEntry &entry = worker.entry;
+    const auto cpu = static_cast<std::int64_t>(step.cpu.value);
     double score = 0;
     if (step.bestEffort) {
         score = bestEffortCpuGain(worker, task, now);
@@ -437,6 +518,7 @@
     task.progress.incarnation = worker.entry.incarnation;
     task.runState = RunState::AwaitingRecord;
     task.stopConfirmed = false;
+    task.isTrial = awaitsTrial(worker);
     countWaiting(task, -1);
     reserve(worker, task);
     markChanged(job);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -315,9 +315,11 @@
     std::uint64_t assignedInVersion = 0; // first version of the job's record with the current run
     Time orderSentAt{}; // time of the start order or the last stop order
     bool stopConfirmed = false; // by the worker, for the last stop order
+    bool isTrial = false; // the current run shows whether a quarantined worker works again
     Time lastReportedAt{}; // last report that contained the run
     Time startedAt{}; // when the run was first confirmed
     Time waitingSince{};
+    Time waitLoggedAt{}; // last log line that said why no worker can take the task
     Time earliestStart{}; // of the next run
     Time progressChangedAt{}; // last change of `percent`
     int percent = 0; // progress as reported
@@ -494,6 +496,8 @@
     void processFinishedRun(ScheduledWorker &worker, const FinishedRun &finished, Time now);
     void endRun(ScheduledTask &task, RunOutcome outcome, const std::string &checkpoint, Time now);
     void updateQuarantine(ScheduledWorker &worker, const JobId &job, RunOutcome outcome, Time now);
+    bool awaitsTrial(const ScheduledWorker &worker) const;
+    void countSuccess(ScheduledWorker &worker);
     void processActiveRun(ScheduledWorker &worker, const ActiveRun &activeRun, Time now);
     void handleMissingRuns(ScheduledWorker &worker, Time sentAt, Time now);
     void expireWorkerRuns(ScheduledWorker &worker, Time now);
@@ -545,6 +549,10 @@
     UnplacedRequest *findUnplacedRequest(const ScheduledTask &task) const;
     void recordUnplacedRequest(const ScheduledTask &task);
     void beginPass(Time now);
+    enum class Obstacle;
+    static const char *obstacleName(Obstacle obstacle);
+    Obstacle obstacleOn(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
+    void logWaiting(ScheduledTask &task, Time now) const;
     std::optional<double> scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
                                   Time now) const;
     std::vector<Candidate> candidatesFor(const ScheduledTask &task, std::uint64_t sincePass,
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -233,8 +233,7 @@
                                  Time now)
 {
     if (outcome == RunOutcome::Done) {
-        worker.consecutiveFailures = 0;
-        worker.quarantineDuration = {};
+        countSuccess(worker);
         return;
     }
     if (outcome != RunOutcome::Failed || job == worker.lastFailedJob)
@@ -257,6 +256,24 @@
            {"forMs", std::to_string(worker.quarantineDuration.count() / 1000)}}});
 }
 
+/// True from the worker's quarantine on until a run has succeeded there.
+bool Scheduler::awaitsTrial(const ScheduledWorker &worker) const
+{
+    return worker.consecutiveFailures >= settings_.failuresToQuarantine;
+}
+
+/// Notes that a run has succeeded on the worker.
+void Scheduler::countSuccess(ScheduledWorker &worker)
+{
+    if (awaitsTrial(worker)) {
+        markWorkerChanged(worker);
+        for (ScheduledTask *task : worker.tasks)
+            task->isTrial = false;
+    }
+    worker.consecutiveFailures = 0;
+    worker.quarantineDuration = {};
+}
+
 void Scheduler::processActiveRun(ScheduledWorker &worker, const ActiveRun &activeRun, Time now)
 {
     ScheduledTask *task = findTask(activeRun.task);
@@ -271,6 +288,9 @@
     task->usage = activeRun.usage;
     if (!activeRun.checkpoint.empty())
         task->progress.checkpoint = activeRun.checkpoint;
+    // A long-running task never ends as done: being at work is its success.
+    if (task->isTrial && stepOf(*task).longRunning && activeRun.percent == 100)
+        countSuccess(worker);
     if (activeRun.percent != task->percent) {
         task->percent = activeRun.percent;
         task->progressChangedAt = now;
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -24,6 +24,110 @@
     return true;
 }
 
+/// Faults of one process, one worker or the store. The silence of a store, and the like, last until
+/// the same fault comes again.
+enum class Fault {
+    Restart, // of the process
+    StoreSilent,
+    AnswersLost, // of changes
+    CutFromWorkers,
+    WorkerRestart,
+    WorkerUnreachable, // by all processes
+    Compaction, // of the store's history
+    LateOrders,
+    None,
+};
+constexpr std::uint64_t FaultCount = 9;
+constexpr int WorkerCount = 5; // in worlds with faults
+
+std::string randomWorker(Random &random)
+{
+    return "w" + std::to_string(random.below(WorkerCount));
+}
+
+void injectFault(FleetWorld &world, Fault fault, int victim, Random &random)
+{
+    FleetWorld::Process &target = world.process(victim);
+    switch (fault) {
+    case Fault::Restart:
+        world.kill(victim);
+        world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(3000))));
+        world.start(victim);
+        break;
+    case Fault::StoreSilent:
+        if (target.store)
+            target.store->silent = !target.store->silent;
+        break;
+    case Fault::AnswersLost:
+        if (target.store)
+            target.store->losesAnswers = !target.store->losesAnswers;
+        break;
+    case Fault::CutFromWorkers:
+        if (target.workers)
+            target.workers->cut = !target.workers->cut;
+        break;
+    case Fault::WorkerRestart: {
+        const std::string worker = randomWorker(random);
+        world.runners.restart(worker);
+        world.publish(worker);
+        break;
+    }
+    case Fault::WorkerUnreachable: {
+        const std::string worker = randomWorker(random);
+        world.runners.at(worker).reachable = random.below(2) == 0;
+        break;
+    }
+    case Fault::Compaction:
+        world.store.compact();
+        break;
+    case Fault::LateOrders:
+        if (target.workers)
+            target.workers->lateShare = random.below(2) == 0 ? 0 : 0.2;
+        break;
+    case Fault::None:
+        break;
+    }
+}
+
+/// Ends all faults and waits. Returns what must not be, or an empty string.
+std::string recoverAndCheck(FleetWorld &world, const std::vector<std::string> &accepted,
+                            const std::map<std::string, Time> &cancelled)
+{
+    for (std::size_t i = 0; i < world.processes.size(); ++i)
+        world.start(static_cast<int>(i));
+    for (auto &[id, worker] : world.runners.all())
+        worker.reachable = true;
+    world.clock.advance(seconds(40));
+    if (!world.runners.findings.empty())
+        return world.runners.findings.front();
+    for (const std::string &id : accepted) {
+        const std::optional<JobState> state = world.state(0, id);
+        // A job may have completed before the coordinator saw its cancellation.
+        const bool isExpectedState = state == JobState::Completed
+                                     || (state == JobState::Cancelled && cancelled.count(id) > 0);
+        if (!isExpectedState)
+            return "job " + id + " should be completed or cancelled, but its state is "
+                   + (state ? std::to_string(static_cast<int>(*state)) : "unknown");
+    }
+    return world.runners.runningCount() == 0 ? "" : "runs of ended jobs are still running";
+}
+
+/// Kills some or all processes at the same moment. They start again at about the same time.
+void loseManyProcesses(FleetWorld &world, Random &random)
+{
+    const bool all = random.below(3) == 0;
+    std::vector<int> killed;
+    for (int i = 0; i < static_cast<int>(world.processes.size()); ++i) {
+        if (!all && random.unit() > 0.6)
+            continue;
+        world.kill(i);
+        killed.push_back(i);
+    }
+    world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(3000))));
+    for (const int process : killed)
+        world.start(process);
+}
+
 } // namespace
 
 TEST_CASE("a job accepted by one process completes, and all processes report it as completed")
@@ -305,7 +409,7 @@
 TEST_CASE("random failures: no job is lost, run twice or run after its cancellation")
 {
     runSchedules(40, [](std::uint64_t seed) -> std::string {
-        FleetWorld world(3, 5, seed);
+        FleetWorld world(3, WorkerCount, seed);
         Random random(seed);
         world.clock.advance(seconds(2));
         std::vector<std::string> accepted;
@@ -324,64 +428,37 @@
                     cancelled[id] = world.clock.now();
             }
             const int victim = static_cast<int>(random.below(3));
-            FleetWorld::Process &target = world.process(victim);
-            switch (random.below(9)) {
-            case 0:
-                world.kill(victim);
-                world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(3000))));
-                world.start(victim);
-                break;
-            case 1:
-                if (target.store)
-                    target.store->silent = !target.store->silent;
-                break;
-            case 2:
-                if (target.store)
-                    target.store->losesAnswers = !target.store->losesAnswers;
-                break;
-            case 3:
-                if (target.workers)
-                    target.workers->cut = !target.workers->cut;
-                break;
-            case 4: {
-                const std::string worker = "w" + std::to_string(random.below(5));
-                world.runners.restart(worker);
-                world.publish(worker);
-                break;
-            }
-            case 5:
-                world.runners.at("w" + std::to_string(random.below(5))).reachable =
-                        random.below(2) == 0;
-                break;
-            case 6:
-                world.store.compact();
-                break;
-            case 7:
-                if (target.workers)
-                    target.workers->lateShare = random.below(2) == 0 ? 0 : 0.2;
-                break;
-            default:
-                break;
-            }
+            injectFault(world, static_cast<Fault>(random.below(FaultCount)), victim, random);
             world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(1500))));
         }
-        for (int i = 0; i < 3; ++i)
-            world.start(i);
-        for (auto &[id, worker] : world.runners.all())
-            worker.reachable = true;
-        world.clock.advance(seconds(40));
-        if (!world.runners.findings.empty())
-            return world.runners.findings.front();
-        for (const std::string &id : accepted) {
-            const std::optional<JobState> state = world.state(0, id);
-            // A job may have completed before the coordinator saw its cancellation.
-            const bool isExpectedState =
-                    state == JobState::Completed
-                    || (state == JobState::Cancelled && cancelled.count(id) > 0);
-            if (!isExpectedState)
-                return "job " + id + " should be completed or cancelled, but its state is "
-                       + (state ? std::to_string(static_cast<int>(*state)) : "unknown");
-        }
-        return world.runners.runningCount() == 0 ? "" : "runs of ended jobs are still running";
+        return recoverAndCheck(world, accepted, cancelled);
     });
 }
+
+TEST_CASE("many processes stop at once, beside every other fault: no job is lost or run twice")
+{
+    for (std::uint64_t kind = 0; kind < FaultCount; ++kind) {
+        runSchedules(6, [kind](std::uint64_t seed) -> std::string {
+            FleetWorld world(6, WorkerCount, seed);
+            Random random(seed);
+            world.clock.advance(seconds(2));
+            std::vector<std::string> accepted;
+            int number = 0;
+            for (int round = 0; round < 6; ++round) {
+                for (int process = 0; process < 6; ++process) {
+                    const std::string id = jobName(number++);
+                    const std::string payload = "ms=" + std::to_string(50 + random.below(1500));
+                    if (world.submit(process, FleetWorld::job(id, 3, payload))
+                        == JobAnswer::Accepted)
+                        accepted.push_back(id);
+                }
+                const int victim = static_cast<int>(random.below(6));
+                injectFault(world, static_cast<Fault>(kind), victim, random);
+                world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(800))));
+                loseManyProcesses(world, random);
+                world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(4000))));
+            }
+            return recoverAndCheck(world, accepted, {});
+        });
+    }
+}
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -251,6 +251,48 @@
     CHECK(trialTasks == 1);
 }
 
+TEST_CASE("a quarantined worker whose long-running task goes on is tried again")
+{
+    SchedulerHarness harness(1);
+    StepSpec lasting = SchedulerHarness::step(1, 2000);
+    lasting.longRunning = true;
+    harness.add("lasting", {lasting});
+    REQUIRE(harness.planAndStart().size() == 1);
+    harness.running[WorkerId("w0")].front().percent = 100;
+    for (int i = 0; i < 3; ++i)
+        harness.add("job" + std::to_string(i), {SchedulerHarness::step(1)});
+    for (const StartOrder &order : harness.planAndStart())
+        harness.endRun(order, RunOutcome::Failed);
+    harness.reportWorkers();
+    CHECK(harness.planAndStart().empty()); // quarantined
+    harness.now += seconds(5);
+    harness.reportWorkers();
+    SUBCASE("with a task that ends")
+    {
+        const std::vector<StartOrder> trial = harness.planAndStart();
+        REQUIRE(trial.size() == 1);
+        harness.reportWorkers();
+        CHECK(harness.planAndStart().empty()); // until the trial has succeeded
+        harness.endRun(trial.front(), RunOutcome::Done);
+        harness.reportWorkers();
+        CHECK(harness.planAndStart().size() == 2);
+    }
+    SUBCASE("with a task that lasts")
+    {
+        for (int i = 0; i < 3; ++i)
+            harness.scheduler.cancelJob(JobId("job" + std::to_string(i)), harness.now);
+        harness.add("another", {lasting});
+        const std::vector<StartOrder> trial = harness.planAndStart();
+        REQUIRE(trial.size() == 1);
+        harness.add("third", {lasting});
+        harness.reportWorkers();
+        CHECK(harness.planAndStart().empty()); // until it is at work
+        harness.running[WorkerId("w0")].back().percent = 100;
+        harness.reportWorkers();
+        CHECK(harness.planAndStart().size() == 1);
+    }
+}
+
 TEST_CASE("a start order without a response is followed by a stop before the task runs elsewhere")
 {
     SchedulerHarness harness(2);
