Try best-effort requests that found no worker each 60 ms; one libevent timer for all timers

Counters of a trial show 8,000 scores a pass, nine of ten for 90 distinct best-effort requests that find no worker and are tried on each worker that has changed. And each call has a timer that is cancelled, with an event of libevent of its own; the remaining critical path of each waiting job was computed in each pass. Change: such requests are tried each 60 ms; the event loop keeps its timers in a map behind one event; the path is kept until the job changes.

--- a/src/adapters/eventloop.cpp
+++ b/src/adapters/eventloop.cpp
@@ -3,7 +3,9 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
 #include <exception>
+#include <map>
 #include <stdexcept>
 #include <unordered_map>
 #include <utility>
@@ -21,6 +23,8 @@
 };
 using EventPtr = std::unique_ptr<event, EventDeleter>;
 
+constexpr std::chrono::nanoseconds NotArmed = std::chrono::nanoseconds::max();
+
 LogHook &libeventLogHook()
 {
     static LogHook hook;
@@ -49,13 +53,6 @@
 
 struct EventLoop::Private
 {
-    struct Timer
-    {
-        EventLoop *loop = nullptr;
-        TimerId id = 0;
-        std::function<void(Time)> callback;
-        EventPtr event;
-    };
     struct Signal
     {
         EventLoop *loop = nullptr;
@@ -63,9 +60,19 @@
         EventPtr event;
     };
 
+    // Due time by the steady clock, and the id, so that timers of the same time fire in their
+    // order.
+    using TimerKey = std::pair<std::chrono::nanoseconds, TimerId>;
+
     event_base *base = nullptr;
+    // All timers share one event of libevent: most are cancelled before they fire, and an event of
+    // its own costs several times more than a place in this map.
+    EventPtr timerEvent;
+    std::chrono::nanoseconds timerEventDue = NotArmed;
+    bool isRunningTimers = false;
     TimerId lastId = 0;
-    std::unordered_map<TimerId, std::unique_ptr<Timer>> timers;
+    std::map<TimerKey, std::function<void(Time)>> timers;
+    std::unordered_map<TimerId, std::chrono::nanoseconds> timerDues;
     std::vector<std::unique_ptr<Signal>> signals;
     std::exception_ptr callbackException; // thrown by a callback, rethrown by run()
     WorkMeter workMeter{&steadyNanoseconds};
@@ -81,13 +88,40 @@
         }
     }
 
+    /// Makes the event fire when the first timer is due.
+    void armTimerEvent()
+    {
+        if (isRunningTimers || timers.empty() || timers.begin()->first.first >= timerEventDue)
+            return;
+        timerEventDue = timers.begin()->first.first;
+        const std::chrono::nanoseconds delay = timerEventDue - steadyNanoseconds();
+        // Rounded up, because a timer must not fire early.
+        const timeval tv =
+                toTimeval(std::max(std::chrono::ceil<Duration>(delay), Duration::zero()));
+        evtimer_add(timerEvent.get(), &tv);
+    }
+
+    /// Runs the timers that are due. Those that are added meanwhile wait for the next pass.
     static void onTimer(evutil_socket_t, short, void *arg)
     {
-        auto *timer = static_cast<Timer *>(arg);
-        EventLoop *loop = timer->loop;
-        const std::function<void(Time)> callback = std::move(timer->callback);
-        loop->d_->timers.erase(timer->id);
-        invokeCallback(loop, callback);
+        auto *loop = static_cast<EventLoop *>(arg);
+        Private &d = *loop->d_;
+        d.timerEventDue = NotArmed;
+        const std::chrono::nanoseconds now = steadyNanoseconds();
+        const TimerId lastId = d.lastId;
+        d.isRunningTimers = true;
+        while (!d.timers.empty() && !d.callbackException) {
+            const auto first = d.timers.begin();
+            const auto [due, id] = first->first;
+            if (due > now || id > lastId)
+                break;
+            const std::function<void(Time)> callback = std::move(first->second);
+            d.timerDues.erase(id);
+            d.timers.erase(first);
+            invokeCallback(loop, callback);
+        }
+        d.isRunningTimers = false;
+        d.armTimerEvent();
     }
 
     static void onSignal(evutil_socket_t, short, void *arg)
@@ -116,11 +150,15 @@
     event_config_free(config);
     if (!d_->base)
         throw std::runtime_error("cannot create the event loop");
+    d_->timerEvent.reset(evtimer_new(d_->base, &Private::onTimer, this));
+    if (!d_->timerEvent)
+        throw std::bad_alloc();
 }
 
 EventLoop::~EventLoop()
 {
     d_->timers.clear();
+    d_->timerEvent.reset();
     d_->signals.clear();
     event_base_free(d_->base);
 }
@@ -150,23 +188,21 @@
 
 TimerId EventLoop::after(Duration delay, std::function<void(Time now)> callback)
 {
-    auto timer = std::make_unique<Private::Timer>();
-    timer->loop = this;
-    timer->id = ++d_->lastId;
-    timer->callback = std::move(callback);
-    timer->event.reset(evtimer_new(d_->base, &Private::onTimer, timer.get()));
-    if (!timer->event)
-        throw std::bad_alloc();
-    const timeval tv = toTimeval(delay);
-    evtimer_add(timer->event.get(), &tv);
-    const TimerId id = timer->id;
-    d_->timers.emplace(id, std::move(timer));
+    const TimerId id = ++d_->lastId;
+    const std::chrono::nanoseconds due = steadyNanoseconds() + delay;
+    d_->timers.emplace(Private::TimerKey(due, id), std::move(callback));
+    d_->timerDues.emplace(id, due);
+    d_->armTimerEvent();
     return id;
 }
 
 void EventLoop::cancel(TimerId id)
 {
-    d_->timers.erase(id);
+    const auto it = d_->timerDues.find(id);
+    if (it == d_->timerDues.end())
+        return;
+    d_->timers.erase(Private::TimerKey(it->second, id));
+    d_->timerDues.erase(it);
 }
 
 void EventLoop::onSignal(int signalNumber, std::function<void(Time now)> callback)
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -103,9 +103,9 @@
     if (now < worker.quarantinedUntil)
         return false;
     // After its quarantine, a worker gets one new task at a time until a run succeeds.
-    const bool hasTrial = std::any_of(worker.tasks.begin(), worker.tasks.end(),
-                                      [](const ScheduledTask *task) { return task->isTrial; });
-    return !awaitsTrial(worker) || !hasTrial;
+    return !awaitsTrial(worker)
+           || std::none_of(worker.tasks.begin(), worker.tasks.end(),
+                           [](const ScheduledTask *task) { return task->isTrial; });
 }
 
 void Scheduler::addDueOccurrences(Time now)
@@ -197,8 +197,14 @@
         ScheduledTask &task = job.tasks[static_cast<std::size_t>(index)];
         if (task.progress.phase != TaskPhase::Waiting || task.earliestStart > now)
             continue;
-        if (!candidates)
-            candidates = untriedCandidates(task, now);
+        if (!candidates) {
+            const UnplacedRequest *request = findUnplacedRequest(task);
+            if (request && !isWorthAnotherTry(*request, now)) {
+                waitForRoom(task, now);
+                return;
+            }
+            candidates = candidatesFor(task, request ? request->lastTriedInPass : 0, now);
+        }
         if (!task.failedOn.empty()) { // workers where it failed have another score
             if (ScheduledWorker *worker = candidates->empty() ? nullptr : chooseWorker(task, now)) {
                 assign(task, *worker);
@@ -210,25 +216,30 @@
             assigned.push_back(&task);
             continue;
         }
-        recordUnplacedRequest(task);
-        if (spec.longRunning && task.progress.run.value > 0) {
-            logWaiting(task, now);
-            if (now - task.waitingSince > settings_.preemptAfter)
-                preemptFor(task, now);
-        }
+        recordUnplacedRequest(task, now);
+        waitForRoom(task, now);
         return;
     }
 }
 
-/// The workers that can run the task, without those that were tried before and have not changed
-/// since.
-std::vector<Scheduler::Candidate> Scheduler::untriedCandidates(const ScheduledTask &task,
-                                                               Time now) const
+/// Makes room for a task that no worker can take, if it is a long-running one that was interrupted.
+void Scheduler::waitForRoom(ScheduledTask &task, Time now)
+{
+    if (!stepOf(task).longRunning || task.progress.run.value == 0)
+        return;
+    logWaiting(task, now);
+    if (now - task.waitingSince > settings_.preemptAfter)
+        preemptFor(task, now);
+}
+
+/// False for a request that was tried in this pass, and for one of best-effort tasks that was tried
+/// a moment ago: under a flood many of them wait, each worker changes several times a second, and
+/// trying all of them each time costs more than the rest of the pass.
+bool Scheduler::isWorthAnotherTry(const UnplacedRequest &request, Time now) const
 {
-    const UnplacedRequest *request = findUnplacedRequest(task);
-    if (request && request->lastTriedInPass == planCache_->passNumber)
-        return {};
-    return candidatesFor(task, request ? request->lastTriedInPass : 0, now);
+    if (request.lastTriedInPass == planCache_->passNumber)
+        return false;
+    return !request.bestEffort || now - request.lastTriedAt >= settings_.bestEffortRetryInterval;
 }
 
 /// A recorded request that no worker could take and that asks for no more than this task, or null.
@@ -253,18 +264,19 @@
 
 /// Records that no worker can take the task. The caller has tried the workers that changed since
 /// the same request was last tried, or all workers if it was not.
-void Scheduler::recordUnplacedRequest(const ScheduledTask &task)
+void Scheduler::recordUnplacedRequest(const ScheduledTask &task, Time now)
 {
     const StepSpec &step = stepOf(task);
     if (step.antiAffinity > 0) // this limit of the step does not apply to other tasks
         return;
     if (UnplacedRequest *request = findUnplacedRequest(task)) {
         request->lastTriedInPass = planCache_->passNumber;
+        request->lastTriedAt = now;
         return;
     }
     planCache_->unplacedRequests.push_back({task.job->queue.service, step.bestEffort, task.image,
                                             step.requirement, step.cpu.value, step.memory.value,
-                                            step.accelerators, planCache_->passNumber});
+                                            step.accelerators, planCache_->passNumber, now});
 }
 
 /// Begins a planning pass. Every UnplacedRequestLifetime, it drops what former passes have found
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -43,6 +43,7 @@
     std::uint64_t memory = 0; // MiB
     int accelerators = 0;
     std::uint64_t lastTriedInPass = 0; // number of the planning pass
+    Time lastTriedAt{};
 };
 
 /// A worker that can run the tasks of a step.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -110,6 +110,7 @@
             task.image = interference_.indexOf(job.spec.steps[step].image);
             job.tasks.push_back(std::move(task));
         }
+        job.remainingPathEstimate.reset();
         job.doneTaskCounts.push_back(0);
         job.waitingTaskCounts.push_back(job.spec.steps[step].count);
         job.stepLoads.emplace_back();
@@ -234,6 +235,7 @@
 void Scheduler::markChanged(ScheduledJob &job)
 {
     ++job.version;
+    job.remainingPathEstimate.reset();
     if (job.isChangeQueued)
         return;
     job.isChangeQueued = true;
@@ -368,7 +370,15 @@
 }
 
 /// Returns the expected duration of the critical path through the steps that are not done.
-Duration Scheduler::remainingCriticalPath(const ScheduledJob &job) const
+Duration Scheduler::remainingCriticalPath(ScheduledJob &job) const
+{
+    if (!job.remainingPathEstimate)
+        job.remainingPathEstimate = estimateRemainingPath(job);
+    return std::chrono::duration_cast<Duration>(*job.remainingPathEstimate * durationFactor(job));
+}
+
+/// The same by the estimates of the client.
+Duration Scheduler::estimateRemainingPath(const ScheduledJob &job)
 {
     std::vector<Duration> finishTimes;
     Duration longest{};
@@ -385,7 +395,7 @@
         finishTimes.push_back(isDone ? start : start + step.estimate);
         longest = std::max(longest, finishTimes.back());
     }
-    return std::chrono::duration_cast<Duration>(longest * durationFactor(job));
+    return longest;
 }
 
 void Scheduler::stopRun(ScheduledTask &task, Time now)
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -163,6 +163,9 @@
     // Share of its CPU request that must be idle on a worker before a best-effort task starts
     // there.
     double minBestEffortCpuShare = 0.6;
+    // After which best-effort tasks that found no worker are tried again on those that have
+    // changed.
+    Duration bestEffortRetryInterval = milliseconds(60);
     // Share of the tail target up to which planned best-effort tasks may raise a serving task's
     // tail.
     double plannedTailRatio = 0.9;
@@ -343,6 +346,7 @@
     std::vector<int> waitingTaskCounts; // by stepIndex()
     Time submittedAt{};
     Duration criticalPathEstimate{}; // duration of the critical path by the estimates
+    std::optional<Duration> remainingPathEstimate; // of the steps not done; empty: not known
     double estimatedCoreSeconds = 0;
     std::uint64_t version = 0; // incremented with each change of the record
     std::uint64_t savedVersion = 0; // latest stored version
@@ -536,7 +540,8 @@
     void updateDurationFactor(const ScheduledTask &task, Time now);
     double durationFactor(const ScheduledJob &job) const;
     Time objectiveOf(const ScheduledJob &job) const;
-    Duration remainingCriticalPath(const ScheduledJob &job) const;
+    Duration remainingCriticalPath(ScheduledJob &job) const;
+    static Duration estimateRemainingPath(const ScheduledJob &job);
     void drainWorker(ScheduledWorker &worker, Time now);
     bool acceptsTasks(const ScheduledWorker &worker, Time now) const;
     std::vector<ScheduledJob *> orderJobs(Time now);
@@ -544,10 +549,11 @@
     void assignJob(ScheduledJob &job, Time now);
     void assignStep(ScheduledJob &job, int occurrence, int step,
                     std::vector<const ScheduledTask *> &assigned, Time now);
-    std::vector<Candidate> untriedCandidates(const ScheduledTask &task, Time now) const;
+    void waitForRoom(ScheduledTask &task, Time now);
+    bool isWorthAnotherTry(const UnplacedRequest &request, Time now) const;
     void assignGang(ScheduledJob &job, int occurrence, int step, Time now);
     UnplacedRequest *findUnplacedRequest(const ScheduledTask &task) const;
-    void recordUnplacedRequest(const ScheduledTask &task);
+    void recordUnplacedRequest(const ScheduledTask &task, Time now);
     void beginPass(Time now);
     enum class Obstacle;
     static const char *obstacleName(Obstacle obstacle);
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -28,13 +28,16 @@
 
 constexpr std::uint16_t StorePort = 8169;
 constexpr std::uint16_t WorkerPort = 8170;
+constexpr int ImageCount = 6; // of each kind of step
+constexpr int SizeCount = 7; // of the processors of best-effort steps
 constexpr Duration TickInterval = milliseconds(1); // of the fakes' clock
 
 struct LoadSettings
 {
     int workers = 540;
     double shortJobsPerSecond = 10.5; // 14 tasks of 1 s on 3.2 cores
-    double wideJobsPerSecond = 15.6; // two steps of 39 tasks of 1.7 s on 1.8 cores
+    double wideJobsPerSecond = 15.6; // two steps of 39 tasks of 1.7 s on 1.8 cores, the second one
+                                     // best-effort
     int servingJobs = 40; // of 24 tasks that run on
     int bestEffortJobs = 40; // of 24 tasks that run on
 };
@@ -401,6 +404,9 @@
             spec.steps.push_back(stepOf(39, 1800, milliseconds(1700)));
             spec.steps.push_back(stepOf(39, 1800, milliseconds(1700)));
             spec.steps[1].after = {0};
+            spec.steps[1].bestEffort = true;
+            spec.steps[1].cpu.value = 1000 + 400 * static_cast<std::uint64_t>(jobs_ % SizeCount);
+            spec.steps[1].image = "batch-" + std::to_string(jobs_ % ImageCount);
             submit(spec);
         }
     }
@@ -413,7 +419,7 @@
             StepSpec &step = spec.steps[0];
             step.longRunning = true;
             step.bestEffort = i >= load_.servingJobs;
-            step.image = (step.bestEffort ? "filler-" : "feed-") + std::to_string(i % 4);
+            step.image = (step.bestEffort ? "filler-" : "feed-") + std::to_string(i % ImageCount);
             if (!step.bestEffort) {
                 step.tailLatencyTarget = milliseconds(400);
                 step.antiAffinity = 1;
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -424,6 +424,29 @@
         CHECK(pace == 0);
 }
 
+TEST_CASE("best-effort tasks that found no worker are tried again after a pause, others at once")
+{
+    SchedulerHarness harness(1, 4000);
+    harness.add("full", {SchedulerHarness::step(1, 4000)});
+    const std::vector<StartOrder> first = harness.planAndStart();
+    REQUIRE(first.size() == 1);
+    StepSpec bestEffortStep = SchedulerHarness::step(1, 2000);
+    bestEffortStep.bestEffort = true;
+    harness.add("best-effort", {bestEffortStep}, "batch");
+    harness.add("ordinary", {SchedulerHarness::step(1, 1000)}, "batch");
+    CHECK(harness.planAndStart().empty());
+    harness.endRun(first.front(), RunOutcome::Done);
+    harness.now += milliseconds(10);
+    harness.reportWorkers();
+    const std::vector<StartOrder> second = harness.planAndStart();
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().task.job.str() == "ordinary");
+    harness.now += milliseconds(60);
+    const std::vector<StartOrder> third = harness.planAndStart();
+    REQUIRE(third.size() == 1);
+    CHECK(third.front().task.job.str() == "best-effort");
+}
+
 /// Load pattern: the load of a serving task varies a little around the point at which another
 /// common pace of the best-effort tasks beside it becomes better. Returns the number of orders on
 /// the pace of four such tasks in 30 s.
