--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -12,7 +12,9 @@
 constexpr double DurationFactorWeight = 0.03; // weight of each run in the average duration factor
 constexpr double MaxDurationRatio = 5; // limit of the ratio that one run can contribute
 
-const char *outcomeName(RunOutcome outcome)
+} // namespace
+
+const char *runOutcomeName(RunOutcome outcome)
 {
     switch (outcome) {
     case RunOutcome::Done:
@@ -31,8 +33,6 @@
     return "failed";
 }
 
-} // namespace
-
 std::string formatTaskRef(const TaskRef &ref)
 {
     return ref.job.str() + '.' + std::to_string(ref.occurrence) + '.' + std::to_string(ref.step)
@@ -316,7 +316,7 @@
            {"task", formatTaskRef(task.ref)},
            {"run", std::to_string(task.progress.run.value)},
            {"worker", task.progress.worker.str()},
-           {"end", outcomeName(outcome)}}});
+           {"end", runOutcomeName(outcome)}}});
     Duration delay{};
     if (outcome == RunOutcome::Failed) {
         ++task.progress.failures;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -592,6 +592,8 @@
 
 /// Formats a task as "job.occurrence.step.index", for logs.
 std::string formatTaskRef(const TaskRef &ref);
+/// Name of an outcome in logs, such as "lapsed".
+const char *runOutcomeName(RunOutcome outcome);
 
 /// Share of its requested CPU that a best-effort task would get from the worker's idle processors,
 /// at most 1.
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -17,14 +17,11 @@
 #include <cstdio>
 #include <iostream>
 
-#include <boost/beast/core/detail/base64.hpp>
-
 using namespace monsoonledge;
 
 namespace {
 
 using Json = nlohmann::json;
-namespace base64 = boost::beast::detail::base64;
 
 constexpr std::uint16_t StorePort = 8169;
 constexpr std::uint16_t WorkerPort = 8170;
@@ -42,27 +39,13 @@
     int bestEffortJobs = 40; // of 24 tasks that run on
 };
 
-std::string encodeBase64(const std::string &bytes)
-{
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
-std::string decodeBase64(const std::string &text)
-{
-    std::string bytes(base64::decoded_size(text.size()), '\0');
-    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
-    return bytes;
-}
-
 Json encodeItem(const KeyValue &item)
 {
     if (item.deleted)
         return {{"Key", item.key}, {"Revision", item.revision.value}, {"Deleted", true}};
     return {{"Key", item.key},
             {"Revision", item.revision.value},
-            {"Value", encodeBase64(item.value)}};
+            {"Value", platform::encodeBase64(item.value)}};
 }
 
 std::string queryValue(const HttpRequest &request, const std::string &name)
@@ -132,7 +115,7 @@
             transaction.conditions.push_back({row.at("Key"), {row.at("Revision")}});
         for (const Json &row : body.at("Puts"))
             transaction.puts.push_back({row.at("Key"),
-                                        decodeBase64(row.at("Value").get<std::string>()),
+                                        platform::decodeBase64(row.at("Value").get<std::string>()),
                                         {row.value("Lease", std::uint64_t{0})}});
         for (const Json &key : body.at("Remove"))
             transaction.removals.push_back(key);
@@ -178,25 +161,6 @@
     HttpServer server_;
 };
 
-const char *outcomeName(RunOutcome outcome)
-{
-    switch (outcome) {
-    case RunOutcome::Done:
-        return "done";
-    case RunOutcome::Failed:
-        return "failed";
-    case RunOutcome::Stopped:
-        return "stopped";
-    case RunOutcome::LeaseExpired:
-        return "lapsed";
-    case RunOutcome::GangMemberEnded:
-        return "broken";
-    case RunOutcome::GangIncomplete:
-        return "alone";
-    }
-    return "failed";
-}
-
 /// Serves the interface of all workers from a FakeRunPort, and counts their calls.
 class WorkerServer
 {
@@ -282,7 +246,8 @@
         body["Finished"] = Json::array();
         for (const FinishedRun &run : result.report.finished)
             body["Finished"].push_back({run.position, platform::formatTaskName(run.task),
-                                        run.run.value, outcomeName(run.outcome), run.checkpoint});
+                                        run.run.value, runOutcomeName(run.outcome),
+                                        run.checkpoint});
         return jsonResponse(200, body);
     }
 
@@ -461,6 +426,20 @@
 
 } // namespace
 
+namespace {
+
+/// The defaults are the load of 540 workers. `factor` is for the jobs that end.
+void scaleToWorkers(LoadSettings &load, double factor)
+{
+    const double share = static_cast<double>(load.workers) / LoadSettings().workers;
+    load.shortJobsPerSecond *= factor * share;
+    load.wideJobsPerSecond *= factor * share;
+    load.servingJobs = static_cast<int>(std::lround(load.servingJobs * share));
+    load.bestEffortJobs = static_cast<int>(std::lround(load.bestEffortJobs * share));
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
     LoadSettings load;
@@ -479,9 +458,7 @@
             std::cout << options;
             return 0;
         }
-        const double factor = values["load"].as<double>() * load.workers / LoadSettings().workers;
-        load.shortJobsPerSecond *= factor;
-        load.wideJobsPerSecond *= factor;
+        scaleToWorkers(load, values["load"].as<double>());
         Platform(load).run(seconds(spanSeconds));
         return 0;
     } catch (const std::exception &error) {
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -28,6 +28,7 @@
 /// the same fault comes again.
 enum class Fault {
     Restart, // of the process
+    Pause, // of the process for seconds; answers wait in its sockets meanwhile
     StoreSilent,
     AnswersLost, // of changes
     CutFromWorkers,
@@ -37,7 +38,7 @@
     LateOrders,
     None,
 };
-constexpr std::uint64_t FaultCount = 9;
+constexpr std::uint64_t FaultCount = 10;
 constexpr int WorkerCount = 5; // in worlds with faults
 
 std::string randomWorker(Random &random)
@@ -54,6 +55,13 @@
         world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(3000))));
         world.start(victim);
         break;
+    case Fault::Pause:
+        if (!target.node)
+            break;
+        target.timers->suspend();
+        world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(8000))));
+        target.timers->resume();
+        break;
     case Fault::StoreSilent:
         if (target.store)
             target.store->silent = !target.store->silent;
