A large request that finds no worker no longer hides room from smaller ones

Cause: when a large task was tried on the workers that had changed and fitted none, a smaller recorded request was marked as tried, too. The smaller one then passed over these workers until all are tried again, up to 200 ms later: room that was too small for the most urgent tasks stayed empty. Found by reading. Change: each size has its own record; the one that was tried last tells which workers are left to try. The new case of scheduler_test failed before.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -242,36 +242,49 @@
     return !request.bestEffort || now - request.lastTriedAt >= settings_.bestEffortRetryInterval;
 }
 
-/// A recorded request that no worker could take and that asks for no more than this task, or null.
-/// If there is one, the task can't be placed either: with equal images, the best-effort task that
-/// needs more CPU causes more interference.
-UnplacedRequest *Scheduler::findUnplacedRequest(const ScheduledTask &task) const
+/// The recorded request that was tried last among those that no worker could take and that ask for
+/// no more than this task, or null. If there is one, the task can't be placed either: with equal
+/// images, the best-effort task that needs more CPU causes more interference.
+const UnplacedRequest *Scheduler::findUnplacedRequest(const ScheduledTask &task) const
 {
     const StepSpec &step = stepOf(task);
-    const auto it =
-            std::find_if(planCache_->unplacedRequests.begin(), planCache_->unplacedRequests.end(),
-                         [&](const UnplacedRequest &request) {
-                             return step.cpu.value >= request.cpu
-                                    && step.memory.value >= request.memory
-                                    && step.accelerators >= request.accelerators
-                                    && step.bestEffort == request.bestEffort
-                                    && (!step.bestEffort || task.image == request.image)
-                                    && step.requirement == request.requirement
-                                    && task.job->queue.service == request.service;
-                         });
-    return it == planCache_->unplacedRequests.end() ? nullptr : &*it;
+    const UnplacedRequest *latest = nullptr;
+    for (const UnplacedRequest &request : planCache_->unplacedRequests) {
+        const bool asksForNoMore = step.cpu.value >= request.cpu
+                                   && step.memory.value >= request.memory
+                                   && step.accelerators >= request.accelerators;
+        if (asksForNoMore && isOfSameKind(task, request)
+            && (!latest || latest->lastTriedInPass < request.lastTriedInPass))
+            latest = &request;
+    }
+    return latest;
+}
+
+/// True if the same workers can run the task and the request, apart from their sizes.
+bool Scheduler::isOfSameKind(const ScheduledTask &task, const UnplacedRequest &request) const
+{
+    const StepSpec &step = stepOf(task);
+    return step.bestEffort == request.bestEffort
+           && (!step.bestEffort || task.image == request.image)
+           && step.requirement == request.requirement && task.job->queue.service == request.service;
 }
 
 /// Records that no worker can take the task. The caller has tried the workers that changed since
-/// the same request was last tried, or all workers if it was not.
+/// the same or a smaller request was last tried, or all workers if none was.
 void Scheduler::recordUnplacedRequest(const ScheduledTask &task, Time now)
 {
     const StepSpec &step = stepOf(task);
     if (step.antiAffinity > 0) // this limit of the step does not apply to other tasks
         return;
-    if (UnplacedRequest *request = findUnplacedRequest(task)) {
-        request->lastTriedInPass = planCache_->passNumber;
-        request->lastTriedAt = now;
+    // A smaller request may still fit on a worker that could not take this one.
+    for (UnplacedRequest &request : planCache_->unplacedRequests) {
+        const bool hasSameSize = step.cpu.value == request.cpu
+                                 && step.memory.value == request.memory
+                                 && step.accelerators == request.accelerators;
+        if (!hasSameSize || !isOfSameKind(task, request))
+            continue;
+        request.lastTriedInPass = planCache_->passNumber;
+        request.lastTriedAt = now;
         return;
     }
     planCache_->unplacedRequests.push_back({task.job->queue.service, step.bestEffort, task.image,
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -552,7 +552,8 @@
     void waitForRoom(ScheduledTask &task, Time now);
     bool isWorthAnotherTry(const UnplacedRequest &request, Time now) const;
     void assignGang(ScheduledJob &job, int occurrence, int step, Time now);
-    UnplacedRequest *findUnplacedRequest(const ScheduledTask &task) const;
+    const UnplacedRequest *findUnplacedRequest(const ScheduledTask &task) const;
+    bool isOfSameKind(const ScheduledTask &task, const UnplacedRequest &request) const;
     void recordUnplacedRequest(const ScheduledTask &task, Time now);
     void beginPass(Time now);
     enum class Obstacle;
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -88,6 +88,26 @@
     CHECK(current.front().task.job.str() == "fresh");
 }
 
+/// Load pattern: a large urgent task waits beside small tasks that are less urgent. Room for a
+/// small one becomes free.
+TEST_CASE("a large task that finds no room does not keep a smaller one from it")
+{
+    SchedulerHarness harness(1, 4000);
+    harness.add("running", {SchedulerHarness::step(4, 1000)});
+    const std::vector<StartOrder> running = harness.planAndStart();
+    REQUIRE(running.size() == 4);
+    harness.add("small", {SchedulerHarness::step(1, 1000)}, "batch");
+    CHECK(harness.planAndStart().empty());
+    harness.add("large", {SchedulerHarness::step(1, 3000)}, "urgent");
+    CHECK(harness.planAndStart().empty());
+    harness.endRun(running.front(), RunOutcome::Done);
+    harness.now += milliseconds(10);
+    harness.reportWorkers();
+    const std::vector<StartOrder> started = harness.planAndStart();
+    REQUIRE(started.size() == 1);
+    CHECK(started.front().task.job.str() == "small");
+}
+
 TEST_CASE("a failed task is retried on another worker, and its job fails after the last attempt")
 {
     SchedulerHarness harness(2);
