--- a/tests/unit/besteffort_test.cpp
+++ b/tests/unit/besteffort_test.cpp
@@ -69,7 +69,7 @@
 /// the pace of four such tasks in 30 s.
 int paceOrdersAroundLoad(double load, double minGain, std::uint64_t seed)
 {
-    constexpr double Coefficient = 2; // increase of service times, per share of the worker
+    constexpr double coefficient = 2; // increase of service times, per share of the worker
     SchedulingSettings settings;
     settings.minCommonPaceGain = minGain;
     SchedulerHarness harness(1, 16000, 64000, settings);
@@ -92,7 +92,7 @@
         for (const int pace : paces)
             share += pace / 100.0 * 250 / 16000;
         const double current = load + 0.04 * (random.unit() - 0.5);
-        const double slowdown = 1 + Coefficient * share;
+        const double slowdown = 1 + coefficient * share;
         const double tail = 100.0 / 6 * slowdown / std::max(1 - current * slowdown, 0.02);
         for (ActiveRun &row : harness.running[WorkerId("w0")]) {
             const bool isServing = row.task.job.str() == "serving";
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -26,7 +26,7 @@
 /// Changes a valid message in a few places.
 std::string mutate(const std::string &message, Random &random)
 {
-    static const std::vector<std::string> Tokens{"null",
+    static const std::vector<std::string> tokens{"null",
                                                  "-1",
                                                  "1e308",
                                                  "18446744073709551616",
@@ -58,7 +58,7 @@
             text.insert(at, text.substr(random.below(text.size()), length));
             break;
         case 4:
-            text.replace(at, length, Tokens[random.below(Tokens.size())]);
+            text.replace(at, length, tokens[random.below(tokens.size())]);
             break;
         default:
             text[at] = static_cast<char>(static_cast<unsigned char>(text[at])
