Log why a task of any kind finds no worker

Cause: task-waiting was written for interrupted long-running tasks alone. Change: the line is written for every task and gang that found no worker for 2 s, with the number of runs so far and the time to the objective. For all tasks but interrupted long-running ones, there are at most two lines a second.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -28,6 +28,7 @@
 constexpr double AffinityBonus = 1e6; // exceeds any difference between scores based on CPU
 constexpr double FailurePenalty = 1e7; // exceeds the affinity bonus
 constexpr Duration WaitLogInterval = seconds(2); // of one task
+constexpr Duration AnyWaitLogInterval = milliseconds(500); // of all tasks, to bound the volume
 constexpr Duration UnplacedRequestLifetime = milliseconds(200); // then every worker is tried again
 
 bool contains(const std::vector<std::string> &labels, const std::string &label)
@@ -225,13 +226,19 @@
 /// Makes room for a task that no worker can take, if it is a long-running one that was interrupted.
 void Scheduler::waitForRoom(ScheduledTask &task, Time now)
 {
-    if (!stepOf(task).longRunning || task.progress.run.value == 0)
-        return;
     logWaiting(task, now);
+    if (!isInterrupted(task))
+        return;
     if (now - task.waitingSince > settings_.preemptAfter)
         preemptFor(task, now);
 }
 
+/// True for a waiting long-running task that has run before.
+bool Scheduler::isInterrupted(const ScheduledTask &task) const
+{
+    return stepOf(task).longRunning && task.progress.run.value > 0;
+}
+
 /// False for a request that was tried in this pass, and for one of best-effort tasks that was tried
 /// a moment ago: under a flood many of them wait, each worker changes several times a second, and
 /// trying all of them each time costs more than the rest of the pass.
@@ -328,8 +335,10 @@
     }
     for (ScheduledTask *task : reserved)
         release(*task);
-    if (reserved.size() < members.size())
+    if (reserved.size() < members.size()) {
+        logWaiting(*members[reserved.size()], now);
         return;
+    }
     RunNumber run{0}; // one number and one checkpoint for all members
     std::string checkpoint;
     for (const ScheduledTask *task : members) {
@@ -405,22 +414,28 @@
     return Obstacle::None;
 }
 
-/// Logs now and then why a long-running task that was interrupted still waits: the number of
-/// workers by what keeps the task from running there.
-void Scheduler::logWaiting(ScheduledTask &task, Time now) const
+/// Logs now and then why a task still waits: the number of workers by what keeps the task from
+/// running there. An interrupted long-running task is always logged, of the others only some.
+void Scheduler::logWaiting(ScheduledTask &task, Time now)
 {
     if (now - std::max(task.waitingSince, task.waitLoggedAt) < WaitLogInterval)
         return;
+    if (!isInterrupted(task) && now - waitLoggedAt_ < AnyWaitLogInterval)
+        return;
     task.waitLoggedAt = now;
+    waitLoggedAt_ = now;
     std::array<int, static_cast<std::size_t>(Obstacle::Count)> workers{};
     for (const auto &[id, worker] : workers_)
         ++workers.at(static_cast<std::size_t>(obstacleOn(*worker, task, now)));
-    LogEvent event{LogLevel::Info,
-                   "task-waiting",
-                   "an interrupted long-running task finds no worker; the fields count workers by "
-                   "what keeps it from running there",
-                   {{"task", formatTaskRef(task.ref)},
-                    {"waitedMs", std::to_string(wholeMilliseconds(now - task.waitingSince))}}};
+    LogEvent event{
+            LogLevel::Info,
+            "task-waiting",
+            "a task finds no worker; the fields count workers by what keeps it from running "
+            "there",
+            {{"task", formatTaskRef(task.ref)},
+             {"runs", std::to_string(task.progress.run.value)},
+             {"waitedMs", std::to_string(wholeMilliseconds(now - task.waitingSince))},
+             {"objectiveInMs", std::to_string(wholeMilliseconds(objectiveOf(*task.job) - now))}}};
     for (std::size_t i = 0; i < workers.size(); ++i) {
         if (workers.at(i) > 0)
             event.fields.emplace_back(obstacleName(static_cast<Obstacle>(i)),
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -559,7 +559,8 @@
     enum class Obstacle;
     static const char *obstacleName(Obstacle obstacle);
     Obstacle obstacleOn(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
-    void logWaiting(ScheduledTask &task, Time now) const;
+    bool isInterrupted(const ScheduledTask &task) const;
+    void logWaiting(ScheduledTask &task, Time now);
     std::optional<double> scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
                                   Time now) const;
     std::vector<Candidate> candidatesFor(const ScheduledTask &task, std::uint64_t sincePass,
@@ -576,6 +577,7 @@
     LogHook log_;
     Time startedAt_;
     Time nextWorkerCheckAt_{};
+    Time waitLoggedAt_{}; // last log line that said why a task waits
     std::map<QueueId, double> durationFactors_; // ratio of measured to estimated durations
     std::optional<std::int64_t> wallOffset_; // time of day minus the steady clock, in ms
     QueueConfig config_;
--- a/tests/fakes/schedulerharness.h
+++ b/tests/fakes/schedulerharness.h
@@ -21,7 +21,7 @@
     explicit SchedulerHarness(int workerCount, std::uint64_t cpu = 16000,
                               std::uint64_t memory = 64000, SchedulingSettings settings = {})
         : scheduler(
-                settings, seconds(10), [](const LogEvent &) {}, now)
+                settings, seconds(10), [this](const LogEvent &event) { log.push_back(event); }, now)
     {
         QueueConfig config;
         config.version = 1;
@@ -117,6 +117,7 @@
     JobState state(const std::string &id) const { return scheduler.jobs().at(JobId(id))->state; }
 
     Time now{std::chrono::hours(1)};
+    std::vector<LogEvent> log;
     Scheduler scheduler;
     std::vector<WorkerEntry> entries;
     std::map<WorkerId, std::vector<ActiveRun>> running;
