End the runs of a worker at once when another one answers at its address

What callers saw: tasks of long-running jobs, and others, did not run for eight seconds and more after their worker had crashed (LOST: a task is to last and does not run, with room for it). Cause: a call that is answered 421 (another worker listens there) was treated like one without an answer. It proves that the worker that was called has ended, and its runs with it; they waited for the end of its whole lease all the same, and the coordinator went on calling, four times a second, as long as the registry listed the worker or runs were assigned to it. Change: such an answer to any call marks this incarnation as ended. Its runs end at once, it gets no tasks and no calls, starts that wait for their record go elsewhere, and it does not count when a coordinator asks itself whether it reaches most workers. The answer counts for the incarnation that was called, so that a late one harms no successor.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -132,7 +132,7 @@
     OldRun, // the worker has already stopped or ended this run or a later one of the task
     Fenced, // the worker has seen a higher fencing token
     Refused, // rejected for another reason; the call has had no effect
-    OtherIncarnation, // another process answers at the worker's address
+    OtherIncarnation, // another worker answers at the address: the one that was called has ended
     Unknown, // no answer: the call may have taken effect or may still do so
 };
 
@@ -478,6 +478,8 @@
     void checkLink(const WorkerId &id, Time now);
     void sendRenewal(const WorkerEntry &worker, WorkerLink &link, Time now);
     void requestReport(const WorkerId &id, Time now);
+    void checkWorkerIdentity(const WorkerId &id, WorkerIncarnation incarnation,
+                             const WorkerCallResult &callResult, Time now);
     void updateUnreachableRecord(const ScheduledWorker &worker, WorkerLink &link, Time now);
     void writeUnreachableRecord(const WorkerId &id, bool isUnreachable);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -42,21 +42,23 @@
         const auto worker = scheduler_->workers().find(order.worker);
         if (worker == scheduler_->workers().end())
             continue;
-        ports_.workers.stop(worker->second->entry, order, token_,
-                            [this, order, alive = std::weak_ptr<int>(alive_)](
-                                    const WorkerCallResult &callResult, Time eventTime) {
-                                if (alive.expired() || isDeposed_)
-                                    return;
-                                if (callResult.status == WorkerCallStatus::Fenced)
-                                    depose("a worker has seen a higher fencing token; another "
-                                           "process is the coordinator");
-                                scheduler_->onStopAnswered(
-                                        order, callResult.status == WorkerCallStatus::Ok,
-                                        eventTime);
-                                if (callResult.status == WorkerCallStatus::Ok)
-                                    requestReport(order.worker, eventTime);
-                                schedulePass();
-                            });
+        ports_.workers.stop(
+                worker->second->entry, order, token_,
+                [this, order, incarnation = worker->second->entry.incarnation,
+                 alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult,
+                                                     Time eventTime) {
+                    if (alive.expired() || isDeposed_)
+                        return;
+                    checkWorkerIdentity(order.worker, incarnation, callResult, eventTime);
+                    if (callResult.status == WorkerCallStatus::Fenced)
+                        depose("a worker has seen a higher fencing token; another "
+                               "process is the coordinator");
+                    scheduler_->onStopAnswered(order, callResult.status == WorkerCallStatus::Ok,
+                                               eventTime);
+                    if (callResult.status == WorkerCallStatus::Ok)
+                        requestReport(order.worker, eventTime);
+                    schedulePass();
+                });
     }
     for (const PaceOrder &order : scheduler_->takePaces()) {
         const auto worker = scheduler_->workers().find(order.worker);
@@ -79,10 +81,12 @@
     }
     ports_.workers.start(
             found->second->entry, order, token_, end,
-            [this, order, alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult,
-                                                              Time eventTime) {
+            [this, order, incarnation = found->second->entry.incarnation,
+             alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult,
+                                                 Time eventTime) {
                 if (alive.expired() || isDeposed_)
                     return;
+                checkWorkerIdentity(order.worker, incarnation, callResult, eventTime);
                 StartOutcome outcome = StartOutcome::Refused;
                 switch (callResult.status) {
                 case WorkerCallStatus::Ok:
@@ -167,7 +171,7 @@
 void Coordinator::checkLink(const WorkerId &id, Time now)
 {
     const auto worker = scheduler_->workers().find(id);
-    if (worker == scheduler_->workers().end())
+    if (worker == scheduler_->workers().end() || worker->second->hasEnded)
         return;
     WorkerLink &link = links_[id];
     if (link.awaitsStoredEnds && !scheduler_->hasPendingAcknowledgements(id)) {
@@ -243,13 +247,25 @@
             isSameIncarnation ? scheduler_->acknowledgeablePosition(worker.id) : 0;
     link.isRenewalInFlight = true;
     ports_.workers.renew(worker, token_, grantWorkerLease(worker.id, now), acknowledged, wait,
-                         [this, id = worker.id, sentAt = now, alive = std::weak_ptr<int>(alive_)](
-                                 const WorkerCallResult &callResult, Time eventTime) {
-                             if (!alive.expired() && !isDeposed_)
-                                 onRenewed(id, sentAt, callResult, eventTime);
+                         [this, id = worker.id, incarnation = worker.incarnation, sentAt = now,
+                          alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult,
+                                                              Time eventTime) {
+                             if (alive.expired() || isDeposed_)
+                                 return;
+                             checkWorkerIdentity(id, incarnation, callResult, eventTime);
+                             onRenewed(id, sentAt, callResult, eventTime);
                          });
 }
 
+/// Tells the scheduler if the answer proves that the called worker has ended. The incarnation is
+/// the one that was known when the call was sent.
+void Coordinator::checkWorkerIdentity(const WorkerId &id, WorkerIncarnation incarnation,
+                                      const WorkerCallResult &callResult, Time now)
+{
+    if (callResult.status == WorkerCallStatus::OtherIncarnation)
+        scheduler_->onWorkerEnded(id, incarnation, now);
+}
+
 /// Requests a worker's lists of runs at once, in parallel to a renewal that may be waiting there.
 /// Used when a task waits for them: after a stop, and after a start whose outcome is unknown.
 void Coordinator::requestReport(const WorkerId &id, Time now)
@@ -322,8 +338,9 @@
     std::size_t listed = 0;
     std::size_t reached = 0;
     for (const auto &[id, worker] : scheduler_->workers()) {
-        listed += worker->listed ? 1 : 0;
-        reached += worker->listed && now - worker->lastReport < WorkerReachTimeout ? 1 : 0;
+        const bool isUsable = worker->listed && !worker->hasEnded;
+        listed += isUsable ? 1 : 0;
+        reached += isUsable && now - worker->lastReport < WorkerReachTimeout ? 1 : 0;
     }
     return static_cast<double>(reached) >= MinReachedShare * static_cast<double>(listed);
 }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -97,7 +97,9 @@
 
 bool Scheduler::acceptsTasks(const ScheduledWorker &worker, Time now) const
 {
-    if (!worker.listed || !worker.hasReported || worker.lastCallFailed || worker.entry.draining)
+    if (!worker.listed || worker.hasEnded || worker.entry.draining)
+        return false;
+    if (!worker.hasReported || worker.lastCallFailed)
         return false;
     if (now - worker.lastReport > settings_.maxReportAge || now < worker.startBackoffUntil)
         return false;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -383,6 +383,7 @@
     bool listed = true; // present in the registry
     bool hasReported = false; // in this incarnation
     bool lastCallFailed = false; // or got no response; reset by the next report
+    bool hasEnded = false; // this incarnation is gone, although the registry may still list it
     Time lastReport{};
     Time leaseExpiry{}; // all leases granted to the worker have expired by then
     std::uint64_t acknowledgedPosition = 0; // ended runs up to this position may be forgotten
@@ -435,6 +436,9 @@
     void onReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now);
     /// A call to the worker failed: it gets no new tasks until its next report.
     void onUnreachable(const WorkerId &id);
+    /// This incarnation of the worker has certainly ended, and its runs with it, because another
+    /// worker answers at its address.
+    void onWorkerEnded(const WorkerId &id, WorkerIncarnation incarnation, Time now);
     /// The leases of this incarnation of the worker have not been renewed since before this
     /// coordinator started.
     void onLeaseNotRenewed(const WorkerId &id, WorkerIncarnation incarnation, Time now);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -72,6 +72,7 @@
 void Scheduler::resetWorker(ScheduledWorker &worker, Time now)
 {
     expireWorkerRuns(worker, now);
+    worker.hasEnded = false;
     worker.acknowledgedPosition = 0;
     worker.lastProcessedPosition = 0;
     worker.pendingAcknowledgements.clear();
@@ -163,6 +164,24 @@
         it->second->lastCallFailed = true;
 }
 
+void Scheduler::onWorkerEnded(const WorkerId &id, WorkerIncarnation incarnation, Time now)
+{
+    const auto it = workers_.find(id);
+    if (it == workers_.end())
+        return;
+    ScheduledWorker &worker = *it->second;
+    if (worker.entry.incarnation != incarnation || worker.hasEnded)
+        return;
+    worker.hasEnded = true;
+    log_({LogLevel::Warning,
+          "worker-ended",
+          "another worker answers at the worker's address, so the worker and its runs have ended",
+          {{"worker", id.str()},
+           {"runs", std::to_string(worker.tasks.size())},
+           {"reportAgeMs", std::to_string(wholeMilliseconds(now - worker.lastReport))}}});
+    expireWorkerRuns(worker, now);
+}
+
 void Scheduler::onReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now)
 {
     const auto it = workers_.find(id);
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -54,6 +54,7 @@
         WorkerEntry entry;
         bool up = true;
         bool reachable = true; // by all processes
+        bool replaced = false; // another worker answers at its address
         std::uint64_t token = 0;
         Time leaseEnd{};
         std::uint64_t clockOffset = 0;
@@ -101,6 +102,19 @@
         worker.up = true;
     }
 
+    /// The worker crashes, and another one starts at its address.
+    Worker &replace(const std::string &id, const std::string &newId)
+    {
+        Worker &worker = at(id);
+        worker.up = false;
+        worker.replaced = true;
+        worker.running.clear();
+        WorkerEntry entry = worker.entry;
+        entry.id = WorkerId(newId);
+        entry.incarnation.value += 1000;
+        return add(entry);
+    }
+
     int runningCount() const
     {
         int count = 0;
@@ -299,6 +313,18 @@
         return isThere && !cut ? &it->second : nullptr;
     }
 
+    /// Answers a call if another worker listens at the address.
+    bool answersAsOther(const WorkerEntry &worker, const WorkerCallback &done)
+    {
+        const auto it = runners_.all().find(worker.id);
+        if (cut || it == runners_.all().end() || !it->second.replaced || !it->second.reachable)
+            return false;
+        WorkerCallResult call;
+        call.status = WorkerCallStatus::OtherIncarnation;
+        answer(call, done);
+        return true;
+    }
+
     void answer(const WorkerCallResult &call, const WorkerCallback &done)
     {
         timers_.after(latency, [call, done](Time now) { done(call, now); });
@@ -312,6 +338,8 @@
                 isLate ? milliseconds(2000 + static_cast<std::int64_t>(random.below(10000)))
                        : latency;
         timers_.clock().after(delay, [this, worker, act = std::move(act), done, isLate] {
+            if (!isLate && answersAsOther(worker, done))
+                return;
             FakeRunners::Worker *target = reach(worker);
             if (target && target->entry.incarnation != worker.incarnation)
                 target = nullptr;
@@ -336,6 +364,8 @@
               std::uint64_t acknowledged, Time until, WorkerIncarnation seen,
               const WorkerCallback &done)
     {
+        if (answersAsOther(worker, done))
+            return;
         FakeRunners::Worker *target = reach(worker);
         const bool isRestarted = target && seen.value > 0 && target->entry.incarnation != seen;
         if (!target || isRestarted) {
--- a/tests/unit/workerloss_test.cpp
+++ b/tests/unit/workerloss_test.cpp
@@ -2,6 +2,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "fakes/fleetworld.h"
 #include "fakes/schedulerharness.h"
 
 using namespace monsoonledge;
@@ -24,6 +25,15 @@
     return {};
 }
 
+/// A job of four long-running tasks, of which a worker can run two.
+JobSpec lastingJob()
+{
+    JobSpec spec = FleetWorld::job("lasting", 4, "ms=600000");
+    spec.steps[0].longRunning = true;
+    spec.steps[0].cpu.value = 6000;
+    return spec;
+}
+
 } // namespace
 
 TEST_CASE("the log says why a task of any kind waits for a worker")
@@ -49,3 +59,41 @@
     }
     CHECK(lastField(harness, "task-waiting", "task") == "gang.0.0.2");
 }
+
+TEST_CASE("runs of a crashed worker start elsewhere as soon as another worker has its address")
+{
+    FleetWorld world(2, 2);
+    REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
+    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+    world.clock.advance(seconds(2));
+    const Time crashedAt = world.clock.now();
+    world.runners.at("w0").up = false;
+    world.clock.advance(seconds(2));
+    CHECK(world.runners.runningCount() == 2);
+    // The crashed worker stays in the registry until its heartbeats have been missed.
+    world.runners.replace("w0", "w2");
+    world.publish("w2");
+    CHECK(world.wait([&] { return world.runners.runningCount() == 4; }, seconds(2)));
+    CHECK(world.clock.now() - crashedAt < seconds(4)); // the lease is longer than that
+    CHECK(world.runners.findings.empty());
+}
+
+TEST_CASE("a late answer for a former incarnation does not end the runs of the present one")
+{
+    SchedulerHarness harness(1);
+    harness.add("a", {SchedulerHarness::step(1)});
+    harness.entries[0].incarnation.value = 2;
+    harness.scheduler.setWorkers(harness.entries, harness.now);
+    harness.reportWorkers();
+    REQUIRE(harness.planAndStart().size() == 1);
+    harness.scheduler.onWorkerEnded(WorkerId("w0"), WorkerIncarnation{1}, harness.now);
+    CHECK(harness.planAndStart().empty());
+    harness.scheduler.onWorkerEnded(WorkerId("w0"), WorkerIncarnation{2}, harness.now);
+    CHECK(harness.planAndStart().empty()); // no other worker
+    // The worker comes back under its id.
+    harness.entries[0].incarnation.value = 3;
+    harness.running.clear();
+    harness.scheduler.setWorkers(harness.entries, harness.now);
+    harness.reportWorkers();
+    CHECK(harness.planAndStart().size() == 1);
+}
