Do not count leases that were never received by a crashed worker

Cause: each retry of a renewal granted a lease before the call was made, also when the last one found nothing that listens at the worker's address. These leases never arrived, but prolonged the time after which the coordinator takes the runs for ended. A start order to such a worker did the same. Change: after a renewal that found no connection, the next ones carry no lease until one is answered; a start whose worker has failed a call since its assignment is given to another worker instead. A worker that is silent, without refusing connections, is renewed as before: its answers may be lost, and its runs go on. Result: workerloss_test, 'calls to a crashed worker do not prolong the wait for its lease', failed before (longer than 6.4 s) and passes; 'workers that are silent for a moment again and again keep their runs' passes before and after.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -132,6 +132,7 @@
     OldRun, // the worker has already stopped or ended this run or a later one of the task
     Fenced, // the worker has seen a higher fencing token
     Refused, // rejected for another reason; the call has had no effect
+    NotSent, // no connection was made, for example because nothing listens at the address
     OtherIncarnation, // another worker answers at the address: the one that was called has ended
     Unknown, // no answer: the call may have taken effect or may still do so
 };
@@ -444,6 +445,7 @@
         Time clockReceivedAt{};
         UnreachableRecord unreachableRecord = UnreachableRecord::Absent;
         bool isConfirmed = false; // `incarnation` has answered the last renewal
+        bool isRefusing = false; // the last renewal was not sent for lack of a connection
         bool awaitsStoredEnds = false; // the next renewal is delayed until ended runs are stored,
                                        // so that it can acknowledge them
     };
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -106,6 +106,7 @@
                            "coordinator");
                     return;
                 case WorkerCallStatus::Refused:
+                case WorkerCallStatus::NotSent:
                 case WorkerCallStatus::OtherIncarnation:
                     break;
                 }
@@ -239,6 +240,9 @@
         wait = InterferenceRenewWait;
     if (isFirst || found->second->lastCallFailed)
         wait = Duration::zero();
+    // A lease that does not arrive only prolongs the time after which the worker's runs count as
+    // ended. If the worker accepts connections again, it gets its lease with the call after this.
+    const std::uint64_t leaseEnd = link.isRefusing ? 0 : grantWorkerLease(worker.id, now);
     // After a failed call, another incarnation of the worker may answer, whose list of ended runs
     // starts again at 1. A position in the former list would make it forget ends that no
     // coordinator has seen.
@@ -246,7 +250,7 @@
     const std::uint64_t acknowledged =
             isSameIncarnation ? scheduler_->acknowledgeablePosition(worker.id) : 0;
     link.isRenewalInFlight = true;
-    ports_.workers.renew(worker, token_, grantWorkerLease(worker.id, now), acknowledged, wait,
+    ports_.workers.renew(worker, token_, leaseEnd, acknowledged, wait,
                          [this, id = worker.id, incarnation = worker.incarnation, sentAt = now,
                           alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult,
                                                               Time eventTime) {
@@ -292,6 +296,7 @@
 {
     WorkerLink &link = links_[id];
     link.isRenewalInFlight = false;
+    link.isRefusing = callResult.status == WorkerCallStatus::NotSent;
     linksToCheck_.push_back(id);
     if (callResult.status == WorkerCallStatus::Fenced) {
         depose("a worker has seen a higher fencing token; another process is the coordinator");
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -461,7 +461,8 @@
         if (task.runState != RunState::AwaitingRecord || task.assignedInVersion > version)
             continue;
         const bool isStartable = !isFinal(job.state) && task.worker && task.worker->listed
-                                 && !task.worker->hasEnded && !task.worker->entry.draining
+                                 && !task.worker->hasEnded && !task.worker->lastCallFailed
+                                 && !task.worker->entry.draining
                                  && task.worker->entry.incarnation == task.progress.incarnation;
         if (!isStartable) { // no start order was sent
             requeueTask(task, Duration::zero(), now);
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -55,6 +55,7 @@
         bool up = true;
         bool reachable = true; // by all processes
         bool replaced = false; // another worker answers at its address
+        bool refuses = false; // its host is up, but nothing listens at its address
         std::uint64_t token = 0;
         Time leaseEnd{};
         std::uint64_t clockOffset = 0;
@@ -313,14 +314,17 @@
         return isThere && !cut ? &it->second : nullptr;
     }
 
-    /// Answers a call if another worker listens at the address.
-    bool answersAsOther(const WorkerEntry &worker, const WorkerCallback &done)
+    /// Answers a call if another worker, or nothing, listens at the address.
+    bool answersInstead(const WorkerEntry &worker, const WorkerCallback &done)
     {
         const auto it = runners_.all().find(worker.id);
-        if (cut || it == runners_.all().end() || !it->second.replaced || !it->second.reachable)
+        if (cut || it == runners_.all().end() || !it->second.reachable)
+            return false;
+        if (!it->second.replaced && !it->second.refuses)
             return false;
         WorkerCallResult call;
-        call.status = WorkerCallStatus::OtherIncarnation;
+        call.status = it->second.replaced ? WorkerCallStatus::OtherIncarnation
+                                          : WorkerCallStatus::NotSent;
         answer(call, done);
         return true;
     }
@@ -338,7 +342,7 @@
                 isLate ? milliseconds(2000 + static_cast<std::int64_t>(random.below(10000)))
                        : latency;
         timers_.clock().after(delay, [this, worker, act = std::move(act), done, isLate] {
-            if (!isLate && answersAsOther(worker, done))
+            if (!isLate && answersInstead(worker, done))
                 return;
             FakeRunners::Worker *target = reach(worker);
             if (target && target->entry.incarnation != worker.incarnation)
@@ -364,7 +368,7 @@
               std::uint64_t acknowledged, Time until, WorkerIncarnation seen,
               const WorkerCallback &done)
     {
-        if (answersAsOther(worker, done))
+        if (answersInstead(worker, done))
             return;
         FakeRunners::Worker *target = reach(worker);
         const bool isRestarted = target && seen.value > 0 && target->entry.incarnation != seen;
--- a/tests/unit/workerloss_test.cpp
+++ b/tests/unit/workerloss_test.cpp
@@ -78,6 +78,39 @@
     CHECK(world.runners.findings.empty());
 }
 
+TEST_CASE("calls to a crashed worker do not prolong the wait for its lease")
+{
+    FleetWorld world(2, 4);
+    REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
+    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+    world.clock.advance(seconds(2));
+    const Time crashedAt = world.clock.now();
+    world.runners.at("w0").up = false;
+    world.runners.at("w0").refuses = true;
+    CHECK(world.wait([&] { return world.runners.runningCount() == 4; }, seconds(12)));
+    // No lease is longer than 6 seconds by the worker's clock, which may be 2% slow.
+    CHECK(world.clock.now() - crashedAt < milliseconds(6400));
+    CHECK(world.runners.findings.empty());
+}
+
+TEST_CASE("workers that are silent for a moment again and again keep their runs")
+{
+    FleetWorld world(2, 2);
+    REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
+    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+    for (int i = 0; i < 8; ++i) {
+        world.clock.advance(seconds(2));
+        for (auto &[id, worker] : world.runners.all())
+            worker.reachable = false;
+        world.clock.advance(milliseconds(1500));
+        for (auto &[id, worker] : world.runners.all())
+            worker.reachable = true;
+    }
+    CHECK(world.runners.runningCount() == 4);
+    for (const auto &[key, count] : world.runners.starts)
+        CHECK(count == 1);
+}
+
 TEST_CASE("a late answer for a former incarnation does not end the runs of the present one")
 {
     SchedulerHarness harness(1);
