A successor waits for leases from its election on, and leases end 7 s after the last contact to the store

What callers saw: LOST, 'a task is to last and does not run, with capacity for it': workers were gone for good, the coordinator was killed right after, and their tasks ran again only 12 s later. Cause: a successor cannot know until when its predecessor has renewed the leases of a worker that nobody reaches. It waited for the longest case, 3 s of renewals without the store and then a lease of 6 s and a tenth, counted from the time when it had loaded everything. Change: no lease ends later than 7 s after the coordinator's last contact to the store, whatever the renewals in between grant. The predecessor's last contact was before its record was removed, so the successor counts from its election. Runs survive an outage of the store of 7 s instead of 8.5. Result: workerloss_test, 'a successor does not wait too long for the runs of a worker that is gone for good', failed before (longer than 10 s) and passes; invariant_fleet_test passes.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -34,6 +34,7 @@
       recordRevision_(recordRevision), token_{recordRevision.value}, hooks_(std::move(hooks)),
       startedAt_(now), lastStoreContact_(now), lastCleanup_(now)
 {
+    assert(settings_.renewalGrace < settings_.maxLeaseWithoutStore);
     jobsLoader_ = std::make_unique<PrefixWatch>(
             ports_, keys::JobsPrefix, settings_.watchWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
@@ -114,9 +115,11 @@
 {
     if (scheduler_ || !areJobsLoaded_ || !areWorkersLoaded_ || !areUnreachableLoaded_)
         return;
-    // Leases that a former coordinator renewed after it had lost the store can last this long.
+    // A former coordinator has had no contact with the store since its record was removed, which
+    // was before this coordinator was elected.
     const Duration formerLeaseLimit =
-            settings_.renewalGrace + settings_.maxWorkerLease + settings_.maxWorkerLease / 10;
+            std::chrono::duration_cast<Duration>(settings_.maxLeaseWithoutStore / MinWorkerClockRate
+                                                 + LeaseExpiryMargin - (now - startedAt_));
     settings_.scheduling.maxLeaseDuration = std::chrono::duration_cast<Duration>(
             settings_.maxWorkerLease / MinWorkerClockRate + LeaseExpiryMargin);
     scheduler_ =
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -189,6 +189,9 @@
     Duration renewalGrace = seconds(3);
     Duration maxWorkerLease = seconds(6); // the workers shorten longer leases to this
     Duration requestedWorkerLease = milliseconds(5500); // requested at a start or renewal
+    // No lease of a worker ends later than this after the coordinator's last contact with the
+    // store. A successor waits for it before it starts the runs of unreachable workers again.
+    Duration maxLeaseWithoutStore = seconds(7);
     Duration renewWait = seconds(1); // after which a worker without news answers a renewal
     Duration jobWatchPause = milliseconds(700); // between two watches of submitted jobs
     Duration backlogInterval = seconds(1); // between two reports of the backlog by the coordinator
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -143,8 +143,9 @@
         return 0;
     const auto elapsed =
             static_cast<std::uint64_t>(wholeMilliseconds(now - workerLink.clockReceivedAt));
-    const auto lease =
-            static_cast<std::uint64_t>(wholeMilliseconds(settings_.requestedWorkerLease));
+    const Duration longest = lastStoreContact_ + settings_.maxLeaseWithoutStore - now;
+    const auto lease = static_cast<std::uint64_t>(
+            wholeMilliseconds(std::min(settings_.requestedWorkerLease, longest)));
     const std::uint64_t end = workerLink.clock + elapsed + lease;
     // If the worker's clock is slow, the lease lasts longer in real time.
     const auto longestMs = static_cast<std::int64_t>(static_cast<double>(end - workerLink.clock)
--- a/tests/unit/workerloss_test.cpp
+++ b/tests/unit/workerloss_test.cpp
@@ -93,6 +93,22 @@
     CHECK(world.runners.findings.empty());
 }
 
+TEST_CASE("a successor does not wait too long for the runs of a worker that is gone for good")
+{
+    FleetWorld world(2, 4);
+    REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
+    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+    world.clock.advance(seconds(2));
+    world.runners.at("w0").up = false;
+    world.runners.at("w0").refuses = true;
+    world.clock.advance(milliseconds(400));
+    const Time killedAt = world.clock.now();
+    world.kill(world.coordinator());
+    CHECK(world.wait([&] { return world.runners.runningCount() == 4; }, seconds(20)));
+    CHECK(world.clock.now() - killedAt < seconds(10));
+    CHECK(world.runners.findings.empty());
+}
+
 TEST_CASE("workers that are silent for a moment again and again keep their runs")
 {
     FleetWorld world(2, 2);
