Reject numbers out of range and odd values of the store at the boundary

Another writer may leave entries among those of the workers, and values in the store may not be what their readers expect.

Named limits in jobs.h now hold for all of them; validateJob() checks them for submissions and stored records.

--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -9,6 +9,24 @@
 constexpr int MaxSteps = 64;
 constexpr int MaxTasks = 10000; // in all steps
 
+bool isDurationInRange(Duration duration)
+{
+    return duration >= Duration::zero() && duration <= milliseconds(MaxDurationMs);
+}
+
+/// Returns what is out of range, or an empty string.
+std::string validateNumbers(const StepSpec &step)
+{
+    if (step.cpu.value > MaxCapacity || step.memory.value > MaxCapacity || step.accelerators < 0
+        || step.accelerators > MaxAccelerators)
+        return "requests resources that are out of range";
+    if (!isDurationInRange(step.estimate) || !isDurationInRange(step.tailLatencyTarget))
+        return "has a duration that is negative or longer than a year";
+    if (step.antiAffinity < 0 || step.maxUnavailable < 0)
+        return "has a negative limit";
+    return {};
+}
+
 } // namespace
 
 std::string validateJob(const JobSpec &spec)
@@ -26,6 +44,9 @@
         if (step.count > MaxTasks)
             return name + " has more than 10000 tasks";
         tasks += step.count;
+        const std::string outOfRange = validateNumbers(step);
+        if (!outOfRange.empty())
+            return name + ' ' + outOfRange;
         for (const int before : step.after) {
             if (before < 0 || before >= static_cast<int>(i))
                 return name + " waits for a step that is not before it";
@@ -33,6 +54,11 @@
     }
     if (tasks > MaxTasks)
         return "more than 10000 tasks";
+    if (spec.occurrences < 0
+        || std::int64_t{spec.occurrences} * tasks > std::int64_t{MaxTasksOfAllOccurrences})
+        return "a negative number of occurrences, or more than 200000 tasks in all of them";
+    if (spec.firstDue.value > MaxTimestampMs || !isDurationInRange(spec.interval))
+        return "the times of the occurrences are out of range";
     return {};
 }
 
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -89,6 +89,14 @@
     WallMilliseconds submitted; // when the entry process received it
 };
 
+// Limits of what clients, workers and other writers may state. Larger values are errors; arithmetic
+// on values within the limits cannot overflow.
+constexpr std::int64_t MaxDurationMs = std::int64_t{366} * 24 * 3600 * 1000; // a year
+constexpr std::uint64_t MaxTimestampMs = 4102444800000; // the year 2100 in Unix time
+constexpr std::uint64_t MaxCapacity = 1000000000; // processor time in millicores, or memory in MiB
+constexpr int MaxAccelerators = 100000;
+constexpr int MaxTasksOfAllOccurrences = 200000; // of a job; each task takes memory
+
 /// Returns the reason why the job can never run, or an empty string. Clients see the reason.
 std::string validateJob(const JobSpec &spec);
 
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -61,6 +61,15 @@
                         wholeMilliseconds(step.tailLatencyTarget), step.maxUnavailable});
 }
 
+/// Throws std::out_of_range if the duration is out of range.
+Duration decodeDuration(const Json &json)
+{
+    const auto count = json.get<std::int64_t>();
+    if (count < 0 || count > MaxDurationMs)
+        throw std::out_of_range("a duration is out of range");
+    return milliseconds(count);
+}
+
 StepSpec decodeStep(const Json &json)
 {
     StepSpec step;
@@ -68,7 +77,7 @@
     step.cpu.value = json.at(1).get<std::uint64_t>();
     step.memory.value = json.at(2).get<std::uint64_t>();
     step.accelerators = json.at(3).get<int>();
-    step.estimate = milliseconds(json.at(4).get<std::int64_t>());
+    step.estimate = decodeDuration(json.at(4));
     step.after = json.at(5).get<std::vector<int>>();
     const auto flags = json.at(6).get<unsigned>();
     step.checkpointing = (flags & Checkpointing) != 0;
@@ -81,7 +90,7 @@
     step.affinity = json.at(8).get<std::string>();
     step.antiAffinity = json.at(9).get<int>();
     step.image = json.at(10).get<std::string>();
-    step.tailLatencyTarget = milliseconds(json.at(11).get<std::int64_t>());
+    step.tailLatencyTarget = decodeDuration(json.at(11));
     step.maxUnavailable = json.at(12).get<int>();
     return step;
 }
@@ -169,9 +178,11 @@
             spec.steps.push_back(decodeStep(step));
         spec.occurrences = json.at(5).get<int>();
         spec.firstDue.value = json.at(6).get<std::uint64_t>();
-        spec.interval = milliseconds(json.at(7).get<std::int64_t>());
+        spec.interval = decodeDuration(json.at(7));
         spec.submitted.value = json.at(8).get<std::uint64_t>();
-        return spec;
+        // Another writer may have changed the record.
+        const bool isValid = validateJob(spec).empty() && spec.submitted.value <= MaxTimestampMs;
+        return isValid ? std::optional<JobSpec>(spec) : std::nullopt;
     } catch (const std::exception &) { // the caller logs the key of the record
         return std::nullopt;
     }
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -74,7 +74,7 @@
         const FleetPorts ports{*process.store,
                                *process.workers,
                                *process.timers,
-                               FleetDecoders{decodeConfig, decodeWorker},
+                               FleetDecoders{decodeConfig, workerDecoder},
                                [this] { return wall(); },
                                [this](const LogEvent &event) { log.push_back(event.event); }};
         process.node = std::make_unique<FleetNode>(settings, ports, random.next(), clock.now());
@@ -177,6 +177,9 @@
     std::vector<Process> processes;
     std::vector<std::string> log;
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
+    // Of the workers' entries; taken at the start of a process.
+    std::function<std::optional<WorkerEntry>(const std::string &, const std::string &)>
+            workerDecoder = decodeWorker;
 
 private:
     static std::optional<QueueConfig> decodeConfig(const std::string &value)
