Start no run of a job whose progress record is unreadable

A new coordinator started such a job from its beginning, so work that had run, or still went on, ran again. The same held for a record that lacks some of the job's tasks.

Such a job is now set aside: it stays active for clients, or has the state that alone can be read; no run of it is started; runs that go on are left alone unless the job is cancelled. Its key and revision are logged as an error, its specification stays, and a cancellation is answered. The backlog does not count it.

A malformed specification cost no other job before or after; the test keeps that.

--- a/src/fleet/clients.cpp
+++ b/src/fleet/clients.cpp
@@ -98,8 +98,11 @@
         if (alive.expired())
             return;
         if (result.status == KeyValueStatus::Ok) {
-            if (const std::optional<JobState> state = decodeState(result.items.front().value))
-                jobView_.setState(id, *state);
+            const KeyValue &record = result.items.front();
+            if (!jobView_.apply(record))
+                log(LogLevel::Error, "record-unreadable",
+                    "the progress record of a job is malformed; its last known state is shown",
+                    {{"key", record.key}, {"revision", std::to_string(record.revision.value)}});
         }
         // If the store does not answer, the last known state is returned.
         done(JobAnswer::Accepted, jobView_.state(id).value_or(known), now);
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -24,6 +24,16 @@
 constexpr std::size_t RemovalsPerWrite = (MaxTransactionEntries - 1) / 3; // jobs, of 3 keys each
 constexpr Duration MaxJobAge = seconds(600); // older submissions count as this old
 
+/// True if the record has all tasks of each occurrence that it begins, as records are written.
+bool coversAllTasks(const JobSpec &spec, const JobProgress &progress)
+{
+    std::size_t tasks = 0;
+    for (const StepSpec &step : spec.steps)
+        tasks += static_cast<std::size_t>(step.count);
+    return spec.occurrences == 0 ? progress.tasks.size() == tasks
+                                 : progress.tasks.size() % tasks == 0;
+}
+
 } // namespace
 
 // [1] Loading
@@ -133,11 +143,7 @@
         if (std::optional<JobProgress> decoded = decodeProgress(item.value))
             progress.emplace(*id, std::move(*decoded));
         else
-            ports_.log(
-                    {LogLevel::Error,
-                     "record-unreadable",
-                     "the progress record of a job is malformed; the job starts from its beginning",
-                     {{"key", item.key}}});
+            setAside(*id, item);
     }
     for (const KeyValue &item : loadedJobItems_) {
         const std::optional<JobId> id = keys::parse(keys::SpecPrefix, item.key);
@@ -166,6 +172,17 @@
     scheduleTick();
 }
 
+/// Excludes a job with an unreadable progress record from scheduling. If it started from its
+/// beginning, work that is done or still going on would run a second time.
+void Coordinator::setAside(const JobId &id, const KeyValue &progress)
+{
+    jobsSetAside_.insert(id);
+    ports_.log({LogLevel::Error,
+                "record-unreadable",
+                "the progress record of a job is malformed; no run of the job is started",
+                {{"key", progress.key}, {"revision", std::to_string(progress.revision.value)}}});
+}
+
 // [2] Changes by clients, workers and operators
 
 void Coordinator::addJobFromSpec(const KeyValue &item, const std::optional<JobProgress> &progress,
@@ -180,6 +197,10 @@
         return;
     }
     jobView_.setSpec(spec->id, spec->queue);
+    if (progress && !coversAllTasks(*spec, *progress))
+        setAside(spec->id, {keys::progress(spec->id), {}, progressRevisions_[spec->id], false});
+    if (jobsSetAside_.count(spec->id) > 0)
+        return;
     scheduler_->addJob(*spec, progress, scheduler_->toSteadyTime(spec->submitted, MaxJobAge, now),
                        now);
     // Reloaded keys arrive in alphabetical order, so cancellations come before the jobs.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -37,6 +37,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace monsoonledge {
@@ -459,6 +460,7 @@
     void onWorkerEvents(const std::vector<KeyValue> &events, Time now);
     void startScheduling(Time now);
     void addJobFromSpec(const KeyValue &item, const std::optional<JobProgress> &progress, Time now);
+    void setAside(const JobId &id, const KeyValue &progress);
     void updateSchedulerWorkers(Time now);
 
     void schedulePass();
@@ -506,6 +508,9 @@
     std::map<WorkerId, WorkerIncarnation> recordedUnreachable_; // by former coordinators
     std::map<std::string, WorkerEntry> registryEntries_; // by key in the store
     std::unordered_map<JobId, StoreRevision> progressRevisions_; // of the records in the store
+    // With an unreadable record. Which of their tasks have run is not known, so none is started,
+    // and runs of a former coordinator are left alone unless the job is cancelled.
+    std::unordered_set<JobId> jobsSetAside_;
     std::map<WorkerId, WorkerLink> links_;
     std::vector<WorkerId> linksToCheck_; // in the next pass; a renewal may be due
     Time nextLinkCheckAt_{}; // of all links
--- a/src/fleet/jobview.cpp
+++ b/src/fleet/jobview.cpp
@@ -71,6 +71,9 @@
         const std::optional<JobState> state = decodeState(item.value);
         if (state)
             setState(*id, *state);
+        else if (const auto it = entries_.find(*id);
+                 it == entries_.end() || it->second.state == JobState::Pending)
+            setState(*id, JobState::Active); // the first record is written when a run is assigned
         return state.has_value();
     }
     return false;
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -40,7 +40,9 @@
         sendStart(order, now);
     for (const StopOrder &order : scheduler_->takeStops()) {
         const auto worker = scheduler_->workers().find(order.worker);
-        if (worker == scheduler_->workers().end())
+        const bool isLeftAlone =
+                jobsSetAside_.count(order.task.job) > 0 && !jobView_.isCancelled(order.task.job);
+        if (worker == scheduler_->workers().end() || isLeftAlone)
             continue;
         ports_.workers.stop(worker->second->entry, order, token_,
                             [this, order, alive = std::weak_ptr<int>(alive_)](
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -297,3 +297,71 @@
         CHECK(world.runners.findings == std::vector<std::string>{});
     }
 }
+
+TEST_CASE("a job whose progress record is unreadable is not started again by a new coordinator")
+{
+    JobProgress short1;
+    short1.state = JobState::Active;
+    short1.tasks.resize(1); // of 4
+    const std::string whole = encodeProgress(short1);
+    for (const std::string &record :
+         {std::string(), std::string("nonsense"), std::string(100000, '\x81'),
+          whole.substr(0, whole.size() - 1), whole, std::string("\x83\x01\x01\x80")}) {
+        CAPTURE(record.size());
+        FleetWorld world(2);
+        world.clock.advance(seconds(2));
+        const int first = world.coordinator();
+        REQUIRE(first >= 0);
+        const int second = 1 - first;
+        CHECK(world.submit(first, FleetWorld::job("odd", 4, "ms=4000")) == JobAnswer::Accepted);
+        CHECK(world.submit(first, FleetWorld::job("good", 4, "ms=4000")) == JobAnswer::Accepted);
+        world.clock.advance(milliseconds(500));
+        REQUIRE(world.runners.runningCount() == 8);
+        world.kill(first);
+        world.store.put("jobs/progress/odd", record);
+        world.clock.advance(seconds(4));
+        REQUIRE(world.coordinator() == second);
+        CHECK(std::count(world.log.begin(), world.log.end(), "record-unreadable") >= 1);
+        CHECK(world.wait([&] { return world.state(second, "good") == JobState::Completed; }));
+        // The runs that went on have ended by themselves, and nothing has begun again.
+        world.clock.advance(seconds(10));
+        for (const auto &[task, count] : world.runners.starts)
+            CHECK(count == 1);
+        CHECK(world.runners.runningCount() == 0);
+        CHECK(world.runners.findings == std::vector<std::string>{});
+        CHECK(world.state(second, "odd") == JobState::Active);
+        CHECK(world.node(second).backlog(QueueId("renewal")) == 0);
+        world.start(first); // reads the record when a client asks
+        world.clock.advance(seconds(2));
+        CHECK(world.state(first, "odd") == JobState::Active);
+        CHECK(world.store.items().count("jobs/in/spec/odd") == 1);
+        CHECK(world.cancel(first, "odd") == JobAnswer::Accepted);
+        world.clock.advance(seconds(1));
+        CHECK(world.state(first, "odd") == JobState::Cancelled);
+        CHECK(world.state(second, "odd") == JobState::Cancelled);
+    }
+}
+
+TEST_CASE("a record whose state alone can be read shows a final state")
+{
+    FleetWorld world(1);
+    world.store.put("jobs/in/spec/ended", encodeSpec(FleetWorld::job("ended")));
+    world.store.put("jobs/progress/ended", std::string("\x83\x01\x02\x9f", 4));
+    world.clock.advance(seconds(3));
+    CHECK(world.state(0, "ended") == JobState::Completed);
+    CHECK(world.runners.starts.empty());
+}
+
+TEST_CASE("a malformed specification costs no other job")
+{
+    FleetWorld world(2);
+    JobSpec odd = FleetWorld::job("odd2");
+    odd.steps[0].after = {3};
+    world.store.put("jobs/in/spec/odd1", "nonsense");
+    world.clock.advance(seconds(2));
+    world.store.put("jobs/in/spec/odd2", encodeSpec(odd));
+    world.store.put("jobs/in/spec/odd3", "");
+    CHECK(world.submit(0, FleetWorld::job("good")) == JobAnswer::Accepted);
+    CHECK(world.wait([&] { return world.state(1, "good") == JobState::Completed; }));
+    CHECK(world.runners.starts.size() == 4);
+}
