Log the first failed call to a worker and its end, not each failure

worker-unreachable was written for each failed renewal, and said neither which call failed nor why. The first failure in a row, of a renewal or of a start that was not answered, is now logged with call, error, address and the time since the worker's last report; the next answer as worker-answers, or the removal of the worker as worker-given-up, with the number of failures and their duration.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -262,6 +262,8 @@
     for (auto it = links_.begin(); it != links_.end();) {
         const bool isGone =
                 scheduler_->workers().count(it->first) == 0 && !it->second.isRenewalInFlight;
+        if (isGone)
+            logCallsEnded(it->first, it->second, false, now);
         it = isGone ? links_.erase(it) : std::next(it);
     }
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -447,6 +447,8 @@
         bool isConfirmed = false; // `incarnation` has answered the last renewal
         bool awaitsStoredEnds = false; // the next renewal is delayed until ended runs are stored,
                                        // so that it can acknowledge them
+        std::uint64_t failuresInARow = 0; // of renewals and starts
+        Time failingSince{}; // when the first of them was answered or timed out
     };
     struct ProgressWrite
     {
@@ -484,6 +486,9 @@
     void writeUnreachableRecord(const WorkerId &id, bool isUnreachable);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCallResult &callResult, Time now);
+    void logCallFailed(const WorkerId &id, const std::string &call, const std::string &error,
+                       Time now);
+    void logCallsEnded(const WorkerId &id, WorkerLink &link, bool isAnswering, Time now);
     void takeReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now);
     std::uint64_t grantWorkerLease(const WorkerId &id, Time now);
     bool isWithinRenewalGrace(Time now) const
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -116,8 +116,10 @@
                                  {"run", std::to_string(order.run.value)}}});
                 }
                 scheduler_->onStartAnswered(order, outcome, eventTime);
-                if (outcome == StartOutcome::Unknown)
+                if (outcome == StartOutcome::Unknown) {
+                    logCallFailed(order.worker, "start", callResult.detail, eventTime);
                     requestReport(order.worker, eventTime);
+                }
                 schedulePass();
             });
 }
@@ -286,13 +288,15 @@
     if (callResult.status != WorkerCallStatus::Ok) {
         // The first failure is retried at once, because only the answer may have been lost.
         const bool isFirstFailure = std::exchange(link.isConfirmed, false);
-        ports_.log(
-                {LogLevel::Info, "worker-unreachable", callResult.detail, {{"worker", id.str()}}});
+        logCallFailed(id, "renewal", callResult.detail, now);
+        if (scheduler_->workers().count(id) == 0) // removed while the call was in flight
+            logCallsEnded(id, link, false, now);
         link.nextRenewalAt = isFirstFailure ? now : now + RenewRetryDelay;
         scheduler_->onUnreachable(id);
         schedulePass();
         return;
     }
+    logCallsEnded(id, link, true, now);
     link.incarnation = callResult.report.incarnation;
     link.clock = callResult.report.clockMs;
     link.clockReceivedAt = now;
@@ -306,6 +310,42 @@
     schedulePass();
 }
 
+/// Logs the first of several failed calls in a row. The line of the next renewal that is answered,
+/// or of the worker's removal, counts them.
+void Coordinator::logCallFailed(const WorkerId &id, const std::string &call,
+                                const std::string &error, Time now)
+{
+    WorkerLink &link = links_[id];
+    if (++link.failuresInARow > 1)
+        return;
+    link.failingSince = now;
+    std::vector<std::pair<std::string, std::string>> fields{
+            {"worker", id.str()}, {"call", call}, {"error", error}};
+    const auto worker = scheduler_->workers().find(id);
+    if (worker != scheduler_->workers().end()) {
+        fields.emplace_back("address", worker->second->entry.address.str());
+        if (worker->second->hasReported)
+            fields.emplace_back("lastReportMs", std::to_string(wholeMilliseconds(
+                                                        now - worker->second->lastReport)));
+    }
+    ports_.log({LogLevel::Info, "worker-unreachable", "a call to the worker failed; it is repeated",
+                std::move(fields)});
+}
+
+void Coordinator::logCallsEnded(const WorkerId &id, WorkerLink &link, bool isAnswering, Time now)
+{
+    if (link.failuresInARow == 0)
+        return;
+    ports_.log({LogLevel::Info,
+                isAnswering ? "worker-answers" : "worker-given-up",
+                isAnswering ? "the worker answers renewals again"
+                            : "the worker is no longer called; it has not answered again",
+                {{"worker", id.str()},
+                 {"failures", std::to_string(link.failuresInARow)},
+                 {"forMs", std::to_string(wholeMilliseconds(now - link.failingSince))}}});
+    link.failuresInARow = 0;
+}
+
 void Coordinator::takeReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now)
 {
     const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Reports);
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -470,3 +470,32 @@
         });
     }
 }
+
+TEST_CASE("a worker that is down for long is logged once when it fails and once when it answers")
+{
+    for (const bool isGivenUp : {false, true}) {
+        CAPTURE(isGivenUp);
+        FleetWorld world(1);
+        world.clock.advance(seconds(2));
+        const auto count = [&](const char *event) {
+            return std::count(world.log.begin(), world.log.end(), event);
+        };
+        for (int outage = 1; outage <= 2; ++outage) {
+            world.runners.at("w1").reachable = false;
+            world.clock.advance(seconds(10));
+            CHECK(count("worker-unreachable") == outage);
+            CHECK(count("worker-answers") == outage - 1);
+            if (isGivenUp)
+                break;
+            world.runners.at("w1").reachable = true;
+            world.clock.advance(seconds(3));
+            CHECK(count("worker-answers") == outage);
+        }
+        if (isGivenUp) {
+            world.store.remove("servers/w1");
+            world.clock.advance(seconds(3));
+            CHECK(count("worker-given-up") == 1);
+            CHECK(count("worker-answers") == 0);
+        }
+    }
+}
