--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -46,7 +46,7 @@
         tasks += step.count;
         const std::string outOfRange = validateNumbers(step);
         if (!outOfRange.empty())
-            return name + ' ' + outOfRange;
+            return std::string(name).append(" ").append(outOfRange);
         for (const int before : step.after) {
             if (before < 0 || before >= static_cast<int>(i))
                 return name + " waits for a step that is not before it";
