--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -37,6 +37,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace monsoonledge {
@@ -451,6 +452,8 @@
         bool isRefusing = false; // the last renewal was not sent for lack of a connection
         bool awaitsStoredEnds = false; // the next renewal is delayed until ended runs are stored,
                                        // so that it can acknowledge them
+        std::uint64_t failuresInARow = 0; // of renewals and starts
+        Time failingSince{}; // when the first of them was answered or timed out
     };
     struct ProgressWrite
     {
@@ -464,6 +467,7 @@
     void onWorkerEvents(const std::vector<KeyValue> &events, Time now);
     void startScheduling(Time now);
     void addJobFromSpec(const KeyValue &item, const std::optional<JobProgress> &progress, Time now);
+    void setAside(const JobId &id, const KeyValue &progress);
     void updateSchedulerWorkers(Time now);
 
     void schedulePass();
@@ -489,6 +493,9 @@
     void writeUnreachableRecord(const WorkerId &id, bool isUnreachable);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCallResult &callResult, Time now);
+    void logCallFailed(const WorkerId &id, const std::string &call, const std::string &error,
+                       Time now);
+    void logCallsEnded(const WorkerId &id, WorkerLink &link, bool isAnswering, Time now);
     void takeReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now);
     std::uint64_t grantWorkerLease(const WorkerId &id, Time now);
     bool isWithinRenewalGrace(Time now) const
@@ -513,6 +520,9 @@
     std::map<WorkerId, WorkerIncarnation> recordedUnreachable_; // by former coordinators
     std::map<std::string, WorkerEntry> registryEntries_; // by key in the store
     std::unordered_map<JobId, StoreRevision> progressRevisions_; // of the records in the store
+    // With an unreadable record. Which of their tasks have run is not known, so none is started,
+    // and runs of a former coordinator are left alone unless the job is cancelled.
+    std::unordered_set<JobId> jobsSetAside_;
     std::map<WorkerId, WorkerLink> links_;
     std::vector<WorkerId> linksToCheck_; // in the next pass; a renewal may be due
     Time nextLinkCheckAt_{}; // of all links
