No start on a worker that has shrunk below what it holds; the room of one that has grown is used at once

Cause: Scheduler::setWorkers took over a changed capacity, label or service without marking the worker as changed. After a growth, requests that had found no worker hid the new room until all workers are tried again, up to 200 ms later; what had been worked out for best-effort tasks stayed, too. And a run that was assigned before its worker shrank was started all the same once its record was stored, so that a worker without admission control held more than its capacity. Change: any change of what a worker offers marks it as changed. When a record is stored, a run is started only if what is reserved on its worker still fits: processors, memory and accelerators, with the runs that are being stopped and those that may have started. Otherwise its task waits again. If that concerns one member of a gang, none of its members is started; until now this was so for no reason of this kind (a worker that drains or leaves): the other members were started and waited in vain. What runs on a worker that has shrunk runs on: nothing is stopped, and nothing is started there until it fits again.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -449,6 +449,16 @@
     return result;
 }
 
+/// False if an assigned run must not be started any more, because its job has ended or its worker
+/// has changed while the record was being stored.
+bool Scheduler::isStartable(const ScheduledTask &task)
+{
+    return !isFinal(task.job->state) && task.worker && task.worker->listed
+           && !task.worker->entry.draining
+           && task.worker->entry.incarnation == task.progress.incarnation
+           && isWithinCapacity(*task.worker);
+}
+
 void Scheduler::onSaved(const JobId &id, std::uint64_t version, Time now)
 {
     const auto it = jobs_.find(id);
@@ -457,16 +467,26 @@
     ScheduledJob &job = *it->second;
     job.savedVersion = std::max(job.savedVersion, version);
     job.inFlightVersion = 0;
+    const auto isRecorded = [&](const ScheduledTask &task) {
+        return task.runState == RunState::AwaitingRecord && task.assignedInVersion <= version;
+    };
     for (ScheduledTask &task : job.tasks) {
-        if (task.runState != RunState::AwaitingRecord || task.assignedInVersion > version)
+        if (!isRecorded(task) || isStartable(task))
             continue;
-        const bool isStartable = !isFinal(job.state) && task.worker && task.worker->listed
-                                 && !task.worker->entry.draining
-                                 && task.worker->entry.incarnation == task.progress.incarnation;
-        if (!isStartable) { // no start order was sent
+        if (!stepOf(task).gang) { // no start order was sent
             requeueTask(task, Duration::zero(), now);
             continue;
         }
+        // The other members would wait in vain for this one.
+        for (ScheduledTask &other : job.tasks) {
+            if (isRecorded(other) && other.ref.occurrence == task.ref.occurrence
+                && other.ref.step == task.ref.step)
+                requeueTask(other, Duration::zero(), now);
+        }
+    }
+    for (ScheduledTask &task : job.tasks) {
+        if (!isRecorded(task))
+            continue;
         task.runState = RunState::StartSent;
         task.orderSentAt = now;
         starts_.push_back({task.ref, task.progress.run, task.progress.worker, job.spec.payload,
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -495,7 +495,9 @@
     void resetWorker(ScheduledWorker &worker, Time now);
     void reserve(ScheduledWorker &worker, ScheduledTask &task);
     void release(ScheduledTask &task);
+    static bool isWithinCapacity(const ScheduledWorker &worker);
     void markWorkerChanged(ScheduledWorker &worker);
+    static bool isStartable(const ScheduledTask &task);
     void requeueTask(ScheduledTask &task, Duration delay, Time now);
     void processFinishedRun(ScheduledWorker &worker, const FinishedRun &finished, Time now);
     void endRun(ScheduledTask &task, RunOutcome outcome, const std::string &checkpoint, Time now);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -20,6 +20,13 @@
     return table[image];
 }
 
+/// True if the worker can take the same tasks by either entry.
+bool offersTheSame(const WorkerEntry &a, const WorkerEntry &b)
+{
+    return a.cpu.value == b.cpu.value && a.memory.value == b.memory.value
+           && a.accelerators == b.accelerators && a.labels == b.labels && a.service == b.service;
+}
+
 } // namespace
 
 void Scheduler::setWorkers(const std::vector<WorkerEntry> &entries, Time now)
@@ -45,11 +52,14 @@
         if (isNew || entry.draining != worker->entry.draining
             || entry.incarnation != worker->entry.incarnation)
             logRegistration(entry);
-        const bool isNewlyUsable =
-                wasListed.count(entry.id) == 0 || worker->entry.draining != entry.draining;
+        // A change of what the worker offers invalidates what former passes have found out about
+        // it, whether it can take more tasks now or fewer.
+        const bool hasChanged = wasListed.count(entry.id) == 0
+                                || worker->entry.draining != entry.draining
+                                || !offersTheSame(worker->entry, entry);
         worker->entry = entry;
         worker->listed = true;
-        if (isNewlyUsable)
+        if (hasChanged)
             markWorkerChanged(*worker);
     }
     for (const auto &[id, worker] : workers_) {
@@ -110,6 +120,17 @@
         ++entryFor(worker.servingTasksByImage, task.image);
 }
 
+/// False if the worker holds more than it offers, because its capacity has shrunk since. Everything
+/// that may run there counts: runs that are being stopped, those that may have started, and those
+/// that are assigned.
+bool Scheduler::isWithinCapacity(const ScheduledWorker &worker)
+{
+    const WorkerEntry &entry = worker.entry;
+    return worker.reservedCpu <= static_cast<std::int64_t>(entry.cpu.value)
+           && worker.reservedMemory <= static_cast<std::int64_t>(entry.memory.value)
+           && worker.reservedAccelerators <= entry.accelerators;
+}
+
 /// Marks that the worker may have more free capacity than before.
 void Scheduler::markWorkerChanged(ScheduledWorker &worker)
 {
