--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -30,11 +30,6 @@
 constexpr Duration WaitLogInterval = seconds(2); // of one task
 constexpr Duration UnplacedRequestLifetime = milliseconds(200); // then every worker is tried again
 
-bool contains(const std::vector<std::string> &labels, const std::string &label)
-{
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 /// True if a run of the task has failed or stalled on the worker.
 bool hasFailedOn(const ScheduledTask &task, const ScheduledWorker &worker)
 {
@@ -42,16 +37,6 @@
            != task.failedOn.end();
 }
 
-/// The number of tasks on the worker that belong to the same step and occurrence of the job.
-int countTasksOfStep(const ScheduledWorker &worker, const TaskRef &ref)
-{
-    return static_cast<int>(
-            std::count_if(worker.tasks.begin(), worker.tasks.end(), [&](const ScheduledTask *task) {
-                return task->ref.job == ref.job && task->ref.occurrence == ref.occurrence
-                       && task->ref.step == ref.step;
-            }));
-}
-
 /// Urgency classes of jobs, in the order in which they are served.
 enum class Urgency { LongRunningRestart, OnTime, LongRunningNew, Late, Worthless };
 
@@ -72,6 +57,20 @@
 
 } // namespace
 
+bool contains(const std::vector<std::string> &labels, const std::string &label)
+{
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+int countTasksOfStep(const ScheduledWorker &worker, const TaskRef &ref)
+{
+    return static_cast<int>(
+            std::count_if(worker.tasks.begin(), worker.tasks.end(), [&](const ScheduledTask *task) {
+                return task->ref.job == ref.job && task->ref.occurrence == ref.occurrence
+                       && task->ref.step == ref.step;
+            }));
+}
+
 double expectedBestEffortShare(const ScheduledWorker &worker, const StepSpec &step,
                                const SchedulingSettings &settings)
 {
@@ -550,61 +549,4 @@
     task.assignedInVersion = job.version;
 }
 
-/// Preempts tasks to make room for a long-running task, on the worker where the fewest have to be
-/// stopped.
-void Scheduler::preemptFor(const ScheduledTask &task, Time now)
-{
-    const StepSpec &step = stepOf(task);
-    ScheduledWorker *best = nullptr;
-    std::vector<ScheduledTask *> bestVictims;
-    for (const auto &[id, worker] : workers_) {
-        if (!acceptsTasks(*worker, now) || worker->entry.service != task.job->queue.service)
-            continue;
-        if (step.antiAffinity > 0 && countTasksOfStep(*worker, task.ref) >= step.antiAffinity)
-            continue;
-        if (!step.requirement.empty() && !contains(worker->entry.labels, step.requirement))
-            continue;
-        std::int64_t cpuShort = worker->reservedCpu + static_cast<std::int64_t>(step.cpu.value)
-                                - static_cast<std::int64_t>(worker->entry.cpu.value);
-        std::int64_t memoryShort = worker->reservedMemory
-                                   + static_cast<std::int64_t>(step.memory.value)
-                                   - static_cast<std::int64_t>(worker->entry.memory.value);
-        std::vector<ScheduledTask *> victims;
-        bool isStopping = false;
-        for (ScheduledTask *other : worker->tasks) {
-            const StepSpec &otherStep = stepOf(*other);
-            isStopping = isStopping || other->runState == RunState::Stopping;
-            if (cpuShort <= 0 && memoryShort <= 0)
-                break;
-            if (otherStep.longRunning || other->runState != RunState::Running)
-                continue;
-            if (memoryShort <= 0 && otherStep.bestEffort)
-                continue;
-            if (!otherStep.bestEffort)
-                cpuShort -= static_cast<std::int64_t>(otherStep.cpu.value);
-            memoryShort -= static_cast<std::int64_t>(otherStep.memory.value);
-            victims.push_back(other);
-        }
-        if (isStopping) // wait for the room that the stopped runs leave
-            return;
-        if (cpuShort > 0 || memoryShort > 0)
-            continue;
-        if (!best || victims.size() < bestVictims.size()) {
-            best = worker.get();
-            bestVictims = victims;
-        }
-    }
-    if (!best)
-        return;
-    for (ScheduledTask *victim : bestVictims) {
-        log_({LogLevel::Info,
-              "run-preempted",
-              "the run is stopped to make room for a long-running task",
-              {{"job", victim->ref.job.str()},
-               {"worker", best->entry.id.str()},
-               {"for", task.ref.job.str()}}});
-        stopRun(*victim, now);
-    }
-}
-
 } // namespace monsoonledge
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -53,6 +53,11 @@
     ScheduledWorker *worker = nullptr;
 };
 
+/// True if the worker's labels contain this one.
+bool contains(const std::vector<std::string> &labels, const std::string &label);
+/// The number of tasks on the worker that belong to the same step and occurrence of the job.
+int countTasksOfStep(const ScheduledWorker &worker, const TaskRef &ref);
+
 struct Scheduler::PlanCache
 {
     std::uint64_t passNumber = 1; // of the current planning pass
