A task that crashes each worker that starts it is found and given up

Cause: a run that was lost with its worker counted for nothing, neither in memory nor in the record of its job.

Change: the suspects of a lost worker are the runs that were started there but were not in a report 100 ms or more after their start. Their lost starts in a row are counted in the record of the job, and so are the crashes that nothing else can have caused (the worker is proven to have ended, and one task or gang was the only suspect). A suspect starts apart from all other unproven starts, one of its job at a time, on the worker with the fewest runs; the coordinator asks for a report soon after, which acquits it. The job fails after 2 such crashes, or after 4 lost starts in a row where no crash could be proven. A worker is proven to have ended by a new incarnation, or by a later registration at its address. Nobody is blamed for a worker that was draining or whose runs had all survived. Records without losses keep their form, and records of that form can still be read.

--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -58,6 +58,8 @@
                                 schedulePass();
                             });
     }
+    for (const WorkerId &id : scheduler_->takeReportRequests(now))
+        requestReport(id, now);
     for (const PaceOrder &order : scheduler_->takePaces()) {
         const auto worker = scheduler_->workers().find(order.worker);
         if (worker == scheduler_->workers().end())
@@ -251,7 +253,8 @@
 }
 
 /// Requests a worker's lists of runs at once, in parallel to a renewal that may be waiting there.
-/// Used when a task waits for them: after a stop, and after a start whose outcome is unknown.
+/// Used when a task waits for them: after a stop, after a start whose outcome is unknown, and while
+/// a suspect is isolated.
 void Coordinator::requestReport(const WorkerId &id, Time now)
 {
     const auto worker = scheduler_->workers().find(id);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -117,6 +117,9 @@
     WorkerId worker; // of the last run
     WorkerIncarnation incarnation; // of that worker
     std::string checkpoint; // to resume from; empty: none
+    // Starts in a row that were lost with their worker before they had proven to survive.
+    int lostStarts = 0;
+    int crashes = 0; // those of them that nothing else can have caused
 };
 
 struct JobProgress
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -16,6 +16,7 @@
 constexpr int SpecFormat = 1;
 constexpr int ProgressFormat = 1;
 constexpr int BacklogFormat = 1;
+constexpr std::uint64_t MaxCount = 1000000; // of lost starts
 constexpr unsigned char CborArrayOfThree = 0x83; // first byte of a CBOR array of three items
 
 enum StepFlag : unsigned {
@@ -117,13 +118,27 @@
         out.add(0); // short form; most tasks of a waiting job have it
         return;
     }
-    out.beginArray(6);
+    const bool isSuspect = task.lostStarts > 0 || task.crashes > 0;
+    out.beginArray(isSuspect ? 8 : 6); // 6 items are the form before losses were counted
     out.add(static_cast<std::uint64_t>(task.phase));
     out.add(task.run.value);
     out.add(static_cast<std::uint64_t>(task.failures));
     out.add(task.worker.str());
     out.add(task.incarnation.value);
     out.add(task.checkpoint);
+    if (!isSuspect)
+        return;
+    out.add(static_cast<std::uint64_t>(task.lostStarts));
+    out.add(static_cast<std::uint64_t>(task.crashes));
+}
+
+/// Throws std::exception if the item is not a plausible count.
+int decodeCount(const Json &json)
+{
+    const auto count = json.get<std::uint64_t>();
+    if (!json.is_number_unsigned() || count > MaxCount)
+        throw std::out_of_range("count out of range");
+    return static_cast<int>(count);
 }
 
 TaskProgress decodeTask(const Json &json)
@@ -140,6 +155,10 @@
     task.worker = WorkerId(json.at(3).get<std::string>());
     task.incarnation.value = json.at(4).get<std::uint64_t>();
     task.checkpoint = json.at(5).get<std::string>();
+    if (json.size() > 6) {
+        task.lostStarts = decodeCount(json.at(6));
+        task.crashes = decodeCount(json.at(7));
+    }
     return task;
 }
 
--- /dev/null
+++ b/src/scheduling/crashes.cpp
@@ -0,0 +1,336 @@
+// Loss of workers: which task is to blame for it, the isolation of suspects, and jobs that are
+// given up.
+//
+// A task that crashes each worker that starts it would end everything else on worker after worker.
+// The crash follows within moments of the start, so the suspects of a loss are the runs that had
+// been started there but had not yet proven to survive their start. One loss has several suspects
+// if several tasks started shortly before it. Each suspect is therefore started again apart from
+// other unproven starts: a second loss then names its task, and a start that is survived acquits
+// it.
+#include "scheduling/planpass_p.h"
+
+#include <algorithm>
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr std::size_t MaxLoggedSuspects = 8; // of one lost worker
+
+/// True if the two tasks are the same or members of one gang, which start and end together.
+bool startTogether(const ScheduledTask &a, const ScheduledTask &b)
+{
+    return &a == &b
+           || (a.job == b.job && a.ref.occurrence == b.ref.occurrence && a.ref.step == b.ref.step
+               && a.job->spec.steps[static_cast<std::size_t>(a.ref.step)].gang);
+}
+
+/// True if the task has a run that has not proven to survive its start.
+bool isUnproven(const ScheduledTask &task)
+{
+    return task.progress.phase == TaskPhase::Assigned && !task.hasSurvivedStart;
+}
+
+} // namespace
+
+/// Sets the number of lost starts. Keeps the job's number of suspects.
+void Scheduler::setLostStarts(ScheduledTask &task, int lostStarts)
+{
+    ScheduledJob &job = *task.job;
+    job.suspectTasks += (lostStarts > 0 ? 1 : 0) - (task.progress.lostStarts > 0 ? 1 : 0);
+    task.progress.lostStarts = lostStarts;
+}
+
+/// True if the task or a member of its gang has lost its last start.
+bool Scheduler::isSuspect(const ScheduledTask &task) const
+{
+    const ScheduledJob &job = *task.job;
+    if (job.suspectTasks == 0)
+        return false;
+    if (task.progress.lostStarts > 0 || !stepOf(task).gang)
+        return task.progress.lostStarts > 0;
+    return std::any_of(job.tasks.begin(), job.tasks.end(), [&](const ScheduledTask &other) {
+        return other.progress.lostStarts > 0 && startTogether(task, other);
+    });
+}
+
+/// Notes that the worker has reported the run. A report that arrives shortly after the start may
+/// have been written before the crash that the start causes.
+void Scheduler::noteReported(ScheduledTask &task, Time now)
+{
+    if (task.hasSurvivedStart || task.runState != RunState::Running
+        || now - task.startedAt < settings_.startProofAge)
+        return;
+    task.hasSurvivedStart = true;
+    acquit(task);
+    if (task.worker && suspectTasks_ > 0)
+        markWorkerChanged(*task.worker); // others may start there again
+}
+
+/// Clears what is held against the task: it would have crashed its worker by now.
+void Scheduler::acquit(ScheduledTask &task)
+{
+    if (task.progress.lostStarts == 0 && task.progress.crashes == 0)
+        return;
+    setLostStarts(task, 0);
+    task.progress.crashes = 0;
+    markChanged(*task.job);
+}
+
+/// True if another process is registered at the worker's address since: the worker has ended.
+bool Scheduler::wasReplaced(const ScheduledWorker &worker) const
+{
+    if (worker.entry.address.ip.empty())
+        return false;
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto &item) {
+        const ScheduledWorker &other = *item.second;
+        return &other != &worker && other.listed && other.entry.address == worker.entry.address
+               && other.entry.incarnation > worker.entry.incarnation;
+    });
+}
+
+/// The runs on a lost worker that may have crashed it.
+std::vector<ScheduledTask *> Scheduler::suspectsOn(const ScheduledWorker &worker) const
+{
+    std::vector<ScheduledTask *> suspects;
+    if (worker.entry.draining) // it has left as announced
+        return suspects;
+    for (ScheduledTask *task : worker.tasks) {
+        if (isUnproven(*task) && task->runState != RunState::AwaitingRecord)
+            suspects.push_back(task);
+    }
+    // Records of a former coordinator do not say whether a run has survived its start, but a
+    // suspect is started only on a worker where all other runs have.
+    const auto isIsolated = [this](const ScheduledTask *task) {
+        return task->runState == RunState::Restored && isSuspect(*task);
+    };
+    if (std::any_of(suspects.begin(), suspects.end(), isIsolated))
+        suspects.erase(std::remove_if(suspects.begin(), suspects.end(),
+                                      [&](const ScheduledTask *task) {
+                                          return task->runState == RunState::Restored
+                                                 && !isSuspect(*task);
+                                      }),
+                       suspects.end());
+    return suspects;
+}
+
+/// Ends all runs of a worker that is lost, and counts the loss against its suspects.
+void Scheduler::loseRuns(ScheduledWorker &worker, WorkerLoss loss, Time now)
+{
+    const std::vector<ScheduledTask *> suspects = suspectsOn(worker);
+    countLoss(worker, suspects, loss);
+    expireWorkerRuns(worker, now);
+    giveUpDeadly(suspects, now);
+}
+
+/// Counts the loss of the worker against the suspects. A crash is counted only if it is proven and
+/// one task or gang alone can be to blame for it.
+void Scheduler::countLoss(const ScheduledWorker &worker,
+                          const std::vector<ScheduledTask *> &suspects, WorkerLoss loss)
+{
+    if (suspects.empty())
+        return;
+    const ScheduledTask &first = *suspects.front();
+    const bool isNamed =
+            loss == WorkerLoss::Crashed
+            && std::all_of(suspects.begin(), suspects.end(), [&](const ScheduledTask *task) {
+                   // A restored run that was not isolated may have run there for long.
+                   return startTogether(first, *task)
+                          && (task->runState != RunState::Restored || isSuspect(*task));
+               });
+    std::string list; // "task:lost starts:crashes", separated by spaces
+    for (std::size_t i = 0; i < suspects.size(); ++i) {
+        ScheduledTask &task = *suspects[i];
+        setLostStarts(task, task.progress.lostStarts + 1);
+        task.progress.crashes += isNamed ? 1 : 0;
+        if (i < MaxLoggedSuspects)
+            list += (i > 0 ? " " : "") + formatTaskRef(task.ref) + ':'
+                    + std::to_string(task.progress.lostStarts) + ':'
+                    + std::to_string(task.progress.crashes);
+    }
+    log_({LogLevel::Warning,
+          "crash-suspected",
+          "the worker was lost before runs had survived their start; their tasks are started again "
+          "apart from others",
+          {{"worker", worker.entry.id.str()},
+           {"loss", loss == WorkerLoss::Crashed ? "crashed" : "unreachable"},
+           {"suspects", std::to_string(suspects.size())},
+           {"job", isNamed ? first.ref.job.str() : ""},
+           {"tasks", list}}});
+}
+
+/// Fails the jobs of suspects under which too many workers have been lost. Their runs have ended.
+void Scheduler::giveUpDeadly(const std::vector<ScheduledTask *> &suspects, Time now)
+{
+    for (ScheduledTask *task : suspects) {
+        const TaskProgress &progress = task->progress;
+        const bool isDeadly = progress.crashes >= settings_.maxCrashes
+                              || progress.lostStarts >= settings_.maxLostStarts;
+        if (!isDeadly || isFinal(task->job->state) || progress.phase != TaskPhase::Waiting)
+            continue;
+        task->progress.phase = TaskPhase::Failed;
+        countWaiting(*task, -1);
+        log_({LogLevel::Warning,
+              "job-failed",
+              "workers have crashed at the starts of a task of the job",
+              {{"job", task->ref.job.str()},
+               {"task", formatTaskRef(task->ref)},
+               {"crashes", std::to_string(progress.crashes)},
+               {"lostStarts", std::to_string(progress.lostStarts)}}});
+        finishJob(*task->job, JobState::Failed, now);
+    }
+}
+
+/// Handles the runs that a former coordinator recorded for an earlier incarnation of the worker.
+/// `now` is the time of the first report of the present one.
+void Scheduler::loseFormerRuns(ScheduledWorker &worker, Time now)
+{
+    std::vector<ScheduledTask *> suspects = suspectsOn(worker);
+    const auto isOfThisIncarnation = [&](const ScheduledTask *task) {
+        return task->runState != RunState::Restored
+               || task->progress.incarnation >= worker.entry.incarnation;
+    };
+    suspects.erase(std::remove_if(suspects.begin(), suspects.end(), isOfThisIncarnation),
+                   suspects.end());
+    if (suspects.empty())
+        return;
+    countLoss(worker, suspects, WorkerLoss::Crashed);
+    for (ScheduledTask *task : suspects)
+        endRun(*task, RunOutcome::LeaseExpired, {}, now);
+    giveUpDeadly(suspects, now);
+}
+
+/// Updates the number of suspects for a planning pass, and ends what was held for them.
+void Scheduler::beginIsolation(Time now)
+{
+    suspectTasks_ = 0;
+    for (const ScheduledJob *job : activeJobs_)
+        suspectTasks_ += job->suspectTasks;
+    heldWorkers_ = 0;
+    for (auto &[id, worker] : workers_) {
+        if (worker->heldFor.isEmpty())
+            continue;
+        const auto job = jobs_.find(worker->heldFor);
+        const bool isNeeded = job != jobs_.end() && !isFinal(job->second->state)
+                              && job->second->suspectTasks > 0 && now < worker->heldUntil;
+        if (isNeeded) {
+            ++heldWorkers_;
+            continue;
+        }
+        worker->heldFor = JobId();
+        markWorkerChanged(*worker);
+    }
+}
+
+/// True if the isolation of suspects keeps the task from the worker.
+bool Scheduler::isKeptApart(const ScheduledWorker &worker, const ScheduledTask &task) const
+{
+    if (suspectTasks_ == 0)
+        return false;
+    const bool isTaskSuspect = isSuspect(task);
+    if (!worker.heldFor.isEmpty() && !(isTaskSuspect && worker.heldFor == task.ref.job))
+        return true;
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const ScheduledTask *other) {
+        return isUnproven(*other) && (isTaskSuspect || isSuspect(*other))
+               && !startTogether(task, *other);
+    });
+}
+
+/// The score of a worker for a suspect: its crash should end as few other runs as possible.
+double Scheduler::isolationScore(const ScheduledWorker &worker)
+{
+    return -static_cast<double>(worker.tasks.size());
+}
+
+/// Assigns the suspects of a step that is not a gang, one at a time: if all tasks of the job are
+/// deadly, the first ones show it.
+void Scheduler::assignSuspects(ScheduledJob &job, int occurrence, int step,
+                               std::vector<const ScheduledTask *> &assigned, Time now)
+{
+    for (ScheduledTask &task : job.tasks) {
+        if (task.ref.occurrence != occurrence || task.ref.step != step
+            || task.progress.phase != TaskPhase::Waiting || task.progress.lostStarts == 0
+            || task.earliestStart > now)
+            continue;
+        if (hasSuspectStart(task))
+            return;
+        if (ScheduledWorker *worker = chooseWorker(task, now)) {
+            assign(task, *worker);
+            assigned.push_back(&task);
+            releaseHolds(job);
+        } else {
+            holdWorker(task, now);
+            waitForRoom(task, now);
+        }
+        return;
+    }
+}
+
+/// True if a start of another suspect of the job has not proven to be survived.
+bool Scheduler::hasSuspectStart(const ScheduledTask &task) const
+{
+    return std::any_of(
+            task.job->tasks.begin(), task.job->tasks.end(), [&](const ScheduledTask &other) {
+                return isUnproven(other) && isSuspect(other) && !startTogether(task, other);
+            });
+}
+
+/// Keeps other tasks from a worker that could take the suspect if there were no unproven starts, so
+/// that it can soon. Without this, the next start there would always come before the proof of the
+/// last one on a busy worker.
+void Scheduler::holdWorker(const ScheduledTask &suspect, Time now)
+{
+    const auto limit =
+            static_cast<int>(settings_.maxHeldShare * static_cast<double>(workers_.size()));
+    if (heldWorkers_ >= std::max(limit, 1))
+        return;
+    ScheduledWorker *best = nullptr;
+    for (const auto &[id, worker] : workers_) {
+        if (worker->heldFor == suspect.ref.job && !stepOf(suspect).gang)
+            return; // one is enough
+        if (!worker->heldFor.isEmpty() || !isOnlyKeptApart(*worker, suspect, now))
+            continue;
+        if (!best || isolationScore(*worker) > isolationScore(*best))
+            best = worker.get();
+    }
+    if (!best)
+        return;
+    best->heldFor = suspect.ref.job;
+    best->heldUntil = now + settings_.maxHoldDuration;
+    ++heldWorkers_;
+}
+
+void Scheduler::releaseHolds(const ScheduledJob &job)
+{
+    for (auto &[id, worker] : workers_) {
+        if (worker->heldFor != job.spec.id)
+            continue;
+        worker->heldFor = JobId();
+        markWorkerChanged(*worker);
+        --heldWorkers_;
+    }
+}
+
+std::vector<WorkerId> Scheduler::takeReportRequests(Time now)
+{
+    std::vector<WorkerId> ids;
+    if (suspectTasks_ == 0)
+        return ids;
+    for (auto &[id, worker] : workers_) {
+        if (worker->lastCallFailed || now - worker->reportRequestedAt < settings_.startProofAge)
+            continue;
+        const bool isHeld = !worker->heldFor.isEmpty();
+        const auto isProvable = [&](const ScheduledTask *task) {
+            return isUnproven(*task) && task->runState == RunState::Running
+                   && now - task->startedAt >= settings_.startProofAge
+                   && (isHeld || isSuspect(*task));
+        };
+        if (std::none_of(worker->tasks.begin(), worker->tasks.end(), isProvable))
+            continue;
+        worker->reportRequestedAt = now;
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+} // namespace monsoonledge
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -163,6 +163,7 @@
     }
     addDueOccurrences(now);
     beginPass(now);
+    beginIsolation(now);
     for (ScheduledJob *job : orderJobs(now))
         assignJob(*job, now);
 }
@@ -192,10 +193,13 @@
         assignGang(job, occurrence, step, now);
         return;
     }
+    if (job.suspectTasks > 0)
+        assignSuspects(job, occurrence, step, assigned, now);
     std::optional<std::vector<Candidate>> candidates; // the tasks of a step share them
     for (int index = first; index < first + spec.count; ++index) {
         ScheduledTask &task = job.tasks[static_cast<std::size_t>(index)];
-        if (task.progress.phase != TaskPhase::Waiting || task.earliestStart > now)
+        if (task.progress.phase != TaskPhase::Waiting || task.earliestStart > now
+            || task.progress.lostStarts > 0)
             continue;
         if (!candidates) {
             const UnplacedRequest *request = findUnplacedRequest(task);
@@ -228,7 +232,8 @@
     if (!stepOf(task).longRunning || task.progress.run.value == 0)
         return;
     logWaiting(task, now);
-    if (now - task.waitingSince > settings_.preemptAfter)
+    // Nothing is stopped for a task that has crashed its worker and may do it again.
+    if (now - task.waitingSince > settings_.preemptAfter && task.progress.crashes == 0)
         preemptFor(task, now);
 }
 
@@ -316,12 +321,18 @@
             return; // a run of the last attempt or a retry delay has not ended
         members.push_back(&task);
     }
+    const bool isIsolated = isSuspect(*members.front());
+    if (isIsolated && hasSuspectStart(*members.front()))
+        return;
     std::vector<ScheduledTask *> reserved;
     std::vector<ScheduledWorker *> chosen;
     for (ScheduledTask *task : members) {
         ScheduledWorker *worker = chooseWorker(*task, now);
-        if (!worker)
+        if (!worker) {
+            if (isIsolated)
+                holdWorker(*task, now);
             break;
+        }
         reserve(*worker, *task);
         reserved.push_back(task);
         chosen.push_back(worker);
@@ -341,6 +352,8 @@
         members[i]->progress.checkpoint = checkpoint;
         assign(*members[i], *chosen[i]);
     }
+    if (isIsolated)
+        releaseHolds(job);
     logAssigned(job, {members.begin(), members.end()}, now);
 }
 
@@ -354,6 +367,7 @@
     Processors,
     Label,
     AntiAffinity,
+    Isolation, // of a task that may crash its worker: this one, or one that was started there
     Count
 };
 
@@ -374,6 +388,8 @@
         return "label";
     case Obstacle::AntiAffinity:
         return "antiAffinity";
+    case Obstacle::Isolation:
+        return "isolation";
     case Obstacle::None:
     case Obstacle::Count:
         break;
@@ -402,9 +418,18 @@
         return Obstacle::Label;
     if (step.antiAffinity > 0 && countTasksOfStep(worker, task.ref) >= step.antiAffinity)
         return Obstacle::AntiAffinity;
+    if (isKeptApart(worker, task))
+        return Obstacle::Isolation;
     return Obstacle::None;
 }
 
+/// True if the isolation of suspects is all that keeps the task from the worker.
+bool Scheduler::isOnlyKeptApart(const ScheduledWorker &worker, const ScheduledTask &task,
+                                Time now) const
+{
+    return obstacleOn(worker, task, now) == Obstacle::Isolation;
+}
+
 /// Logs now and then why a long-running task that was interrupted still waits: the number of
 /// workers by what keeps the task from running there.
 void Scheduler::logWaiting(ScheduledTask &task, Time now) const
@@ -453,6 +478,8 @@
         // Best fit: the fullest worker is preferred, which keeps large gaps for large tasks.
         score = static_cast<double>(worker.reservedCpu) - static_cast<double>(entry.cpu.value);
     }
+    if (isSuspect(task))
+        return isolationScore(worker) - (hasFailedOn(task, worker) ? FailurePenalty : 0);
     if (!step.affinity.empty() && contains(entry.labels, step.affinity))
         score += AffinityBonus;
     if (hasFailedOn(task, worker))
@@ -543,6 +570,7 @@
     task.progress.incarnation = worker.entry.incarnation;
     task.runState = RunState::AwaitingRecord;
     task.stopConfirmed = false;
+    task.hasSurvivedStart = false;
     task.isTrial = awaitsTrial(worker);
     countWaiting(task, -1);
     reserve(worker, task);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -168,6 +168,7 @@
 {
     ScheduledJob &job = *task.job;
     task.progress = progress;
+    job.suspectTasks += progress.lostStarts > 0 ? 1 : 0;
     if (progress.phase == TaskPhase::Waiting)
         return;
     countWaiting(task, -1);
@@ -285,6 +286,8 @@
     const StepSpec &step = stepOf(task);
     if (!checkpoint.empty())
         task.progress.checkpoint = checkpoint;
+    if (outcome == RunOutcome::Done || outcome == RunOutcome::Failed)
+        acquit(task); // its worker has survived it
     if (outcome == RunOutcome::Done) {
         updateDurationFactor(task, now);
         release(task);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -147,6 +147,20 @@
     // A worker that refused a run for lack of capacity gets no new tasks for this long.
     Duration startBackoff = milliseconds(300);
 
+    // A report of a run counts as proof that its worker survives the start if it comes this long
+    // after it. A task that crashes its worker does so within some tens of milliseconds.
+    Duration startProofAge = milliseconds(100);
+    // Crashes at starts of a task, with no other possible cause, after which its job is given up.
+    // One may be a coincidence.
+    int maxCrashes = 2;
+    // Consecutive starts of a task that were lost with their workers, after which its job is given
+    // up although no loss is proven to be its fault. An isolated task is lost by chance so rarely
+    // that this many in a row are none.
+    int maxLostStarts = 4;
+    // How long, and which share of the workers, is kept free of other starts for suspects.
+    Duration maxHoldDuration = milliseconds(500);
+    double maxHeldShare = 0.25;
+
     // Consecutive failed runs of different jobs before a worker is quarantined.
     int failuresToQuarantine = 3;
     // Length of the first quarantine. Doubled each time until a run succeeds, up to 4 times this.
@@ -318,6 +332,7 @@
     std::uint64_t assignedInVersion = 0; // first version of the job's record with the current run
     Time orderSentAt{}; // time of the start order or the last stop order
     bool stopConfirmed = false; // by the worker, for the last stop order
+    bool hasSurvivedStart = false; // the current run was reported well after its start
     bool isTrial = false; // the current run shows whether a quarantined worker works again
     Time lastReportedAt{}; // last report that contained the run
     Time startedAt{}; // when the run was first confirmed
@@ -343,6 +358,7 @@
     std::vector<int> stepOffsets; // by step: offset of its first task within an occurrence
     int tasksPerOccurrence = 0;
     int waitingTasks = 0;
+    int suspectTasks = 0; // whose last start was lost with its worker
     std::vector<int> waitingTaskCounts; // by stepIndex()
     Time submittedAt{};
     Duration criticalPathEstimate{}; // duration of the critical path by the estimates
@@ -404,6 +420,9 @@
     std::uint64_t changedInPass = 0; // last planning pass in which free capacity may have grown
     Time pacedAt{}; // last decision on the paces of its best-effort tasks
     double commonPace = 1; // as last decided, of those that share one
+    JobId heldFor; // whose suspect is to be started here apart from others; empty: none
+    Time heldUntil{};
+    Time reportRequestedAt{}; // last time, to prove that starts are survived
 };
 
 // [6] Scheduler
@@ -464,6 +483,10 @@
     std::vector<StopOrder> takeStops();
     std::vector<PaceOrder> takePaces();
 
+    /// Returns the workers whose next report should not be waited for, because the isolation of a
+    /// suspect ends with it.
+    std::vector<WorkerId> takeReportRequests(Time now);
+
     /// Position in the worker's list of ended runs up to which they may be acknowledged.
     std::uint64_t acknowledgeablePosition(const WorkerId &id) const;
     /// Returns true if the worker runs best-effort tasks and one of its serving tasks is near or
@@ -507,6 +530,32 @@
     void expireWorkerRuns(ScheduledWorker &worker, Time now);
     void stopRun(ScheduledTask &task, Time now);
 
+    /// What is known of a worker whose runs are lost.
+    enum class WorkerLoss {
+        Crashed, // it has ended without draining
+        Unreachable, // its leases have expired; it may still exist
+    };
+    void loseRuns(ScheduledWorker &worker, WorkerLoss loss, Time now);
+    void loseFormerRuns(ScheduledWorker &worker, Time now);
+    std::vector<ScheduledTask *> suspectsOn(const ScheduledWorker &worker) const;
+    void countLoss(const ScheduledWorker &worker, const std::vector<ScheduledTask *> &suspects,
+                   WorkerLoss loss);
+    void giveUpDeadly(const std::vector<ScheduledTask *> &suspects, Time now);
+    static void setLostStarts(ScheduledTask &task, int lostStarts);
+    bool isSuspect(const ScheduledTask &task) const;
+    void noteReported(ScheduledTask &task, Time now);
+    void acquit(ScheduledTask &task);
+    bool wasReplaced(const ScheduledWorker &worker) const;
+    void beginIsolation(Time now);
+    bool isKeptApart(const ScheduledWorker &worker, const ScheduledTask &task) const;
+    bool isOnlyKeptApart(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
+    static double isolationScore(const ScheduledWorker &worker);
+    void assignSuspects(ScheduledJob &job, int occurrence, int step,
+                        std::vector<const ScheduledTask *> &assigned, Time now);
+    bool hasSuspectStart(const ScheduledTask &task) const;
+    void holdWorker(const ScheduledTask &suspect, Time now);
+    void releaseHolds(const ScheduledJob &job);
+
     void checkWorkers(Time now);
     void stopStalledRuns(ScheduledWorker &worker, Time now);
     void learnInterference(ScheduledWorker &worker, Time now);
@@ -583,6 +632,8 @@
     std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> jobs_;
     std::map<WorkerId, std::unique_ptr<ScheduledWorker>> workers_;
     std::vector<ScheduledJob *> activeJobs_; // jobs that have not ended
+    int suspectTasks_ = 0; // of all active jobs, in the last planning pass
+    int heldWorkers_ = 0; // for suspects
     std::deque<JobId> changes_; // jobs whose record has to be written
     std::vector<StartOrder> starts_;
     std::vector<StopOrder> stops_;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -71,7 +71,7 @@
 /// runs starts from the beginning.
 void Scheduler::resetWorker(ScheduledWorker &worker, Time now)
 {
-    expireWorkerRuns(worker, now);
+    loseRuns(worker, WorkerLoss::Crashed, now);
     worker.acknowledgedPosition = 0;
     worker.lastProcessedPosition = 0;
     worker.pendingAcknowledgements.clear();
@@ -177,8 +177,10 @@
     }
     // The worker has seen the current fencing token, so it now refuses renewals by former
     // coordinators.
-    if (!worker.hasReported)
+    if (!worker.hasReported) {
         worker.leaseExpiry = now + settings_.maxLeaseDuration;
+        loseFormerRuns(worker, now);
+    }
     if (!worker.hasReported || worker.lastCallFailed)
         markWorkerChanged(worker);
     worker.hasReported = true;
@@ -315,6 +317,7 @@
     case RunState::Running:
         break;
     }
+    noteReported(*task, now);
 }
 
 /// Handles runs that are assigned to the worker but missing in its report.
@@ -417,7 +420,8 @@
                   {{"worker", id.str()},
                    {"runs", std::to_string(worker->tasks.size())},
                    {"listed", worker->listed ? "yes" : "no"}}});
-            expireWorkerRuns(*worker, now);
+            loseRuns(*worker, wasReplaced(*worker) ? WorkerLoss::Crashed : WorkerLoss::Unreachable,
+                     now);
         }
         if (worker->entry.draining && !isSilent)
             drainWorker(*worker, now);
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -1,7 +1,8 @@
 // Workers in virtual time, and an observer of what must hold for their runs.
 //
 // The payload of a job says how its tasks behave: "ms=N" is the duration of a run, "fail=N" makes
-// the first N runs of each task fail.
+// the first N runs of each task fail, "deadly=N" makes each start of the first N tasks of a step
+// crash its worker.
 #pragma once
 
 #include "fakes/faketimers.h"
@@ -70,6 +71,10 @@
     std::map<TaskKey, int> starts;
     std::set<TaskKey> acknowledgedDone;
     std::map<TaskKey, Time> lastStarts;
+    int crashes = 0;
+    /// Called for a worker that is back after a crash, under its former id or a new one.
+    std::function<void(const std::string &id)> onBack;
+    bool keepsIdAfterCrash = false; // otherwise a worker is back under a new id at its address
 
     Worker &add(const WorkerEntry &entry)
     {
@@ -101,6 +106,30 @@
         worker.up = true;
     }
 
+    /// The worker ends without a word, and is back some seconds later.
+    void crash(const std::string &id)
+    {
+        Worker &worker = at(id);
+        if (!worker.up)
+            return;
+        ++crashes;
+        worker.up = false;
+        worker.running.clear();
+        clock_.after(CrashDuration, [this, id] {
+            WorkerEntry entry = at(id).entry;
+            entry.incarnation.value += 1000;
+            if (!keepsIdAfterCrash) {
+                entry.id = WorkerId("again" + std::to_string(++returned_) + '-'
+                                    + id.substr(id.rfind('-') + 1));
+                add(entry);
+            } else {
+                restart(id);
+            }
+            if (onBack)
+                onBack(entry.id.str());
+        });
+    }
+
     int runningCount() const
     {
         int count = 0;
@@ -142,6 +171,12 @@
         run.endsAt += milliseconds(payloadNumber(order.payload, "ms", 100));
         run.fails = count <= payloadNumber(order.payload, "fail", 0);
         worker.running[key] = run;
+        if (payloadNumber(order.payload, "deadly", 0) > order.task.index)
+            clock_.after(CrashDelay, [this, id = worker.entry.id.str(),
+                                      incarnation = worker.entry.incarnation] {
+                if (at(id).entry.incarnation == incarnation)
+                    crash(id);
+            });
         clock_.at(run.endsAt, [this, id = worker.entry.id, key, number = order.run] {
             Worker &owner = workers_.at(id);
             const auto it = owner.running.find(key);
@@ -201,6 +236,9 @@
     }
 
 private:
+    static constexpr Duration CrashDelay = milliseconds(10); // after the start of a deadly task
+    static constexpr Duration CrashDuration = seconds(3);
+
     WorkerCallResult check(Worker &worker, FencingToken token)
     {
         WorkerCallResult call;
@@ -245,6 +283,7 @@
 
     FakeClock &clock_;
     std::map<WorkerId, Worker> workers_;
+    int returned_ = 0; // workers that are back under a new id
 };
 
 /// The calls of one process to the workers.
@@ -365,6 +404,7 @@
     return nlohmann::json{{"incarnation", entry.incarnation.value},
                           {"service", entry.service.str()},
                           {"draining", entry.draining},
+                          {"ip", entry.address.ip},
                           {"cpu", entry.cpu.value},
                           {"memory", entry.memory.value}}
             .dump();
@@ -380,6 +420,7 @@
     entry.incarnation.value = json.at("incarnation").get<std::uint64_t>();
     entry.service = ServiceId(json.at("service").get<std::string>());
     entry.draining = json.at("draining").get<bool>();
+    entry.address.ip = json.at("ip").get<std::string>();
     entry.cpu.value = json.at("cpu").get<std::uint64_t>();
     entry.memory.value = json.at("memory").get<std::uint64_t>();
     entry.labels = {"a", "r1"};
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -28,11 +28,13 @@
         : store(clock), runners(clock), random(seed)
     {
         putConfig(1);
+        runners.onBack = [this](const std::string &id) { publish(id); };
         for (int i = 0; i < workerCount; ++i) {
             WorkerEntry entry;
             entry.id = WorkerId("w" + std::to_string(i));
             entry.incarnation.value = 1000;
             entry.service = ServiceId("desk");
+            entry.address.ip = "10.0.0." + std::to_string(i + 1);
             entry.cpu.value = 16000;
             entry.memory.value = 64000;
             runners.add(entry);
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -111,6 +111,9 @@
     progress.tasks[1].worker = WorkerId("w1");
     progress.tasks[1].incarnation.value = 1700000000000;
     progress.tasks[1].checkpoint = "00000bb87a21d94b";
+    progress.tasks[2] = progress.tasks[1];
+    progress.tasks[2].lostStarts = 3;
+    progress.tasks[2].crashes = 1;
     return progress;
 }
 
--- /dev/null
+++ b/tests/unit/invariant_crash_test.cpp
@@ -0,0 +1,136 @@
+// Invariants of deadly tasks in whole deployments in virtual time: each start crashes its worker,
+// which is back some seconds later.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "fakes/fleetworld.h"
+#include "fakes/schedules.h"
+
+using namespace monsoonledge;
+
+namespace {
+
+constexpr int MaxStarts = 5; // of a deadly task
+
+int startsOf(FleetWorld &world, const std::string &job, int index = 0)
+{
+    return world.runners.starts[{job, 0, 0, index}];
+}
+
+std::string stateName(FleetWorld &world, const std::string &id)
+{
+    const std::optional<JobState> state = world.state(0, id);
+    return state ? std::to_string(static_cast<int>(*state)) : "unknown";
+}
+
+std::string failureOf(FleetWorld &world, const std::vector<std::string> &good,
+                      const std::vector<std::string> &deadly)
+{
+    for (const std::string &id : good) {
+        if (world.state(0, id) != JobState::Completed)
+            return id + " should be completed; its state is " + stateName(world, id);
+    }
+    for (const std::string &id : deadly) {
+        if (startsOf(world, id) > MaxStarts)
+            return id + " was started " + std::to_string(startsOf(world, id)) + " times";
+        if (world.state(0, id) != JobState::Failed)
+            return id + " should be failed; its state is " + stateName(world, id);
+    }
+    return world.runners.findings.empty() ? "" : world.runners.findings.front();
+}
+
+} // namespace
+
+TEST_CASE("a deadly task is given up soon, and the jobs beside it complete")
+{
+    FleetWorld world(2, 4);
+    SUBCASE("workers are back under new ids") { }
+    SUBCASE("workers are back under the same ids")
+    {
+        world.runners.keepsIdAfterCrash = true;
+    }
+    world.clock.advance(seconds(2));
+    std::vector<std::string> good;
+    for (int i = 0; i < 8; ++i) {
+        good.push_back("good" + std::to_string(i));
+        CHECK(world.submit(0, FleetWorld::job(good.back(), 3, "ms=1500")) == JobAnswer::Accepted);
+    }
+    CHECK(world.submit(0, FleetWorld::job("deadly", 1, "ms=500 deadly=1")) == JobAnswer::Accepted);
+    world.clock.advance(seconds(60));
+    CHECK(failureOf(world, good, {"deadly"}) == "");
+    CHECK(world.runners.crashes <= MaxStarts);
+}
+
+TEST_CASE("deadly tasks are counted across coordinators that die right after each start")
+{
+    FleetWorld world(3, 4);
+    SUBCASE("workers are back under new ids") { }
+    SUBCASE("workers are back under the same ids")
+    {
+        world.runners.keepsIdAfterCrash = true;
+    }
+    world.clock.advance(seconds(2));
+    CHECK(world.submit(0, FleetWorld::job("good", 6, "ms=3000")) == JobAnswer::Accepted);
+    CHECK(world.submit(0, FleetWorld::job("deadly", 1, "ms=500 deadly=1")) == JobAnswer::Accepted);
+    int seen = 0;
+    for (int i = 0; i < 4500; ++i) { // 45 s
+        world.clock.advance(milliseconds(10));
+        const int coordinator = world.coordinator();
+        if (startsOf(world, "deadly") == seen || coordinator < 0)
+            continue;
+        seen = startsOf(world, "deadly");
+        world.start(coordinator); // a restart: another process becomes the coordinator
+    }
+    world.clock.advance(seconds(5));
+    CHECK(failureOf(world, {"good"}, {"deadly"}) == "");
+}
+
+TEST_CASE("no job fails because many workers crash while many tasks start")
+{
+    FleetWorld world(2, 9);
+    world.clock.advance(seconds(2));
+    std::vector<std::string> good;
+    for (int i = 0; i < 60; ++i) {
+        good.push_back("good" + std::to_string(i));
+        CHECK(world.submit(0, FleetWorld::job(good.back(), 3, "ms=600")) == JobAnswer::Accepted);
+        if (i % 15 == 5) {
+            std::vector<std::string> up;
+            for (const auto &[id, worker] : world.runners.all()) {
+                if (worker.up)
+                    up.push_back(id.str());
+            }
+            for (std::size_t k = 0; k < up.size(); k += 3)
+                world.runners.crash(up[k]);
+        }
+    }
+    world.clock.advance(seconds(60));
+    CHECK(failureOf(world, good, {}) == "");
+}
+
+TEST_CASE("random crashes, deadly tasks and restarts of processes: innocent jobs complete")
+{
+    runSchedules(20, [](std::uint64_t seed) -> std::string {
+        FleetWorld world(3, 6, seed);
+        Random random(seed);
+        world.runners.keepsIdAfterCrash = random.below(2) == 0;
+        world.clock.advance(seconds(2));
+        std::vector<std::string> good;
+        std::vector<std::string> deadly;
+        for (int round = 0; round < 30; ++round) {
+            const bool isDeadly = random.below(8) == 0 && deadly.size() < 3;
+            const std::string id = (isDeadly ? "deadly" : "good") + std::to_string(round);
+            const std::string payload =
+                    "ms=" + std::to_string(50 + random.below(1500)) + (isDeadly ? " deadly=1" : "");
+            const int process = static_cast<int>(random.below(3));
+            const JobSpec spec =
+                    FleetWorld::job(id, 1 + static_cast<int>(random.below(4)), payload);
+            if (world.submit(process, spec) == JobAnswer::Accepted)
+                (isDeadly ? deadly : good).push_back(id);
+            if (random.below(10) == 0)
+                world.start(static_cast<int>(random.below(3)));
+            world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(1500))));
+        }
+        world.clock.advance(seconds(90));
+        return failureOf(world, good, deadly);
+    });
+}
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -73,6 +73,38 @@
     }
 }
 
+TEST_CASE("counts of lost starts are kept, and records from before they were counted can be read")
+{
+    JobProgress progress;
+    progress.tasks.resize(1);
+    progress.tasks[0] = {TaskPhase::Assigned, {7}, 2, WorkerId("w"), {17}, "c"};
+    // An array of three: format 1, state 1, and one task of six items.
+    const std::string old("\x83\x01\x01\x81\x86\x01\x07\x02\x61w\x11\x61"
+                          "c",
+                          13);
+    progress.state = JobState::Active;
+    CHECK(encodeProgress(progress) == old); // a former version can read it
+    const std::optional<JobProgress> decodedOld = decodeProgress(old);
+    REQUIRE(decodedOld);
+    CHECK(decodedOld->tasks[0].lostStarts == 0);
+    CHECK(decodedOld->tasks[0].crashes == 0);
+
+    progress.tasks[0].lostStarts = 3;
+    progress.tasks[0].crashes = 1;
+    const std::string bytes = encodeProgress(progress);
+    const std::optional<JobProgress> decoded = decodeProgress(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->tasks[0].lostStarts == 3);
+    CHECK(decoded->tasks[0].crashes == 1);
+    CHECK(decoded->tasks[0].checkpoint == "c");
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(decodeProgress(bytes.substr(0, length)));
+    for (const char *count : {"\x20", "\x61x", "\xf6", "\x1a\x7f\xff\xff\xff"}) { // -1, text, null
+        const std::string start = bytes.substr(0, bytes.size() - 1);
+        CHECK_FALSE(decodeProgress(start + count));
+    }
+}
+
 TEST_CASE("truncated records are rejected, and decoding changed bytes does not crash")
 {
     const std::string spec = encodeSpec(fullSpec());
