--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -165,6 +165,7 @@
     }
     addDueOccurrences(now);
     beginPass(now);
+    beginIsolation(now);
     for (ScheduledJob *job : orderJobs(now))
         assignJob(*job, now);
 }
@@ -194,10 +195,13 @@
         assignGang(job, occurrence, step, now);
         return;
     }
+    if (job.suspectTasks > 0)
+        assignSuspects(job, occurrence, step, assigned, now);
     std::optional<std::vector<Candidate>> candidates; // the tasks of a step share them
     for (int index = first; index < first + spec.count; ++index) {
         ScheduledTask &task = job.tasks[static_cast<std::size_t>(index)];
-        if (task.progress.phase != TaskPhase::Waiting || task.earliestStart > now)
+        if (task.progress.phase != TaskPhase::Waiting || task.earliestStart > now
+            || task.progress.lostStarts > 0)
             continue;
         if (!candidates) {
             const UnplacedRequest *request = findUnplacedRequest(task);
@@ -230,7 +234,8 @@
     logWaiting(task, now);
     if (!isInterrupted(task))
         return;
-    if (now - task.waitingSince > settings_.preemptAfter)
+    // Nothing is stopped for a task that has crashed its worker and may do it again.
+    if (now - task.waitingSince > settings_.preemptAfter && task.progress.crashes == 0)
         preemptFor(task, now);
 }
 
@@ -324,12 +329,18 @@
             return; // a run of the last attempt or a retry delay has not ended
         members.push_back(&task);
     }
+    const bool isIsolated = isSuspect(*members.front());
+    if (isIsolated && hasSuspectStart(*members.front()))
+        return;
     std::vector<ScheduledTask *> reserved;
     std::vector<ScheduledWorker *> chosen;
     for (ScheduledTask *task : members) {
         ScheduledWorker *worker = chooseWorker(*task, now);
-        if (!worker)
+        if (!worker) {
+            if (isIsolated)
+                holdWorker(*task, now);
             break;
+        }
         reserve(*worker, *task);
         reserved.push_back(task);
         chosen.push_back(worker);
@@ -351,6 +362,8 @@
         members[i]->progress.checkpoint = checkpoint;
         assign(*members[i], *chosen[i]);
     }
+    if (isIsolated)
+        releaseHolds(job);
     logAssigned(job, {members.begin(), members.end()}, now);
 }
 
@@ -364,6 +377,7 @@
     Processors,
     Label,
     AntiAffinity,
+    Isolation, // of a task that may crash its worker: this one, or one that was started there
     Count
 };
 
@@ -384,6 +398,8 @@
         return "label";
     case Obstacle::AntiAffinity:
         return "antiAffinity";
+    case Obstacle::Isolation:
+        return "isolation";
     case Obstacle::None:
     case Obstacle::Count:
         break;
@@ -412,9 +428,18 @@
         return Obstacle::Label;
     if (step.antiAffinity > 0 && countTasksOfStep(worker, task.ref) >= step.antiAffinity)
         return Obstacle::AntiAffinity;
+    if (isKeptApart(worker, task))
+        return Obstacle::Isolation;
     return Obstacle::None;
 }
 
+/// True if the isolation of suspects is all that keeps the task from the worker.
+bool Scheduler::isOnlyKeptApart(const ScheduledWorker &worker, const ScheduledTask &task,
+                                Time now) const
+{
+    return obstacleOn(worker, task, now) == Obstacle::Isolation;
+}
+
 /// Logs now and then why a task still waits: the number of workers by what keeps the task from
 /// running there. An interrupted long-running task is always logged, of the others only some.
 void Scheduler::logWaiting(ScheduledTask &task, Time now)
@@ -469,6 +494,8 @@
         // Best fit: the fullest worker is preferred, which keeps large gaps for large tasks.
         score = static_cast<double>(worker.reservedCpu) - static_cast<double>(entry.cpu.value);
     }
+    if (isSuspect(task))
+        return isolationScore(worker) - (hasFailedOn(task, worker) ? FailurePenalty : 0);
     if (!step.affinity.empty() && contains(entry.labels, step.affinity))
         score += AffinityBonus;
     if (hasFailedOn(task, worker))
@@ -559,6 +586,7 @@
     task.progress.incarnation = worker.entry.incarnation;
     task.runState = RunState::AwaitingRecord;
     task.stopConfirmed = false;
+    task.hasSurvivedStart = false;
     task.isTrial = awaitsTrial(worker);
     countWaiting(task, -1);
     reserve(worker, task);
