Simulated workers that crashed leave the registry when they are back

Cause: in the simulated deployment, the entry of a crashed worker stayed in the registry for ever. After many crashes a coordinator reached less than 40% of the registered workers and resigned, one after another, so a job could not end.

Change: the entry is removed when the worker is back under a new id.

--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -73,7 +73,7 @@
     std::map<TaskKey, Time> lastStarts;
     int crashes = 0;
     /// Called for a worker that is back after a crash, under its former id or a new one.
-    std::function<void(const std::string &id)> onBack;
+    std::function<void(const std::string &formerId, const std::string &id)> onBack;
     bool keepsIdAfterCrash = false; // otherwise a worker is back under a new id at its address
 
     Worker &add(const WorkerEntry &entry)
@@ -126,7 +126,7 @@
                 restart(id);
             }
             if (onBack)
-                onBack(entry.id.str());
+                onBack(id, entry.id.str());
         });
     }
 
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -28,7 +28,12 @@
         : store(clock), runners(clock), random(seed)
     {
         putConfig(1);
-        runners.onBack = [this](const std::string &id) { publish(id); };
+        // The registry has removed an entry without heartbeats by then.
+        runners.onBack = [this](const std::string &formerId, const std::string &id) {
+            if (formerId != id)
+                store.remove("servers/" + formerId);
+            publish(id);
+        };
         for (int i = 0; i < workerCount; ++i) {
             WorkerEntry entry;
             entry.id = WorkerId("w" + std::to_string(i));
