Let the worker report in the test of starts without a response

Since starts are no longer sent to a worker whose last call failed, none of the recorded ones would be sent in this case, whatever the capacity. A report between the lost answers and the change of capacity makes the worker usable again; the check is the same: one of two recorded starts fits beside the two that may run.

--- a/tests/unit/capacity_test.cpp
+++ b/tests/unit/capacity_test.cpp
@@ -173,6 +173,7 @@
     const std::vector<JobChange> changes = planOnly(harness);
     for (const StartOrder &order : unanswered)
         harness.scheduler.onStartAnswered(order, StartOutcome::Unknown, harness.now);
+    harness.reportWorkers(); // the worker is reachable, but its lists do not show the runs yet
     setCpu(harness, 0, 3000);
     CHECK(save(harness, changes).size() == 1);
 }
