Shorten log lines whose characters grow when they are escaped

Cause: a line that was too long was shortened once to 1,000 bytes of text and formatted by a recursive call. A control character takes six bytes in JSON, so the line stayed too long, and the recursion ended with the stack: one refusal of a worker with such a text in it took the process down. Change: a loop that halves the limit until the line fits. Result: logger_test, 'a long message of control characters is shortened and does not end the process', ended with a segmentation fault before and passes.

--- a/src/adapters/logger.cpp
+++ b/src/adapters/logger.cpp
@@ -54,7 +54,7 @@
     return poll(&output, 1, 0) != 0 || output.revents != 0;
 }
 
-std::string formatLine(const LoggerSettings &settings, const LogEvent &event)
+std::string formatAll(const LoggerSettings &settings, const LogEvent &event)
 {
     nlohmann::ordered_json line;
     line["time"] = utcTime();
@@ -68,14 +68,23 @@
         // A field of the event must not overwrite a standard field of the same name.
         line[line.contains(name) ? "field." + name : name] = value;
     }
-    std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    if (text.size() <= MaxLineBytes)
-        return text;
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/// Shortens the message and the fields until the line has at most MaxLineBytes. In JSON, a control
+/// character takes several times its size.
+std::string formatLine(const LoggerSettings &settings, const LogEvent &event)
+{
+    std::string line = formatAll(settings, event);
     LogEvent shortened = event;
-    shortened.message.resize(std::min(shortened.message.size(), MaxLineBytes / 4));
-    for (auto &[name, value] : shortened.fields)
-        value.resize(std::min(value.size(), MaxLineBytes / 4 / event.fields.size()));
-    return formatLine(settings, shortened);
+    for (std::size_t limit = MaxLineBytes / 4; line.size() > MaxLineBytes && limit > 0;
+         limit /= 2) {
+        shortened.message.resize(std::min(shortened.message.size(), limit));
+        for (auto &[name, value] : shortened.fields)
+            value.resize(std::min(value.size(), limit / event.fields.size()));
+        line = formatAll(settings, shortened);
+    }
+    return line;
 }
 
 } // namespace
--- a/tests/unit/logger_test.cpp
+++ b/tests/unit/logger_test.cpp
@@ -98,3 +98,15 @@
     CHECK(lines[4]["count"] == "7");
     CHECK(lines[5]["event"] == "other");
 }
+
+TEST_CASE("a long message of control characters is shortened and does not end the process")
+{
+    const StdoutCapture capture;
+    Logger logger(makeSettings());
+    const std::string text(3000, '\x01');
+    logger.write({LogLevel::Warning, "odd-input", text, {{"request", text}}}, {});
+    REQUIRE(capture.lines().size() == 1);
+    const nlohmann::json line = capture.lines()[0];
+    CHECK(line.dump().size() <= 4000);
+    CHECK(line["message"].get<std::string>().size() >= 100);
+}
