Count the contact to the store from before the election, not from its answer

Cause: the constructor of the coordinator took the time at which it handled the answer for its last contact to the store. A process that is suspended before it reads this answer could grant leases of workers after another one had been elected, beyond the time for which that one waits. Change: the contact is the time at which the call for the lease of the record was sent. After a suspension the process is outside the grace and grants nothing.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -39,10 +39,10 @@
 // [1] Loading
 
 Coordinator::Coordinator(const FleetSettings &settings, const FleetPorts &ports, JobView &jobView,
-                         StoreRevision recordRevision, Hooks hooks, Time now)
+                         StoreRevision recordRevision, Hooks hooks, Time storeContact, Time now)
     : settings_(settings), ports_(ports), jobView_(jobView),
       recordRevision_(recordRevision), token_{recordRevision.value}, hooks_(std::move(hooks)),
-      startedAt_(now), lastStoreContact_(now), lastCleanup_(now)
+      startedAt_(now), lastStoreContact_(storeContact), lastCleanup_(now)
 {
     assert(settings_.renewalGrace < settings_.maxLeaseWithoutStore);
     jobsLoader_ = std::make_unique<PrefixWatch>(
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -422,8 +422,9 @@
     };
 
     /// `recordRevision`: revision of the coordinator record, which is also the fencing token.
+    /// `storeContact`: when the call was sent that granted the lease of the record.
     Coordinator(const FleetSettings &settings, const FleetPorts &ports, JobView &jobView,
-                StoreRevision recordRevision, Hooks hooks, Time now);
+                StoreRevision recordRevision, Hooks hooks, Time storeContact, Time now);
     ~Coordinator();
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -289,8 +289,7 @@
     jobsWatch_.reset(); // the coordinator updates the view of the jobs from now on
     coordinator_ = std::make_unique<Coordinator>(
             settings_, ports_, jobView_, recordRevision,
-            Coordinator::Hooks{[this] { stepDown(); }, [this] { return config_; }}, now);
-    coordinator_->onStoreContact(sentAt);
+            Coordinator::Hooks{[this] { stepDown(); }, [this] { return config_; }}, sentAt, now);
     lastStoreContact_ = now;
     scheduleLeaseRenewal();
 }
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -309,6 +309,7 @@
 
     Duration latency = milliseconds(2);
     bool cut = false; // from all workers
+    int grantedLeases = 0; // by renewals
     double lateShare = 0; // of the orders: no answer, and carried out seconds later
     Random random{1};
 
@@ -337,6 +338,7 @@
     void renew(const WorkerEntry &worker, FencingToken token, std::uint64_t leaseEnd,
                std::uint64_t acknowledged, Duration wait, WorkerCallback done) override
     {
+        grantedLeases += leaseEnd > 0 ? 1 : 0;
         const Time until = timers_.clock().now() + wait;
         timers_.clock().after(latency, [=] {
             look(worker, token, leaseEnd, acknowledged, until, WorkerIncarnation{}, done);
