End only the runs of former incarnations when a worker has restarted

Cause: when a successor heard that a worker was a later incarnation than the registry had shown, it ended all runs recorded for the worker, also those recorded for the very incarnation that reported them. They were stopped and started again, while a run recorded for a former incarnation waited for a report although it was certainly gone. Found in the review. Change: runs are ended by the incarnation that they are recorded for. loseRunsBefore() replaces the case that the work on crashes had for restored runs. Besides, the waiting line of a gang is written while its members' reservations stand, and worker-lost is not repeated for a worker that is known to have ended.

--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -10,12 +10,14 @@
 #include "scheduling/planpass_p.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace monsoonledge {
 
 namespace {
 
 constexpr std::size_t MaxLoggedSuspects = 8; // of one lost worker
+constexpr WorkerIncarnation AfterAllIncarnations{std::numeric_limits<std::uint64_t>::max()};
 
 /// True if the two tasks are the same or members of one gang, which start and end together.
 bool startTogether(const ScheduledTask &a, const ScheduledTask &b)
@@ -89,14 +91,16 @@
     });
 }
 
-/// The runs on a lost worker that may have crashed it.
-std::vector<ScheduledTask *> Scheduler::suspectsOn(const ScheduledWorker &worker) const
+/// The runs of incarnations before this one of a lost worker that may have crashed it.
+std::vector<ScheduledTask *> Scheduler::suspectsOn(const ScheduledWorker &worker,
+                                                   WorkerIncarnation before) const
 {
     std::vector<ScheduledTask *> suspects;
     if (worker.entry.draining) // it has left as announced
         return suspects;
     for (ScheduledTask *task : worker.tasks) {
-        if (isUnproven(*task) && task->runState != RunState::AwaitingRecord)
+        if (isUnproven(*task) && task->progress.incarnation < before
+            && task->runState != RunState::AwaitingRecord)
             suspects.push_back(task);
     }
     // Records of a former coordinator do not say whether a run has survived its start, but a
@@ -117,9 +121,17 @@
 /// Ends all runs of a worker that is lost, and counts the loss against its suspects.
 void Scheduler::loseRuns(ScheduledWorker &worker, WorkerLoss loss, Time now)
 {
-    const std::vector<ScheduledTask *> suspects = suspectsOn(worker);
+    loseRunsBefore(worker, AfterAllIncarnations, loss, now);
+}
+
+/// The same for the runs that were assigned to incarnations before the given one, which may already
+/// be known for its own runs.
+void Scheduler::loseRunsBefore(ScheduledWorker &worker, WorkerIncarnation incarnation,
+                               WorkerLoss loss, Time now)
+{
+    const std::vector<ScheduledTask *> suspects = suspectsOn(worker, incarnation);
     countLoss(worker, suspects, loss);
-    expireWorkerRuns(worker, now);
+    expireRunsBefore(worker, incarnation, now);
     giveUpDeadly(suspects, now);
 }
 
@@ -181,25 +193,6 @@
     }
 }
 
-/// Handles the runs that a former coordinator recorded for an earlier incarnation of the worker.
-/// `now` is the time of the first report of the present one.
-void Scheduler::loseFormerRuns(ScheduledWorker &worker, Time now)
-{
-    std::vector<ScheduledTask *> suspects = suspectsOn(worker);
-    const auto isOfThisIncarnation = [&](const ScheduledTask *task) {
-        return task->runState != RunState::Restored
-               || task->progress.incarnation >= worker.entry.incarnation;
-    };
-    suspects.erase(std::remove_if(suspects.begin(), suspects.end(), isOfThisIncarnation),
-                   suspects.end());
-    if (suspects.empty())
-        return;
-    countLoss(worker, suspects, WorkerLoss::Crashed);
-    for (ScheduledTask *task : suspects)
-        endRun(*task, RunOutcome::LeaseExpired, {}, now);
-    giveUpDeadly(suspects, now);
-}
-
 /// Updates the number of suspects for a planning pass, and ends what was held for them.
 void Scheduler::beginIsolation(Time now)
 {
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -345,12 +345,12 @@
         reserved.push_back(task);
         chosen.push_back(worker);
     }
+    if (reserved.size() < members.size())
+        logWaiting(*members[reserved.size()], now);
     for (ScheduledTask *task : reserved)
         release(*task);
-    if (reserved.size() < members.size()) {
-        logWaiting(*members[reserved.size()], now);
+    if (reserved.size() < members.size())
         return;
-    }
     RunNumber run{0}; // one number and one checkpoint for all members
     std::string checkpoint;
     for (const ScheduledTask *task : members) {
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -519,7 +519,7 @@
     static void countWaiting(const ScheduledTask &task, int change);
 
     void logRegistration(const WorkerEntry &entry);
-    void resetWorker(ScheduledWorker &worker, Time now);
+    void resetWorker(ScheduledWorker &worker, WorkerIncarnation incarnation, Time now);
     void reserve(ScheduledWorker &worker, ScheduledTask &task);
     void release(ScheduledTask &task);
     static bool isWithinCapacity(const ScheduledWorker &worker);
@@ -533,7 +533,7 @@
     void countSuccess(ScheduledWorker &worker);
     void processActiveRun(ScheduledWorker &worker, const ActiveRun &activeRun, Time now);
     void handleMissingRuns(ScheduledWorker &worker, Time sentAt, Time now);
-    void expireWorkerRuns(ScheduledWorker &worker, Time now);
+    void expireRunsBefore(ScheduledWorker &worker, WorkerIncarnation incarnation, Time now);
     void stopRun(ScheduledTask &task, Time now);
 
     /// What is known of a worker whose runs are lost.
@@ -542,8 +542,10 @@
         Unreachable, // its leases have expired; it may still exist
     };
     void loseRuns(ScheduledWorker &worker, WorkerLoss loss, Time now);
-    void loseFormerRuns(ScheduledWorker &worker, Time now);
-    std::vector<ScheduledTask *> suspectsOn(const ScheduledWorker &worker) const;
+    void loseRunsBefore(ScheduledWorker &worker, WorkerIncarnation incarnation, WorkerLoss loss,
+                        Time now);
+    std::vector<ScheduledTask *> suspectsOn(const ScheduledWorker &worker,
+                                            WorkerIncarnation before) const;
     void countLoss(const ScheduledWorker &worker, const std::vector<ScheduledTask *> &suspects,
                    WorkerLoss loss);
     void giveUpDeadly(const std::vector<ScheduledTask *> &suspects, Time now);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -45,7 +45,7 @@
             worker->listed = true; // the registry entry is older than the worker's last report
             continue;
         } else if (entry.incarnation != worker->entry.incarnation) {
-            resetWorker(*worker, now);
+            resetWorker(*worker, entry.incarnation, now);
             worker->hasReported = false;
         }
         const bool isNew = worker->entry.id.isEmpty();
@@ -77,11 +77,11 @@
     }
 }
 
-/// Resets the state of a restarted worker: its former runs no longer exist, and its list of ended
-/// runs starts from the beginning.
-void Scheduler::resetWorker(ScheduledWorker &worker, Time now)
+/// Resets the state of a worker that has restarted as this incarnation: the runs of former ones no
+/// longer exist, and its list of ended runs starts from the beginning.
+void Scheduler::resetWorker(ScheduledWorker &worker, WorkerIncarnation incarnation, Time now)
 {
-    loseRuns(worker, WorkerLoss::Crashed, now);
+    loseRunsBefore(worker, incarnation, WorkerLoss::Crashed, now);
     worker.hasEnded = false;
     worker.acknowledgedPosition = 0;
     worker.lastProcessedPosition = 0;
@@ -212,14 +212,14 @@
     if (report.incarnation != worker.entry.incarnation) {
         if (report.incarnation < worker.entry.incarnation)
             return; // a late response of a former incarnation
-        resetWorker(worker, now);
+        resetWorker(worker, report.incarnation, now);
         worker.entry.incarnation = report.incarnation;
     }
     // The worker has seen the current fencing token, so it now refuses renewals by former
     // coordinators.
     if (!worker.hasReported) {
         worker.leaseExpiry = now + settings_.maxLeaseDuration;
-        loseFormerRuns(worker, now);
+        loseRunsBefore(worker, report.incarnation, WorkerLoss::Crashed, now);
     }
     if (!worker.hasReported || worker.lastCallFailed)
         markWorkerChanged(worker);
@@ -438,11 +438,12 @@
         task->orderSentAt = now;
 }
 
-void Scheduler::expireWorkerRuns(ScheduledWorker &worker, Time now)
+/// Ends the runs that were assigned to former incarnations of the worker.
+void Scheduler::expireRunsBefore(ScheduledWorker &worker, WorkerIncarnation incarnation, Time now)
 {
     const std::vector<ScheduledTask *> tasks = worker.tasks; // the loop changes the original
     for (ScheduledTask *task : tasks) {
-        if (task->progress.phase == TaskPhase::Assigned
+        if (task->progress.phase == TaskPhase::Assigned && task->progress.incarnation < incarnation
             && task->runState != RunState::AwaitingRecord)
             endRun(*task, RunOutcome::LeaseExpired, {}, now);
     }
@@ -452,7 +453,8 @@
 {
     for (auto &[id, worker] : workers_) {
         const bool isSilent = now - worker->lastReport > settings_.maxReportAge;
-        if (isSilent && !worker->tasks.empty() && now > worker->leaseExpiry) {
+        const bool hasRuns = !worker->hasEnded && !worker->tasks.empty();
+        if (isSilent && hasRuns && now > worker->leaseExpiry) {
             log_({LogLevel::Warning,
                   "worker-lost",
                   "the worker is unreachable and its lease has expired; its runs are treated as "
--- a/tests/unit/workerloss_test.cpp
+++ b/tests/unit/workerloss_test.cpp
@@ -58,6 +58,7 @@
         harness.reportWorkers();
     }
     CHECK(lastField(harness, "task-waiting", "task") == "gang.0.0.2");
+    CHECK(lastField(harness, "task-waiting", "processors") == "2");
 }
 
 TEST_CASE("runs of a crashed worker start elsewhere as soon as another worker has its address")
@@ -109,6 +110,58 @@
     CHECK(world.runners.findings.empty());
 }
 
+TEST_CASE("a process that was suspended while it was elected grants no leases that its successor "
+          "ignores")
+{
+    FleetWorld world(3, 2);
+    REQUIRE(world.wait([&] { return world.coordinator() >= 0; }));
+    world.kill(world.coordinator());
+    // The process whose record is stored and that has not received the answer yet.
+    const auto isElected = [&] { return world.store.items().count("coordinator") > 0; };
+    REQUIRE(world.wait([&] { return !isElected(); }));
+    REQUIRE(world.wait(isElected));
+    REQUIRE(world.coordinator() == -1);
+    const std::string record = world.store.items().at("coordinator").value;
+    const int elected = std::stoi(record.substr(record.find(" p") + 2));
+    FleetWorld::Process &process = world.process(elected);
+    process.timers->suspend();
+    world.clock.advance(seconds(5));
+    REQUIRE(world.coordinator() >= 0);
+    process.timers->resume();
+    world.clock.advance(milliseconds(500));
+    CHECK(process.workers->grantedLeases == 0);
+}
+
+TEST_CASE("a run that its restarted worker reports is not started again by a successor")
+{
+    // The former coordinator knew of the restart from a report, before the registry showed it.
+    SchedulerHarness harness(1);
+    JobSpec spec;
+    spec.id = JobId("a");
+    spec.queue = QueueId("urgent");
+    spec.steps = {SchedulerHarness::step(2)};
+    JobProgress progress;
+    progress.state = JobState::Active;
+    progress.tasks.resize(2);
+    for (std::size_t i = 0; i < 2; ++i) {
+        progress.tasks[i].phase = TaskPhase::Assigned;
+        progress.tasks[i].run.value = 1;
+        progress.tasks[i].worker = WorkerId("w0");
+        progress.tasks[i].incarnation.value = i == 0 ? 6 : 1;
+    }
+    harness.scheduler.addJob(spec, progress, harness.now, harness.now);
+    harness.running[WorkerId("w0")].push_back({{JobId("a"), 0, 0, 0}, RunNumber{1}, {}, 50, 0});
+    harness.entries[0].incarnation.value = 6;
+    harness.now += milliseconds(100);
+    harness.reportWorkers();
+    CHECK(harness.scheduler.takeStops().empty());
+    harness.now += milliseconds(200); // the other run proves that it has survived its start
+    harness.reportWorkers();
+    const std::vector<StartOrder> starts = harness.planAndStart();
+    REQUIRE(starts.size() == 1); // only the run of the former incarnation is gone
+    CHECK(starts[0].task.index == 1);
+}
+
 TEST_CASE("workers that are silent for a moment again and again keep their runs")
 {
     FleetWorld world(2, 2);
