--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -361,14 +361,18 @@
 {
     if (link.failuresInARow == 0)
         return;
-    ports_.log({LogLevel::Info,
-                isAnswering ? "worker-answers" : "worker-given-up",
-                isAnswering ? "the worker answers renewals again"
-                            : "the worker is no longer called; it has not answered again",
-                {{"worker", id.str()},
-                 {"failures", std::to_string(link.failuresInARow)},
-                 {"forMs", std::to_string(wholeMilliseconds(now - link.failingSince))}}});
+    std::vector<std::pair<std::string, std::string>> fields{
+            {"worker", id.str()},
+            {"failures", std::to_string(link.failuresInARow)},
+            {"forMs", std::to_string(wholeMilliseconds(now - link.failingSince))}};
     link.failuresInARow = 0;
+    if (isAnswering)
+        ports_.log({LogLevel::Info, "worker-answers", "the worker answers renewals again",
+                    std::move(fields)});
+    else
+        ports_.log({LogLevel::Info, "worker-given-up",
+                    "the worker is no longer called; it has not answered again",
+                    std::move(fields)});
 }
 
 void Coordinator::takeReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now)
