--- a/src/adapters/logger.cpp
+++ b/src/adapters/logger.cpp
@@ -76,6 +76,8 @@
 std::string formatLine(const LoggerSettings &settings, const LogEvent &event)
 {
     std::string line = formatAll(settings, event);
+    if (line.size() <= MaxLineBytes)
+        return line;
     LogEvent shortened = event;
     for (std::size_t limit = MaxLineBytes / 4; line.size() > MaxLineBytes && limit > 0;
          limit /= 2) {
