Share the obstacles to placement in the private header of the scheduler

isOnlyKeptApart() existed because crashes.cpp could not name an obstacle; the enumeration is in planpass_p.h now, beside the other types of placement. contains(), which had become visible to all of the library, is hasLabel(). A planning pass no longer visits all workers for the isolation of suspects while none is held for one. Decisions are the same.

--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -199,6 +199,8 @@
     suspectTasks_ = 0;
     for (const ScheduledJob *job : activeJobs_)
         suspectTasks_ += job->suspectTasks;
+    if (heldWorkers_ == 0)
+        return;
     heldWorkers_ = 0;
     for (auto &[id, worker] : workers_) {
         if (worker->heldFor.isEmpty())
@@ -281,7 +283,8 @@
     for (const auto &[id, worker] : workers_) {
         if (worker->heldFor == suspect.ref.job && !stepOf(suspect).gang)
             return; // one is enough
-        if (!worker->heldFor.isEmpty() || !isOnlyKeptApart(*worker, suspect, now))
+        // Only workers that isolation alone keeps from the suspect.
+        if (!worker->heldFor.isEmpty() || obstacleOn(*worker, suspect, now) != Obstacle::Isolation)
             continue;
         if (!best || isolationScore(*worker) > isolationScore(*best))
             best = worker.get();
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -58,9 +58,9 @@
 
 } // namespace
 
-bool contains(const std::vector<std::string> &labels, const std::string &label)
+bool hasLabel(const WorkerEntry &worker, const std::string &label)
 {
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
+    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
 
 int countTasksOfStep(const ScheduledWorker &worker, const TaskRef &ref)
@@ -367,20 +367,6 @@
     logAssigned(job, {members.begin(), members.end()}, now);
 }
 
-/// Why a task cannot run on a worker now.
-enum class Scheduler::Obstacle {
-    None,
-    NotAccepting, // unreachable, draining, quarantined, or refused a run a moment ago
-    OtherService,
-    Memory,
-    Accelerators,
-    Processors,
-    Label,
-    AntiAffinity,
-    Isolation, // of a task that may crash its worker: this one, or one that was started there
-    Count
-};
-
 const char *Scheduler::obstacleName(Obstacle obstacle)
 {
     switch (obstacle) {
@@ -424,7 +410,7 @@
         return Obstacle::Accelerators;
     if (!step.bestEffort && worker.reservedCpu + cpu > static_cast<std::int64_t>(entry.cpu.value))
         return Obstacle::Processors;
-    if (!step.requirement.empty() && !contains(entry.labels, step.requirement))
+    if (!step.requirement.empty() && !hasLabel(entry, step.requirement))
         return Obstacle::Label;
     if (step.antiAffinity > 0 && countTasksOfStep(worker, task.ref) >= step.antiAffinity)
         return Obstacle::AntiAffinity;
@@ -433,13 +419,6 @@
     return Obstacle::None;
 }
 
-/// True if the isolation of suspects is all that keeps the task from the worker.
-bool Scheduler::isOnlyKeptApart(const ScheduledWorker &worker, const ScheduledTask &task,
-                                Time now) const
-{
-    return obstacleOn(worker, task, now) == Obstacle::Isolation;
-}
-
 /// Logs now and then why a task still waits: the number of workers by what keeps the task from
 /// running there. An interrupted long-running task is always logged, of the others only some.
 void Scheduler::logWaiting(ScheduledTask &task, Time now)
@@ -496,7 +475,7 @@
     }
     if (isSuspect(task))
         return isolationScore(worker) - (hasFailedOn(task, worker) ? FailurePenalty : 0);
-    if (!step.affinity.empty() && contains(entry.labels, step.affinity))
+    if (!step.affinity.empty() && hasLabel(entry, step.affinity))
         score += AffinityBonus;
     if (hasFailedOn(task, worker))
         score -= FailurePenalty;
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -1,4 +1,5 @@
-// Cached results of planning passes. Private to src/scheduling.
+// What planning passes share: cached results, and types and helpers of placement. Private to
+// src/scheduling.
 //
 // If the backlog far exceeds the capacity, a pass looks at tens of thousands of waiting tasks and
 // starts only a few of them. Two caches keep that cheap: a resource request for which no worker was
@@ -46,6 +47,20 @@
     Time lastTriedAt{};
 };
 
+/// Why a task cannot run on a worker now.
+enum class Scheduler::Obstacle {
+    None,
+    NotAccepting, // unreachable, draining, quarantined, or refused a run a moment ago
+    OtherService,
+    Memory,
+    Accelerators,
+    Processors,
+    Label,
+    AntiAffinity,
+    Isolation, // of a task that may crash its worker: this one, or one that was started there
+    Count
+};
+
 /// A worker that can run the tasks of a step.
 struct Scheduler::Candidate
 {
@@ -53,8 +68,7 @@
     ScheduledWorker *worker = nullptr;
 };
 
-/// True if the worker's labels contain this one.
-bool contains(const std::vector<std::string> &labels, const std::string &label);
+bool hasLabel(const WorkerEntry &worker, const std::string &label);
 /// The number of tasks on the worker that belong to the same step and occurrence of the job.
 int countTasksOfStep(const ScheduledWorker &worker, const TaskRef &ref);
 
--- a/src/scheduling/preemption.cpp
+++ b/src/scheduling/preemption.cpp
@@ -15,7 +15,7 @@
             continue;
         if (step.antiAffinity > 0 && countTasksOfStep(*worker, task.ref) >= step.antiAffinity)
             continue;
-        if (!step.requirement.empty() && !contains(worker->entry.labels, step.requirement))
+        if (!step.requirement.empty() && !hasLabel(worker->entry, step.requirement))
             continue;
         std::int64_t cpuShort = worker->reservedCpu + static_cast<std::int64_t>(step.cpu.value)
                                 - static_cast<std::int64_t>(worker->entry.cpu.value);
