Give the scheduler the time at which former leases have expired, and compute lease durations once

The coordinator subtracted the time since its election from a duration to which the scheduler then added its own start; the comment named the wrong start. The scheduler now gets the absolute time.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -125,15 +125,12 @@
 {
     if (scheduler_ || !areJobsLoaded_ || !areWorkersLoaded_ || !areUnreachableLoaded_)
         return;
-    // A former coordinator has had no contact with the store since its record was removed, which
-    // was before this coordinator was elected.
-    const Duration formerLeaseLimit =
-            std::chrono::duration_cast<Duration>(settings_.maxLeaseWithoutStore / MinWorkerClockRate
-                                                 + LeaseExpiryMargin - (now - startedAt_));
-    settings_.scheduling.maxLeaseDuration = std::chrono::duration_cast<Duration>(
-            settings_.maxWorkerLease / MinWorkerClockRate + LeaseExpiryMargin);
+    // A former coordinator renewed the lease of its record for the last time before the record was
+    // removed, and so before this coordinator was elected.
+    const Time formerLeaseExpiry = startedAt_ + longestDurationOf(settings_.maxLeaseWithoutStore);
+    settings_.scheduling.maxLeaseDuration = longestDurationOf(settings_.maxWorkerLease);
     scheduler_ =
-            std::make_unique<Scheduler>(settings_.scheduling, formerLeaseLimit, ports_.log, now);
+            std::make_unique<Scheduler>(settings_.scheduling, formerLeaseExpiry, ports_.log, now);
     scheduler_->setConfig(hooks_.config());
     scheduler_->setWallClock(ports_.wallNow(), now);
     updateSchedulerWorkers(now);
@@ -146,7 +143,7 @@
         if (std::optional<JobProgress> decoded = decodeProgress(item.value))
             progress.emplace(*id, std::move(*decoded));
         else
-            setAside(*id, item);
+            setAside(*id);
     }
     for (const KeyValue &item : loadedJobItems_) {
         const std::optional<JobId> id = keys::parse(keys::SpecPrefix, item.key);
@@ -177,13 +174,14 @@
 
 /// Excludes a job with an unreadable progress record from scheduling. If it started from its
 /// beginning, work that is done or still going on would run a second time.
-void Coordinator::setAside(const JobId &id, const KeyValue &progress)
+void Coordinator::setAside(const JobId &id)
 {
     jobsSetAside_.insert(id);
     ports_.log({LogLevel::Error,
                 "record-unreadable",
                 "the progress record of a job is malformed; no run of the job is started",
-                {{"key", progress.key}, {"revision", std::to_string(progress.revision.value)}}});
+                {{"key", keys::progress(id)},
+                 {"revision", std::to_string(progressRevisions_[id].value)}}});
 }
 
 // [2] Changes by clients, workers and operators
@@ -201,7 +199,7 @@
     }
     jobView_.setSpec(spec->id, spec->queue);
     if (progress && !coversAllTasks(*spec, *progress))
-        setAside(spec->id, {keys::progress(spec->id), {}, progressRevisions_[spec->id], false});
+        setAside(spec->id);
     if (jobsSetAside_.count(spec->id) > 0)
         return;
     scheduler_->addJob(*spec, progress, scheduler_->toSteadyTime(spec->submitted, MaxJobAge, now),
--- a/src/fleet/coordinator_p.h
+++ b/src/fleet/coordinator_p.h
@@ -10,4 +10,10 @@
 /// Added to the end of a worker's lease before the lease counts as expired.
 constexpr Duration LeaseExpiryMargin = milliseconds(150);
 
+/// How long a lease of this duration on a worker's clock may last on this host's clock.
+inline Duration longestDurationOf(Duration lease)
+{
+    return std::chrono::duration_cast<Duration>(lease / MinWorkerClockRate) + LeaseExpiryMargin;
+}
+
 } // namespace monsoonledge
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -468,7 +468,7 @@
     void onWorkerEvents(const std::vector<KeyValue> &events, Time now);
     void startScheduling(Time now);
     void addJobFromSpec(const KeyValue &item, const std::optional<JobProgress> &progress, Time now);
-    void setAside(const JobId &id, const KeyValue &progress);
+    void setAside(const JobId &id);
     void updateSchedulerWorkers(Time now);
 
     void schedulePass();
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -39,9 +39,8 @@
            + '.' + std::to_string(ref.index);
 }
 
-Scheduler::Scheduler(SchedulingSettings settings, Duration formerLeaseTimeout, LogHook log,
-                     Time now)
-    : settings_(settings), formerLeaseTimeout_(formerLeaseTimeout), log_(std::move(log)),
+Scheduler::Scheduler(SchedulingSettings settings, Time formerLeaseExpiry, LogHook log, Time now)
+    : settings_(settings), formerLeaseExpiry_(formerLeaseExpiry), log_(std::move(log)),
       startedAt_(now), planCache_(std::make_unique<PlanCache>())
 { }
 
@@ -184,7 +183,7 @@
         worker->entry.id = progress.worker;
         worker->entry.incarnation = progress.incarnation;
         worker->listed = false;
-        worker->leaseExpiry = startedAt_ + formerLeaseTimeout_;
+        worker->leaseExpiry = formerLeaseExpiry_;
     }
     reserve(*worker, task);
 }
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -433,9 +433,9 @@
 class Scheduler
 {
 public:
-    /// `formerLeaseTimeout`: time from the start of this coordinator after which leases granted by
-    /// a former one have certainly expired, so that its runs on an unreachable worker have ended.
-    Scheduler(SchedulingSettings settings, Duration formerLeaseTimeout, LogHook log, Time now);
+    /// `formerLeaseExpiry`: when leases granted by a former coordinator have certainly expired, so
+    /// that its runs on an unreachable worker have ended.
+    Scheduler(SchedulingSettings settings, Time formerLeaseExpiry, LogHook log, Time now);
     ~Scheduler();
     Scheduler(const Scheduler &) = delete;
     Scheduler &operator=(const Scheduler &) = delete;
@@ -556,7 +556,6 @@
     bool wasReplaced(const ScheduledWorker &worker) const;
     void beginIsolation(Time now);
     bool isKeptApart(const ScheduledWorker &worker, const ScheduledTask &task) const;
-    bool isOnlyKeptApart(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
     static double isolationScore(const ScheduledWorker &worker);
     void assignSuspects(ScheduledJob &job, int occurrence, int step,
                         std::vector<const ScheduledTask *> &assigned, Time now);
@@ -630,7 +629,7 @@
     void preemptFor(const ScheduledTask &task, Time now);
 
     SchedulingSettings settings_;
-    Duration formerLeaseTimeout_;
+    Time formerLeaseExpiry_;
     LogHook log_;
     Time startedAt_;
     Time nextWorkerCheckAt_{};
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -40,7 +40,7 @@
         std::unique_ptr<ScheduledWorker> &worker = workers_[entry.id];
         if (!worker) {
             worker = std::make_unique<ScheduledWorker>();
-            worker->leaseExpiry = startedAt_ + formerLeaseTimeout_;
+            worker->leaseExpiry = formerLeaseExpiry_;
         } else if (entry.incarnation < worker->entry.incarnation) {
             worker->listed = true; // the registry entry is older than the worker's last report
             continue;
--- a/tests/fakes/schedulerharness.h
+++ b/tests/fakes/schedulerharness.h
@@ -21,7 +21,8 @@
     explicit SchedulerHarness(int workerCount, std::uint64_t cpu = 16000,
                               std::uint64_t memory = 64000, SchedulingSettings settings = {})
         : scheduler(
-                settings, seconds(10), [this](const LogEvent &event) { log.push_back(event); }, now)
+                settings, now + seconds(10),
+                [this](const LogEvent &event) { log.push_back(event); }, now)
     {
         QueueConfig config;
         config.version = 1;
