Handle what any answer of a worker can show in one place

The switch over the answers to a start is a function of its own. Changed by this: a request for a report that is fenced or answered by another worker has its effect at once instead of with the next renewal.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -488,8 +488,7 @@
     void checkLink(const WorkerId &id, Time now);
     void sendRenewal(const WorkerEntry &worker, WorkerLink &link, Time now);
     void requestReport(const WorkerId &id, Time now);
-    void checkWorkerIdentity(const WorkerId &id, WorkerIncarnation incarnation,
-                             const WorkerCallResult &callResult, Time now);
+    WorkerCallback onAnswer(const WorkerEntry &worker, WorkerCallback handle);
     void updateUnreachableRecord(const ScheduledWorker &worker, WorkerLink &link, Time now);
     void writeUnreachableRecord(const WorkerId &id, bool isUnreachable);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -30,6 +30,27 @@
 // reach the workers.
 constexpr Duration WorkerReachTimeout = seconds(4);
 
+/// What an answer to a start order says of the run.
+StartOutcome startOutcomeOf(WorkerCallStatus status)
+{
+    switch (status) {
+    case WorkerCallStatus::Ok:
+        return StartOutcome::Started;
+    case WorkerCallStatus::NoRoom:
+        return StartOutcome::NoRoom;
+    case WorkerCallStatus::OldRun:
+        return StartOutcome::OldRun;
+    case WorkerCallStatus::Unknown:
+        return StartOutcome::Unknown;
+    case WorkerCallStatus::Fenced:
+    case WorkerCallStatus::Refused:
+    case WorkerCallStatus::NotSent:
+    case WorkerCallStatus::OtherIncarnation:
+        break;
+    }
+    return StartOutcome::Refused;
+}
+
 } // namespace
 
 // [1] Orders
@@ -44,23 +65,16 @@
                 jobsSetAside_.count(order.task.job) > 0 && !jobView_.isCancelled(order.task.job);
         if (worker == scheduler_->workers().end() || isLeftAlone)
             continue;
+        const WorkerEntry &entry = worker->second->entry;
         ports_.workers.stop(
-                worker->second->entry, order, token_,
-                [this, order, incarnation = worker->second->entry.incarnation,
-                 alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult,
-                                                     Time eventTime) {
-                    if (alive.expired() || isDeposed_)
-                        return;
-                    checkWorkerIdentity(order.worker, incarnation, callResult, eventTime);
-                    if (callResult.status == WorkerCallStatus::Fenced)
-                        depose("a worker has seen a higher fencing token; another "
-                               "process is the coordinator");
-                    scheduler_->onStopAnswered(order, callResult.status == WorkerCallStatus::Ok,
-                                               eventTime);
-                    if (callResult.status == WorkerCallStatus::Ok)
+                entry, order, token_,
+                onAnswer(entry, [this, order](const WorkerCallResult &callResult, Time eventTime) {
+                    const bool isStopped = callResult.status == WorkerCallStatus::Ok;
+                    scheduler_->onStopAnswered(order, isStopped, eventTime);
+                    if (isStopped)
                         requestReport(order.worker, eventTime);
                     schedulePass();
-                });
+                }));
     }
     for (const WorkerId &id : scheduler_->takeReportRequests(now))
         requestReport(id, now);
@@ -83,37 +97,11 @@
         scheduler_->onStartAnswered(order, StartOutcome::Refused, now);
         return;
     }
+    const WorkerEntry &entry = found->second->entry;
     ports_.workers.start(
-            found->second->entry, order, token_, end,
-            [this, order, incarnation = found->second->entry.incarnation,
-             alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult,
-                                                 Time eventTime) {
-                if (alive.expired() || isDeposed_)
-                    return;
-                checkWorkerIdentity(order.worker, incarnation, callResult, eventTime);
-                StartOutcome outcome = StartOutcome::Refused;
-                switch (callResult.status) {
-                case WorkerCallStatus::Ok:
-                    outcome = StartOutcome::Started;
-                    break;
-                case WorkerCallStatus::NoRoom:
-                    outcome = StartOutcome::NoRoom;
-                    break;
-                case WorkerCallStatus::OldRun:
-                    outcome = StartOutcome::OldRun;
-                    break;
-                case WorkerCallStatus::Unknown:
-                    outcome = StartOutcome::Unknown;
-                    break;
-                case WorkerCallStatus::Fenced:
-                    depose("a worker has seen a higher fencing token; another process is the "
-                           "coordinator");
-                    return;
-                case WorkerCallStatus::Refused:
-                case WorkerCallStatus::NotSent:
-                case WorkerCallStatus::OtherIncarnation:
-                    break;
-                }
+            entry, order, token_, end,
+            onAnswer(entry, [this, order](const WorkerCallResult &callResult, Time eventTime) {
+                const StartOutcome outcome = startOutcomeOf(callResult.status);
                 if (outcome != StartOutcome::Started) {
                     ports_.log({LogLevel::Info,
                                 "start-not-confirmed",
@@ -128,7 +116,28 @@
                     requestReport(order.worker, eventTime);
                 }
                 schedulePass();
-            });
+            }));
+}
+
+/// Wraps the handler of a worker's answer. Answers that arrive after this coordinator was deposed
+/// are dropped. What any answer can show is handled here: that another process is the coordinator,
+/// and that the called worker has ended. `worker` is its entry when the call is sent.
+WorkerCallback Coordinator::onAnswer(const WorkerEntry &worker, WorkerCallback handle)
+{
+    return [this, id = worker.id, incarnation = worker.incarnation, handle = std::move(handle),
+            alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult, Time now) {
+        if (alive.expired() || isDeposed_)
+            return;
+        if (callResult.status == WorkerCallStatus::Fenced) {
+            depose("a worker has seen a higher fencing token; another process is the coordinator");
+            return;
+        }
+        if (callResult.status == WorkerCallStatus::OtherIncarnation) {
+            scheduler_->onWorkerEnded(id, incarnation, now);
+            schedulePass();
+        }
+        handle(callResult, now);
+    };
 }
 
 // [2] Worker leases
@@ -153,11 +162,8 @@
     const auto lease = static_cast<std::uint64_t>(
             wholeMilliseconds(std::min(settings_.requestedWorkerLease, longest)));
     const std::uint64_t end = workerLink.clock + elapsed + lease;
-    // If the worker's clock is slow, the lease lasts longer in real time.
-    const auto longestMs = static_cast<std::int64_t>(static_cast<double>(end - workerLink.clock)
-                                                     / MinWorkerClockRate);
-    scheduler_->onLeaseGranted(id, workerLink.clockReceivedAt + milliseconds(longestMs)
-                                           + LeaseExpiryMargin);
+    const Duration sinceReading = milliseconds(static_cast<std::int64_t>(end - workerLink.clock));
+    scheduler_->onLeaseGranted(id, workerLink.clockReceivedAt + longestDurationOf(sinceReading));
     return end;
 }
 
@@ -257,24 +263,12 @@
     const std::uint64_t acknowledged =
             isSameIncarnation ? scheduler_->acknowledgeablePosition(worker.id) : 0;
     link.isRenewalInFlight = true;
-    ports_.workers.renew(worker, token_, leaseEnd, acknowledged, wait,
-                         [this, id = worker.id, incarnation = worker.incarnation, sentAt = now,
-                          alive = std::weak_ptr<int>(alive_)](const WorkerCallResult &callResult,
-                                                              Time eventTime) {
-                             if (alive.expired() || isDeposed_)
-                                 return;
-                             checkWorkerIdentity(id, incarnation, callResult, eventTime);
-                             onRenewed(id, sentAt, callResult, eventTime);
-                         });
-}
-
-/// Tells the scheduler if the answer proves that the called worker has ended. The incarnation is
-/// the one that was known when the call was sent.
-void Coordinator::checkWorkerIdentity(const WorkerId &id, WorkerIncarnation incarnation,
-                                      const WorkerCallResult &callResult, Time now)
-{
-    if (callResult.status == WorkerCallStatus::OtherIncarnation)
-        scheduler_->onWorkerEnded(id, incarnation, now);
+    ports_.workers.renew(
+            worker, token_, leaseEnd, acknowledged, wait,
+            onAnswer(worker, [this, id = worker.id,
+                              sentAt = now](const WorkerCallResult &callResult, Time eventTime) {
+                onRenewed(id, sentAt, callResult, eventTime);
+            }));
 }
 
 /// Requests a worker's lists of runs at once, in parallel to a renewal that may be waiting there.
@@ -286,17 +280,17 @@
     const auto link = links_.find(id);
     if (worker == scheduler_->workers().end() || link == links_.end() || !link->second.isConfirmed)
         return;
-    ports_.workers.renew(worker->second->entry, token_, 0, scheduler_->acknowledgeablePosition(id),
-                         Duration::zero(),
-                         [this, id, sentAt = now, alive = std::weak_ptr<int>(alive_)](
-                                 const WorkerCallResult &callResult, Time eventTime) {
-                             // After a failure, the waiting renewal returns the same lists later.
-                             if (alive.expired() || isDeposed_
-                                 || callResult.status != WorkerCallStatus::Ok)
-                                 return;
-                             takeReport(id, sentAt, callResult.report, eventTime);
-                             schedulePass();
-                         });
+    const WorkerEntry &entry = worker->second->entry;
+    ports_.workers.renew(
+            entry, token_, 0, scheduler_->acknowledgeablePosition(id), Duration::zero(),
+            onAnswer(entry,
+                     [this, id, sentAt = now](const WorkerCallResult &callResult, Time eventTime) {
+                         // After a failure, the waiting renewal returns the same lists later.
+                         if (callResult.status != WorkerCallStatus::Ok)
+                             return;
+                         takeReport(id, sentAt, callResult.report, eventTime);
+                         schedulePass();
+                     }));
 }
 
 void Coordinator::onRenewed(const WorkerId &id, Time sentAt, const WorkerCallResult &callResult,
@@ -306,10 +300,6 @@
     link.isRenewalInFlight = false;
     link.isRefusing = callResult.status == WorkerCallStatus::NotSent;
     linksToCheck_.push_back(id);
-    if (callResult.status == WorkerCallStatus::Fenced) {
-        depose("a worker has seen a higher fencing token; another process is the coordinator");
-        return;
-    }
     if (callResult.status != WorkerCallStatus::Ok) {
         // The first failure is retried at once, because only the answer may have been lost.
         const bool isFirstFailure = std::exchange(link.isConfirmed, false);
