--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -309,6 +309,7 @@
 
     Duration latency = milliseconds(2);
     bool cut = false; // from all workers
+    std::set<WorkerId> cutFrom; // from these workers
     int grantedLeases = 0; // by renewals
     double lateShare = 0; // of the orders: no answer, and carried out seconds later
     Random random{1};
@@ -348,18 +349,20 @@
 private:
     static constexpr Duration Timeout = milliseconds(800);
 
+    bool isCutFrom(const WorkerEntry &worker) const { return cut || cutFrom.count(worker.id) > 0; }
+
     FakeRunners::Worker *reach(const WorkerEntry &worker)
     {
         const auto it = runners_.all().find(worker.id);
         const bool isThere = it != runners_.all().end() && it->second.up && it->second.reachable;
-        return isThere && !cut ? &it->second : nullptr;
+        return isThere && !isCutFrom(worker) ? &it->second : nullptr;
     }
 
     /// Answers a call if another worker, or nothing, listens at the address.
     bool answersInstead(const WorkerEntry &worker, const WorkerCallback &done)
     {
         const auto it = runners_.all().find(worker.id);
-        if (cut || it == runners_.all().end() || !it->second.reachable)
+        if (isCutFrom(worker) || it == runners_.all().end() || !it->second.reachable)
             return false;
         if (!it->second.replaced && !it->second.refuses)
             return false;
--- a/tests/fakes/schedulerharness.h
+++ b/tests/fakes/schedulerharness.h
@@ -75,6 +75,28 @@
         scheduler.addJob(spec, std::nullopt, now, now);
     }
 
+    /// Adds a job of one step from the record of a former coordinator. Run 1 of each of its tasks
+    /// is assigned to one of these incarnations of the worker "w0".
+    void addRestored(const std::string &id, JobState state,
+                     const std::vector<std::uint64_t> &incarnations)
+    {
+        JobSpec spec;
+        spec.id = JobId(id);
+        spec.queue = QueueId("urgent");
+        spec.steps = {step(static_cast<int>(incarnations.size()))};
+        JobProgress progress;
+        progress.state = state;
+        for (const std::uint64_t incarnation : incarnations) {
+            TaskProgress task;
+            task.phase = TaskPhase::Assigned;
+            task.run.value = 1;
+            task.worker = WorkerId("w0");
+            task.incarnation.value = incarnation;
+            progress.tasks.push_back(task);
+        }
+        scheduler.addJob(spec, progress, now, now);
+    }
+
     /// Runs a planning pass, stores all records and confirms all start orders, which it returns.
     std::vector<StartOrder> planAndStart()
     {
--- a/tests/unit/invariant_crash_test.cpp
+++ b/tests/unit/invariant_crash_test.cpp
@@ -39,16 +39,22 @@
     return world.runners.findings.empty() ? "" : world.runners.findings.front();
 }
 
-} // namespace
-
-TEST_CASE("a deadly task is given up soon, and the jobs beside it complete")
+/// Runs the test case once for either way in which workers come back.
+void chooseIdsAfterCrash(FleetWorld &world)
 {
-    FleetWorld world(2, 4);
     SUBCASE("workers are back under new ids") { }
     SUBCASE("workers are back under the same ids")
     {
         world.runners.keepsIdAfterCrash = true;
     }
+}
+
+} // namespace
+
+TEST_CASE("a deadly task is given up soon, and the jobs beside it complete")
+{
+    FleetWorld world(2, 4);
+    chooseIdsAfterCrash(world);
     world.clock.advance(seconds(2));
     std::vector<std::string> good;
     for (int i = 0; i < 8; ++i) {
@@ -64,11 +70,7 @@
 TEST_CASE("deadly tasks are counted across coordinators that die right after each start")
 {
     FleetWorld world(3, 4);
-    SUBCASE("workers are back under new ids") { }
-    SUBCASE("workers are back under the same ids")
-    {
-        world.runners.keepsIdAfterCrash = true;
-    }
+    chooseIdsAfterCrash(world);
     world.clock.advance(seconds(2));
     CHECK(world.submit(0, FleetWorld::job("good", 6, "ms=3000")) == JobAnswer::Accepted);
     CHECK(world.submit(0, FleetWorld::job("deadly", 1, "ms=500 deadly=1")) == JobAnswer::Accepted);
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -254,18 +254,7 @@
 TEST_CASE("runs of a job that a former coordinator recorded as cancelled are stopped")
 {
     SchedulerHarness harness(1);
-    JobSpec spec;
-    spec.id = JobId("a");
-    spec.queue = QueueId("urgent");
-    spec.steps = {SchedulerHarness::step(1)};
-    JobProgress progress;
-    progress.state = JobState::Cancelled;
-    progress.tasks.resize(1);
-    progress.tasks[0].phase = TaskPhase::Assigned;
-    progress.tasks[0].run.value = 1;
-    progress.tasks[0].worker = WorkerId("w0");
-    progress.tasks[0].incarnation.value = 1;
-    harness.scheduler.addJob(spec, progress, harness.now, harness.now);
+    harness.addRestored("a", JobState::Cancelled, {1});
     harness.running[WorkerId("w0")].push_back({{JobId("a"), 0, 0, 0}, RunNumber{1}, {}, 50, 0});
     harness.now += milliseconds(100);
     harness.reportWorkers();
--- a/tests/unit/workerloss_test.cpp
+++ b/tests/unit/workerloss_test.cpp
@@ -25,13 +25,15 @@
     return {};
 }
 
-/// A job of four long-running tasks, of which a worker can run two.
-JobSpec lastingJob()
+/// Submits a job of four long-running tasks, of which a worker can run two, and waits until they
+/// run.
+void startLastingJob(FleetWorld &world)
 {
     JobSpec spec = FleetWorld::job("lasting", 4, "ms=600000");
     spec.steps[0].longRunning = true;
     spec.steps[0].cpu.value = 6000;
-    return spec;
+    REQUIRE(world.submit(0, spec) == JobAnswer::Accepted);
+    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
 }
 
 } // namespace
@@ -64,8 +66,7 @@
 TEST_CASE("runs of a crashed worker start elsewhere as soon as another worker has its address")
 {
     FleetWorld world(2, 2);
-    REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
-    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+    startLastingJob(world);
     world.clock.advance(seconds(2));
     const Time crashedAt = world.clock.now();
     world.runners.at("w0").up = false;
@@ -82,8 +83,7 @@
 TEST_CASE("calls to a crashed worker do not prolong the wait for its lease")
 {
     FleetWorld world(2, 4);
-    REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
-    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+    startLastingJob(world);
     world.clock.advance(seconds(2));
     const Time crashedAt = world.clock.now();
     world.runners.at("w0").up = false;
@@ -97,8 +97,7 @@
 TEST_CASE("a successor does not wait too long for the runs of a worker that is gone for good")
 {
     FleetWorld world(2, 4);
-    REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
-    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+    startLastingJob(world);
     world.clock.advance(seconds(2));
     world.runners.at("w0").up = false;
     world.runners.at("w0").refuses = true;
@@ -125,6 +124,11 @@
     const int elected = std::stoi(record.substr(record.find(" p") + 2));
     FleetWorld::Process &process = world.process(elected);
     process.timers->suspend();
+    // No worker tells it that there is a higher fencing token.
+    for (FleetWorld::Process &other : world.processes) {
+        if (other.workers)
+            other.workers->cutFrom.insert(WorkerId(&other == &process ? "w1" : "w0"));
+    }
     world.clock.advance(seconds(5));
     REQUIRE(world.coordinator() >= 0);
     process.timers->resume();
@@ -136,20 +140,7 @@
 {
     // The former coordinator knew of the restart from a report, before the registry showed it.
     SchedulerHarness harness(1);
-    JobSpec spec;
-    spec.id = JobId("a");
-    spec.queue = QueueId("urgent");
-    spec.steps = {SchedulerHarness::step(2)};
-    JobProgress progress;
-    progress.state = JobState::Active;
-    progress.tasks.resize(2);
-    for (std::size_t i = 0; i < 2; ++i) {
-        progress.tasks[i].phase = TaskPhase::Assigned;
-        progress.tasks[i].run.value = 1;
-        progress.tasks[i].worker = WorkerId("w0");
-        progress.tasks[i].incarnation.value = i == 0 ? 6 : 1;
-    }
-    harness.scheduler.addJob(spec, progress, harness.now, harness.now);
+    harness.addRestored("a", JobState::Active, {6, 1});
     harness.running[WorkerId("w0")].push_back({{JobId("a"), 0, 0, 0}, RunNumber{1}, {}, 50, 0});
     harness.entries[0].incarnation.value = 6;
     harness.now += milliseconds(100);
@@ -167,8 +158,7 @@
     for (int phase = 0; phase < 10; ++phase) {
         CAPTURE(phase);
         FleetWorld world(2, 2);
-        REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
-        REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+        startLastingJob(world);
         world.clock.advance(seconds(2) + milliseconds(130 * phase));
         for (FleetWorld::Process &process : world.processes)
             process.store->silent = true;
@@ -185,8 +175,7 @@
 TEST_CASE("workers that are silent for a moment again and again keep their runs")
 {
     FleetWorld world(2, 2);
-    REQUIRE(world.submit(0, lastingJob()) == JobAnswer::Accepted);
-    REQUIRE(world.wait([&] { return world.runners.runningCount() == 4; }));
+    startLastingJob(world);
     for (int i = 0; i < 8; ++i) {
         world.clock.advance(seconds(2));
         for (auto &[id, worker] : world.runners.all())
