A gang is done when one member has reported it, also if another one's worker crashed before

A gang ends as a whole, and one report stands for all. If the worker of a member crashed after the gang was done and before it had reported that, the member waited for its next run, the others were done, and a gang is started only as a whole: the job never ended (LOST). Ending the runs of a crashed worker sooner makes this more likely. Change: the success of one member also completes the members that wait. completeWaiting() is what the success of a run that was considered lost did before. Result: workerloss_test, 'a gang is done although the worker of a member crashed before it could report that', failed before (the job stayed active) and passes; all unit and invariant tests pass.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -303,9 +303,12 @@
         markChanged(job);
         if (step.gang) { // the result of one member counts for the whole gang
             for (ScheduledTask &other : job.tasks) {
-                if (other.ref.occurrence == task.ref.occurrence && other.ref.step == task.ref.step
-                    && other.progress.phase == TaskPhase::Assigned)
+                if (other.ref.occurrence != task.ref.occurrence || other.ref.step != task.ref.step)
+                    continue;
+                if (other.progress.phase == TaskPhase::Assigned)
                     endRun(other, RunOutcome::Done, {}, now);
+                else if (other.progress.phase == TaskPhase::Waiting)
+                    completeWaiting(other, {}, now);
             }
         }
         completeIfDone(job, now);
@@ -342,6 +345,15 @@
     finishJob(job, JobState::Failed, now);
 }
 
+/// Processes the success of a run that was considered lost, of a task that waits for its next one.
+void Scheduler::completeWaiting(ScheduledTask &task, const std::string &checkpoint, Time now)
+{
+    assert(task.progress.phase == TaskPhase::Waiting);
+    countWaiting(task, -1);
+    task.progress.phase = TaskPhase::Assigned;
+    endRun(task, RunOutcome::Done, checkpoint, now);
+}
+
 /// Updates the queue's ratio of measured to estimated durations. Besides their individual errors,
 /// the estimates of one queue share a common factor. Only runs that did not resume from a
 /// checkpoint and end at full pace are comparable with their estimate.
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -528,6 +528,7 @@
     void requeueTask(ScheduledTask &task, Duration delay, Time now);
     void processFinishedRun(ScheduledWorker &worker, const FinishedRun &finished, Time now);
     void endRun(ScheduledTask &task, RunOutcome outcome, const std::string &checkpoint, Time now);
+    void completeWaiting(ScheduledTask &task, const std::string &checkpoint, Time now);
     void updateQuarantine(ScheduledWorker &worker, const JobId &job, RunOutcome outcome, Time now);
     bool awaitsTrial(const ScheduledWorker &worker) const;
     void countSuccess(ScheduledWorker &worker);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -260,9 +260,7 @@
                    && finished.run == task->progress.run) {
             // The run was considered lost, but it succeeded and no other run has been assigned
             // since, so its result counts.
-            countWaiting(*task, -1);
-            task->progress.phase = TaskPhase::Assigned;
-            endRun(*task, finished.outcome, finished.checkpoint, now);
+            completeWaiting(*task, finished.checkpoint, now);
         }
         pending.version = task->job->version;
     }
--- a/tests/unit/workerloss_test.cpp
+++ b/tests/unit/workerloss_test.cpp
@@ -208,3 +208,21 @@
     harness.reportWorkers();
     CHECK(harness.planAndStart().size() == 1);
 }
+
+TEST_CASE("a gang is done although the worker of a member crashed before it could report that")
+{
+    SchedulerHarness harness(2, 1000);
+    StepSpec gang = SchedulerHarness::step(2, 1000);
+    gang.gang = true;
+    harness.add("gang", {gang});
+    const std::vector<StartOrder> starts = harness.planAndStart();
+    REQUIRE(starts.size() == 2);
+    harness.now += milliseconds(200);
+    harness.reportWorkers();
+    harness.silent.insert(starts[0].worker);
+    harness.scheduler.onWorkerEnded(starts[0].worker, WorkerIncarnation{1}, harness.now);
+    harness.endRun(starts[1], RunOutcome::Done);
+    harness.reportWorkers();
+    CHECK(harness.state("gang") == JobState::Completed);
+    CHECK(harness.planAndStart().empty());
+}
