--- a/review/standins.py
+++ b/review/standins.py
@@ -3,6 +3,7 @@
 They follow PROTOCOL.md. The store is the project's own stand-in (scripts/platformbed.py). The workers
 are new: a worker checks Expect-Instance, keeps its ends until AckCursor reaches them, and may crash
 without closing its connections, as a host does that loses power. All addresses are loopback ones."""
+import argparse
 import http.client
 import json
 import os
@@ -36,8 +37,8 @@
 class Record:
     """Writes record.txt: one line for each thing that was sent, answered or run."""
 
-    def __init__(self, folder):
-        self.file = (folder / "record.txt").open("w")
+    def __init__(self, path):
+        self.file = path.open("w")
         self.lock = threading.Lock()
         self.began = time.monotonic()
 
@@ -384,11 +385,11 @@
 class Bed:
     """The store, the workers and the entry processes of one case."""
 
-    def __init__(self, folder, entries=3):
+    def __init__(self, record, entries=3):
         # A block of loopback addresses of its own, as 9464 is the fixed port of the metrics.
         self.block = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
         self.next_ip = 1
-        self.record = Record(pathlib.Path(folder))
+        self.record = Record(record)
         self.ledger = Ledger(self.record)
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self.temporary.name)
@@ -462,13 +463,16 @@
     return f"{number:016x}"
 
 
-def run_case(script, scenario):
+def run_case(scenario):
     """Calls scenario(bed, trouble), which returns a list of broken rules. Exits with 1 if there is
     one, with 0 if there is none, and with 2 if the case could not run."""
-    folder = pathlib.Path(script).resolve().parent
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--record", type=pathlib.Path, required=True, help="the file to write")
+    parser.add_argument("--trouble", choices=["0", "1"], default="1", help="0: no disruption")
+    arguments = parser.parse_args()
+    trouble = arguments.trouble == "1"
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # from timeout(1): ends all processes
-    bed = Bed(folder)
+    bed = Bed(arguments.record)
     try:
         breaks = scenario(bed, trouble)
     except BaseException as error:  # the case could not run
