--- a/review/5/case.py
+++ b/review/5/case.py
@@ -44,4 +44,4 @@
     return breaks
 
 
-run_case(__file__, scenario)
+run_case(scenario)
