A start order that reaches the next life of its worker is not repeated elsewhere

Cause: orders name the id of a worker alone, so the next life of the worker carries them out. The scheduler took the knowledge of a new life for proof that no run assigned to a former one exists, although the order was on its way, or had just been carried out by the new life. The same held for a start without an answer (late orders), for a stop that only the former life had confirmed, and for a successor that finds the former life in the record.

Change: after a restart, only runs that a former life has reported well after their start are ended at once. The others are decided by the first report of the new life: a run that it lists is its own from then on, and one that it does not list has ended, once its order has been answered; without an answer, the new life is told to refuse the run first. The renewal that waits on a connection to the former life is not waited for. Starts without an answer are remembered for 15 s, and each later life of the worker is told to refuse them. Reports decide because they carry `born`: no check before a call can exclude that the worker restarts meanwhile.

A log line worker-restarted names the runs that wait for a decision.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -444,6 +444,8 @@
     struct WorkerLink
     {
         bool isRenewalInFlight = false;
+        std::uint64_t renewalNumber = 0; // of the last renewal; earlier ones are not waited for
+        WorkerIncarnation renewedIncarnation; // that the last renewal was sent to
         Time nextRenewalAt{};
         WorkerIncarnation incarnation; // that `clock` belongs to
         std::uint64_t clock = 0; // last reading of the worker's clock in ms; 0: not known
@@ -493,6 +495,7 @@
     void writeUnreachableRecord(const WorkerId &id, bool isUnreachable);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCallResult &callResult, Time now);
+    bool isPresentIncarnation(const WorkerId &id, WorkerIncarnation incarnation) const;
     void logCallFailed(const WorkerId &id, const std::string &call, const std::string &error,
                        Time now);
     void logCallsEnded(const WorkerId &id, WorkerLink &link, bool isAnswering, Time now);
@@ -524,6 +527,7 @@
     // and runs of a former coordinator are left alone unless the job is cancelled.
     std::unordered_set<JobId> jobsSetAside_;
     std::map<WorkerId, WorkerLink> links_;
+    std::uint64_t lastRenewalNumber_ = 0;
     std::vector<WorkerId> linksToCheck_; // in the next pass; a renewal may be due
     Time nextLinkCheckAt_{}; // of all links
     std::vector<KeyValue> loadedJobItems_; // records of jobs, kept until the scheduler is created
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -68,8 +68,10 @@
         const WorkerEntry &entry = worker->second->entry;
         ports_.workers.stop(
                 entry, order, token_,
-                onAnswer(entry, [this, order](const WorkerCallResult &callResult, Time eventTime) {
-                    const bool isStopped = callResult.status == WorkerCallStatus::Ok;
+                onAnswer(entry, [this, order, incarnation = entry.incarnation](
+                                        const WorkerCallResult &callResult, Time eventTime) {
+                    const bool isStopped = callResult.status == WorkerCallStatus::Ok
+                                           && isPresentIncarnation(order.worker, incarnation);
                     scheduler_->onStopAnswered(order, isStopped, eventTime);
                     if (isStopped)
                         requestReport(order.worker, eventTime);
@@ -140,6 +142,14 @@
     };
 }
 
+/// True if this is the latest known incarnation of the worker.
+bool Coordinator::isPresentIncarnation(const WorkerId &id, WorkerIncarnation incarnation) const
+{
+    const auto worker = scheduler_->workers().find(id);
+    return worker != scheduler_->workers().end()
+           && worker->second->entry.incarnation == incarnation;
+}
+
 // [2] Worker leases
 
 /// Grants a worker a new lease. Returns its end in ms on the worker's clock, or 0 if the worker may
@@ -193,7 +203,10 @@
         link.nextRenewalAt = now;
     }
     updateUnreachableRecord(*worker->second, link, now);
-    if (!link.isRenewalInFlight && now >= link.nextRenewalAt)
+    // A renewal that waits on a connection to a former incarnation is not waited for.
+    const bool isAwaited =
+            link.isRenewalInFlight && link.renewedIncarnation == worker->second->entry.incarnation;
+    if (!isAwaited && now >= link.nextRenewalAt)
         sendRenewal(worker->second->entry, link, now);
     else if (link.awaitsStoredEnds)
         linksToCheck_.push_back(id);
@@ -263,11 +276,15 @@
     const std::uint64_t acknowledged =
             isSameIncarnation ? scheduler_->acknowledgeablePosition(worker.id) : 0;
     link.isRenewalInFlight = true;
+    link.renewedIncarnation = worker.incarnation;
+    link.renewalNumber = ++lastRenewalNumber_;
     ports_.workers.renew(
             worker, token_, leaseEnd, acknowledged, wait,
-            onAnswer(worker, [this, id = worker.id,
+            onAnswer(worker, [this, id = worker.id, number = link.renewalNumber,
                               sentAt = now](const WorkerCallResult &callResult, Time eventTime) {
-                onRenewed(id, sentAt, callResult, eventTime);
+                const auto renewed = links_.find(id);
+                if (renewed != links_.end() && renewed->second.renewalNumber == number)
+                    onRenewed(id, sentAt, callResult, eventTime);
             }));
 }
 
@@ -312,9 +329,6 @@
         return;
     }
     logCallsEnded(id, link, true, now);
-    link.incarnation = callResult.report.incarnation;
-    link.clock = callResult.report.clockMs;
-    link.clockReceivedAt = now;
     link.isConfirmed = true;
     link.nextRenewalAt = now;
     takeReport(id, sentAt, callResult.report, now);
@@ -368,6 +382,12 @@
 void Coordinator::takeReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now)
 {
     const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Reports);
+    WorkerLink &link = links_[id];
+    if (report.incarnation >= link.incarnation) { // else a late answer of a former one
+        link.incarnation = report.incarnation;
+        link.clock = report.clockMs;
+        link.clockReceivedAt = now;
+    }
     scheduler_->onReport(id, sentAt, report, now);
 }
 
--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -10,14 +10,12 @@
 #include "scheduling/planpass_p.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace monsoonledge {
 
 namespace {
 
 constexpr std::size_t MaxLoggedSuspects = 8; // of one lost worker
-constexpr WorkerIncarnation AfterAllIncarnations{std::numeric_limits<std::uint64_t>::max()};
 
 /// True if the two tasks are the same or members of one gang, which start and end together.
 bool startTogether(const ScheduledTask &a, const ScheduledTask &b)
@@ -91,18 +89,15 @@
     });
 }
 
-/// The runs of incarnations before this one of a lost worker that may have crashed it.
-std::vector<ScheduledTask *> Scheduler::suspectsOn(const ScheduledWorker &worker,
-                                                   WorkerIncarnation before) const
+/// Those of a lost worker's runs that may have crashed it.
+std::vector<ScheduledTask *> Scheduler::suspectsAmong(
+        const ScheduledWorker &worker, const std::vector<ScheduledTask *> &lost) const
 {
     std::vector<ScheduledTask *> suspects;
     if (worker.entry.draining) // it has left as announced
         return suspects;
-    for (ScheduledTask *task : worker.tasks) {
-        if (isUnproven(*task) && task->progress.incarnation < before
-            && task->runState != RunState::AwaitingRecord)
-            suspects.push_back(task);
-    }
+    std::copy_if(lost.begin(), lost.end(), std::back_inserter(suspects),
+                 [](const ScheduledTask *task) { return isUnproven(*task); });
     // Records of a former coordinator do not say whether a run has survived its start, but a
     // suspect is started only on a worker where all other runs have.
     const auto isIsolated = [this](const ScheduledTask *task) {
@@ -118,21 +113,45 @@
     return suspects;
 }
 
-/// Ends all runs of a worker that is lost, and counts the loss against its suspects.
-void Scheduler::loseRuns(ScheduledWorker &worker, WorkerLoss loss, Time now)
+/// Ends runs that were lost with their worker, and counts the loss against its suspects.
+void Scheduler::loseRuns(ScheduledWorker &worker, const std::vector<ScheduledTask *> &lost,
+                         WorkerLoss loss, Time now)
 {
-    loseRunsBefore(worker, AfterAllIncarnations, loss, now);
+    const std::vector<ScheduledTask *> suspects = suspectsAmong(worker, lost);
+    countLoss(worker, suspects, loss);
+    for (ScheduledTask *task : lost) {
+        if (task->progress.phase == TaskPhase::Assigned) // else the end of another one has ended it
+            endRun(*task, RunOutcome::LeaseExpired, {}, now);
+    }
+    giveUpDeadly(suspects, now);
 }
 
-/// The same for the runs that were assigned to incarnations before the given one, which may already
-/// be known for its own runs.
-void Scheduler::loseRunsBefore(ScheduledWorker &worker, WorkerIncarnation incarnation,
-                               WorkerLoss loss, Time now)
+/// Ends all runs of a worker that is lost.
+void Scheduler::loseAllRuns(ScheduledWorker &worker, WorkerLoss loss, Time now)
 {
-    const std::vector<ScheduledTask *> suspects = suspectsOn(worker, incarnation);
-    countLoss(worker, suspects, loss);
-    expireRunsBefore(worker, incarnation, now);
-    giveUpDeadly(suspects, now);
+    std::vector<ScheduledTask *> lost;
+    std::copy_if(worker.tasks.begin(), worker.tasks.end(), std::back_inserter(lost),
+                 [](const ScheduledTask *task) {
+                     return task->progress.phase == TaskPhase::Assigned
+                            && task->runState != RunState::AwaitingRecord;
+                 });
+    loseRuns(worker, lost, loss, now);
+}
+
+/// Ends the runs of a restarted worker's former incarnations that are not in its report and cannot
+/// begin any more. Runs whose start order may still arrive are left to handleMissingRuns().
+void Scheduler::loseRunsOfFormerIncarnations(ScheduledWorker &worker, Time sentAt, Time now)
+{
+    std::vector<ScheduledTask *> lost;
+    for (ScheduledTask *task : worker.tasks) {
+        // The worker refuses orders of former coordinators from its first report on.
+        const bool isStartAnswered =
+                task->runState == RunState::Restored
+                || (task->runState == RunState::Running && sentAt >= task->startedAt);
+        if (isOfFormerIncarnation(*task) && isStartAnswered)
+            lost.push_back(task);
+    }
+    loseRuns(worker, lost, WorkerLoss::Crashed, now);
 }
 
 /// Counts the loss of the worker against the suspects. A crash is counted only if it is proven and
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -503,8 +503,8 @@
             continue;
         task.runState = RunState::StartSent;
         task.orderSentAt = now;
-        starts_.push_back({task.ref, task.progress.run, task.progress.worker, job.spec.payload,
-                           task.progress.checkpoint});
+        starts_.push_back({task.ref, task.progress.run, task.progress.worker,
+                           task.progress.incarnation, job.spec.payload, task.progress.checkpoint});
     }
 }
 
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -95,6 +95,7 @@
     TaskRef task;
     RunNumber run;
     WorkerId worker;
+    WorkerIncarnation incarnation; // that it is meant for; a later one may carry it out as well
     std::string payload;
     std::string checkpoint;
 };
@@ -385,6 +386,17 @@
     }
 };
 
+/// A start order without an answer. The worker may carry it out much later, even in its next life,
+/// which has not been told to refuse it.
+struct UnansweredStart
+{
+    TaskRef task;
+    RunNumber run;
+    WorkerIncarnation refusedBy; // last incarnation that has confirmed a stop order for the run
+    Time stopSentAt{}; // last stop order to an incarnation that the order was not meant for
+    Time until{}; // the order is too old to be carried out after this time
+};
+
 /// An ended run that may be acknowledged to the worker once the record of its job is stored.
 struct PendingAcknowledgement
 {
@@ -463,8 +475,10 @@
     void onLeaseNotRenewed(const WorkerId &id, WorkerIncarnation incarnation, Time now);
     /// A lease was granted to the worker; it expires at `leaseExpiry` at the latest.
     void onLeaseGranted(const WorkerId &id, Time leaseExpiry);
+    /// The incarnation of the worker that has answered is not known: a report shows whether the run
+    /// belongs to the present one.
     void onStartAnswered(const StartOrder &order, StartOutcome outcome, Time now);
-    /// `stopped`: the worker has confirmed the order.
+    /// `stopped`: the worker has confirmed the order, which was sent to its present incarnation.
     void onStopAnswered(const StopOrder &order, bool stopped, Time now);
 
     /// Assigns waiting tasks and generates orders. Call it after events, but at most every few
@@ -534,7 +548,9 @@
     void countSuccess(ScheduledWorker &worker);
     void processActiveRun(ScheduledWorker &worker, const ActiveRun &activeRun, Time now);
     void handleMissingRuns(ScheduledWorker &worker, Time sentAt, Time now);
-    void expireRunsBefore(ScheduledWorker &worker, WorkerIncarnation incarnation, Time now);
+    static bool isOfFormerIncarnation(const ScheduledTask &task);
+    void rememberUnansweredStart(const StartOrder &order, Time now);
+    void refuseUnansweredStarts(const ScheduledWorker &worker, Time now);
     void stopRun(ScheduledTask &task, Time now);
 
     /// What is known of a worker whose runs are lost.
@@ -542,11 +558,12 @@
         Crashed, // it has ended without draining
         Unreachable, // its leases have expired; it may still exist
     };
-    void loseRuns(ScheduledWorker &worker, WorkerLoss loss, Time now);
-    void loseRunsBefore(ScheduledWorker &worker, WorkerIncarnation incarnation, WorkerLoss loss,
-                        Time now);
-    std::vector<ScheduledTask *> suspectsOn(const ScheduledWorker &worker,
-                                            WorkerIncarnation before) const;
+    void loseRuns(ScheduledWorker &worker, const std::vector<ScheduledTask *> &lost,
+                  WorkerLoss loss, Time now);
+    void loseAllRuns(ScheduledWorker &worker, WorkerLoss loss, Time now);
+    void loseRunsOfFormerIncarnations(ScheduledWorker &worker, Time sentAt, Time now);
+    std::vector<ScheduledTask *> suspectsAmong(const ScheduledWorker &worker,
+                                               const std::vector<ScheduledTask *> &lost) const;
     void countLoss(const ScheduledWorker &worker, const std::vector<ScheduledTask *> &suspects,
                    WorkerLoss loss);
     void giveUpDeadly(const std::vector<ScheduledTask *> &suspects, Time now);
@@ -644,6 +661,7 @@
     std::vector<ScheduledJob *> activeJobs_; // jobs that have not ended
     int suspectTasks_ = 0; // of all active jobs, in the last planning pass
     int heldWorkers_ = 0; // for suspects
+    std::map<WorkerId, std::vector<UnansweredStart>> unansweredStarts_;
     std::deque<JobId> changes_; // jobs whose record has to be written
     std::vector<StartOrder> starts_;
     std::vector<StopOrder> stops_;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr Duration StopRetryDelay = milliseconds(600);
+// How long an order for a former incarnation of a worker may be on its way to the present one.
+constexpr Duration MaxOrderDelay = milliseconds(500);
+// How long after it was sent a worker may still carry out an order that it has not answered.
+constexpr Duration MaxUnansweredAge = seconds(15);
 constexpr std::size_t MaxReportedFinishedRuns =
         500; // longer lists of ended runs are truncated by the worker
 
@@ -46,7 +50,6 @@
             continue;
         } else if (entry.incarnation != worker->entry.incarnation) {
             resetWorker(*worker, entry.incarnation, now);
-            worker->hasReported = false;
         }
         const bool isNew = worker->entry.id.isEmpty();
         if (isNew || entry.draining != worker->entry.draining
@@ -77,11 +80,34 @@
     }
 }
 
-/// Resets the state of a worker that has restarted as this incarnation: the runs of former ones no
-/// longer exist, and its list of ended runs starts from the beginning.
+/// Resets the state of a worker that has restarted as this incarnation: its list of ended runs
+/// starts from the beginning, and runs that a former one has reported no longer exist. Of the
+/// others, the start order may have reached this incarnation or may yet do so, because orders name
+/// the worker's id alone. Its reports decide about them.
 void Scheduler::resetWorker(ScheduledWorker &worker, WorkerIncarnation incarnation, Time now)
 {
-    loseRunsBefore(worker, incarnation, WorkerLoss::Crashed, now);
+    const std::vector<ScheduledTask *> tasks = worker.tasks; // the loop changes the original
+    for (ScheduledTask *task : tasks) {
+        if (task->progress.phase != TaskPhase::Assigned || task->progress.incarnation >= incarnation
+            || task->runState == RunState::AwaitingRecord)
+            continue;
+        if (task->hasSurvivedStart)
+            endRun(*task, RunOutcome::LeaseExpired, {}, now);
+        else if (task->runState == RunState::Stopping)
+            stopRun(*task, now); // a former incarnation's confirmation does not count
+    }
+    log_({LogLevel::Info,
+          "worker-restarted",
+          "the worker has restarted; its first report decides about runs that were just started",
+          {{"worker", worker.entry.id.str()},
+           {"incarnation", std::to_string(incarnation.value)},
+           {"formerIncarnation", std::to_string(worker.entry.incarnation.value)},
+           {"undecidedRuns", std::to_string(worker.tasks.size())}}});
+    worker.hasReported = false;
+    worker.entry.incarnation = incarnation;
+    refuseUnansweredStarts(worker, now);
+    worker.leaseExpiry =
+            std::max(worker.leaseExpiry, now + settings_.maxLeaseDuration + MaxOrderDelay);
     worker.hasEnded = false;
     worker.acknowledgedPosition = 0;
     worker.lastProcessedPosition = 0;
@@ -200,7 +226,7 @@
           {{"worker", id.str()},
            {"runs", std::to_string(worker.tasks.size())},
            {"reportAgeMs", std::to_string(wholeMilliseconds(now - worker.lastReport))}}});
-    loseRuns(worker, WorkerLoss::Crashed, now);
+    loseAllRuns(worker, WorkerLoss::Crashed, now);
 }
 
 void Scheduler::onReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now)
@@ -213,14 +239,11 @@
         if (report.incarnation < worker.entry.incarnation)
             return; // a late response of a former incarnation
         resetWorker(worker, report.incarnation, now);
-        worker.entry.incarnation = report.incarnation;
     }
     // The worker has seen the current fencing token, so it now refuses renewals by former
     // coordinators.
-    if (!worker.hasReported) {
-        worker.leaseExpiry = now + settings_.maxLeaseDuration;
-        loseRunsBefore(worker, report.incarnation, WorkerLoss::Crashed, now);
-    }
+    if (!worker.hasReported)
+        worker.leaseExpiry = now + settings_.maxLeaseDuration + MaxOrderDelay;
     if (!worker.hasReported || worker.lastCallFailed)
         markWorkerChanged(worker);
     worker.hasReported = true;
@@ -230,8 +253,11 @@
         processFinishedRun(worker, finished, now);
     for (const ActiveRun &activeRun : report.running)
         processActiveRun(worker, activeRun, now);
-    if (report.finished.size() < MaxReportedFinishedRuns)
+    if (report.finished.size() < MaxReportedFinishedRuns) {
+        loseRunsOfFormerIncarnations(worker, sentAt, now);
         handleMissingRuns(worker, sentAt, now);
+    }
+    refuseUnansweredStarts(worker, now);
     stopStalledRuns(worker, now);
     learnInterference(worker, now);
     paceBestEffortTasks(worker, now);
@@ -324,6 +350,10 @@
         stops_.push_back({activeRun.task, activeRun.run, worker.entry.id});
         return;
     }
+    if (isOfFormerIncarnation(*task)) { // its start order has reached this incarnation
+        task->progress.incarnation = worker.entry.incarnation;
+        markChanged(*task->job);
+    }
     task->lastReportedAt = now;
     task->usage = activeRun.usage;
     if (!activeRun.checkpoint.empty())
@@ -358,6 +388,48 @@
     noteReported(*task, now);
 }
 
+/// True if the task's run was assigned to a former incarnation of its worker, and no report of the
+/// present one has listed it.
+bool Scheduler::isOfFormerIncarnation(const ScheduledTask &task)
+{
+    return task.worker && task.progress.phase == TaskPhase::Assigned
+           && task.runState != RunState::AwaitingRecord
+           && task.progress.incarnation < task.worker->entry.incarnation;
+}
+
+void Scheduler::rememberUnansweredStart(const StartOrder &order, Time now)
+{
+    for (auto it = unansweredStarts_.begin(); it != unansweredStarts_.end();)
+        it = it->second.back().until < now ? unansweredStarts_.erase(it) : std::next(it);
+    unansweredStarts_[order.worker].push_back(
+            {order.task, order.run, order.incarnation, {}, now + MaxUnansweredAge});
+}
+
+/// Has a restarted worker told to refuse what its former lives were told to refuse: start orders
+/// that may still arrive.
+void Scheduler::refuseUnansweredStarts(const ScheduledWorker &worker, Time now)
+{
+    const auto found = unansweredStarts_.find(worker.entry.id);
+    if (found == unansweredStarts_.end())
+        return;
+    std::vector<UnansweredStart> &starts = found->second;
+    starts.erase(std::remove_if(starts.begin(), starts.end(),
+                                [now](const UnansweredStart &start) { return start.until < now; }),
+                 starts.end());
+    for (UnansweredStart &start : starts) {
+        const ScheduledTask *task = findTask(start.task);
+        const bool isCurrent = task && task->progress.phase == TaskPhase::Assigned
+                               && task->progress.run == start.run && task->worker == &worker;
+        if (isCurrent || start.refusedBy == worker.entry.incarnation
+            || now - start.stopSentAt < StopRetryDelay)
+            continue;
+        start.stopSentAt = now;
+        stops_.push_back({start.task, start.run, worker.entry.id});
+    }
+    if (starts.empty())
+        unansweredStarts_.erase(found);
+}
+
 /// Handles runs that are assigned to the worker but missing in its report.
 void Scheduler::handleMissingRuns(ScheduledWorker &worker, Time sentAt, Time now)
 {
@@ -395,6 +467,8 @@
 
 void Scheduler::onStartAnswered(const StartOrder &order, StartOutcome outcome, Time now)
 {
+    if (outcome == StartOutcome::Unknown)
+        rememberUnansweredStart(order, now);
     ScheduledTask *task = findTask(order.task);
     const bool isCurrent =
             task && task->progress.phase == TaskPhase::Assigned && task->progress.run == order.run;
@@ -423,6 +497,14 @@
 
 void Scheduler::onStopAnswered(const StopOrder &order, bool stopped, Time now)
 {
+    const auto worker = workers_.find(order.worker);
+    const auto unanswered = unansweredStarts_.find(order.worker);
+    if (stopped && worker != workers_.end() && unanswered != unansweredStarts_.end()) {
+        for (UnansweredStart &start : unanswered->second) {
+            if (start.task == order.task && start.run <= order.run)
+                start.refusedBy = worker->second->entry.incarnation;
+        }
+    }
     ScheduledTask *task = findTask(order.task);
     const bool isCurrent = task && task->progress.phase == TaskPhase::Assigned
                            && task->progress.run == order.run
@@ -436,17 +518,6 @@
         task->orderSentAt = now;
 }
 
-/// Ends the runs that were assigned to former incarnations of the worker.
-void Scheduler::expireRunsBefore(ScheduledWorker &worker, WorkerIncarnation incarnation, Time now)
-{
-    const std::vector<ScheduledTask *> tasks = worker.tasks; // the loop changes the original
-    for (ScheduledTask *task : tasks) {
-        if (task->progress.phase == TaskPhase::Assigned && task->progress.incarnation < incarnation
-            && task->runState != RunState::AwaitingRecord)
-            endRun(*task, RunOutcome::LeaseExpired, {}, now);
-    }
-}
-
 void Scheduler::checkWorkers(Time now)
 {
     for (auto &[id, worker] : workers_) {
@@ -460,8 +531,8 @@
                   {{"worker", id.str()},
                    {"runs", std::to_string(worker->tasks.size())},
                    {"listed", worker->listed ? "yes" : "no"}}});
-            loseRuns(*worker, wasReplaced(*worker) ? WorkerLoss::Crashed : WorkerLoss::Unreachable,
-                     now);
+            const bool isReplaced = wasReplaced(*worker);
+            loseAllRuns(*worker, isReplaced ? WorkerLoss::Crashed : WorkerLoss::Unreachable, now);
         }
         if (worker->entry.draining && !isSilent)
             drainWorker(*worker, now);
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -59,7 +59,8 @@
         bool refuses = false; // its host is up, but nothing listens at its address
         std::uint64_t token = 0;
         Time leaseEnd{};
-        std::uint64_t clockOffset = 0;
+        std::uint64_t clockStart = 1000; // reading of its clock at `bornAt`
+        Time bornAt{};
         std::map<TaskKey, Run> running;
         std::map<TaskKey, std::uint64_t> barred; // runs up to this number are refused
         std::vector<FinishedRun> finished;
@@ -82,7 +83,8 @@
     {
         Worker &worker = workers_[entry.id];
         worker.entry = entry;
-        worker.clockOffset = 1000 + 77 * workers_.size();
+        worker.clockStart = 1000 + 77 * workers_.size();
+        worker.bornAt = clock_.now();
         return worker;
     }
     Worker &at(const std::string &id) { return workers_.at(WorkerId(id)); }
@@ -90,11 +92,12 @@
 
     std::uint64_t clockOf(const Worker &worker) const
     {
-        return worker.clockOffset
-               + static_cast<std::uint64_t>(clock_.now().time_since_epoch().count() / 1000);
+        return worker.clockStart
+               + static_cast<std::uint64_t>(wholeMilliseconds(clock_.now() - worker.bornAt));
     }
 
-    /// The worker loses everything and comes back with another incarnation.
+    /// The worker loses everything and comes back with another incarnation, under its id. Its clock
+    /// and the numbers of its ends start anew.
     void restart(const std::string &id)
     {
         Worker &worker = at(id);
@@ -102,9 +105,13 @@
         worker.running.clear();
         worker.barred.clear();
         worker.finished.clear();
+        worker.endTimes.clear();
         worker.lastNumber = 0;
         worker.acknowledged = 0;
         worker.token = 0;
+        worker.leaseEnd = {};
+        worker.lapsedAt = {};
+        worker.bornAt = clock_.now();
         worker.up = true;
     }
 
@@ -223,32 +230,16 @@
             return call;
         if (leaseEnd > 0)
             extend(worker, leaseEnd);
-        for (const FinishedRun &finished : worker.finished) {
-            if (finished.position > acknowledged) {
-                call.report.finished.push_back(finished);
-                continue;
-            }
-            if (finished.position <= worker.acknowledged)
-                continue;
-            const Time endedAt = worker.endTimes.at(finished.position);
-            // After the lease has run out, the end does not count.
-            if (finished.outcome != RunOutcome::Done || worker.lapsedAt > endedAt)
-                continue;
-            const TaskKey key = keyOf(finished.task);
-            acknowledgedDone.insert(key);
-            if (lastStarts[key] > endedAt)
-                findings.push_back("a start after an end: " + finished.task.job.str());
-        }
+        call.report.incarnation = worker.entry.incarnation;
         worker.acknowledged = std::max(worker.acknowledged, acknowledged);
+        forgetAcknowledged(worker);
+        call.report.finished = worker.finished;
         for (const auto &[key, run] : worker.running)
             call.report.running.push_back({run.task, run.run, {}, 50, 0});
         return call;
     }
 
-    bool hasNews(const Worker &worker, std::uint64_t acknowledged) const
-    {
-        return worker.lastNumber > std::max(acknowledged, worker.acknowledged);
-    }
+    static bool hasNews(const Worker &worker) { return !worker.finished.empty(); }
 
 private:
     static constexpr Duration CrashDelay = milliseconds(10); // after the start of a deadly task
@@ -259,7 +250,6 @@
         WorkerCallResult call;
         call.status = WorkerCallStatus::Ok;
         call.report.clockMs = clockOf(worker);
-        call.report.incarnation = worker.entry.incarnation;
         if (token.value < worker.token)
             call.status = WorkerCallStatus::Fenced;
         worker.token = std::max(worker.token, token.value);
@@ -294,6 +284,25 @@
         barred = std::max(barred, run.run.value);
         worker.finished.push_back({++worker.lastNumber, run.task, run.run, how, {}});
         worker.endTimes[worker.lastNumber] = clock_.now();
+        forgetAcknowledged(worker); // a position beyond the last end makes it forget later ones
+    }
+
+    /// The worker forgets the ends up to the acknowledged position.
+    void forgetAcknowledged(Worker &worker)
+    {
+        while (!worker.finished.empty()
+               && worker.finished.front().position <= worker.acknowledged) {
+            const FinishedRun finished = worker.finished.front();
+            worker.finished.erase(worker.finished.begin());
+            const Time endedAt = worker.endTimes.at(finished.position);
+            // After the lease has run out, the end does not count.
+            if (finished.outcome != RunOutcome::Done || worker.lapsedAt > endedAt)
+                continue;
+            const TaskKey key = keyOf(finished.task);
+            acknowledgedDone.insert(key);
+            if (lastStarts[key] > endedAt)
+                findings.push_back("a start after an end: " + finished.task.job.str());
+        }
     }
 
     FakeClock &clock_;
@@ -312,6 +321,7 @@
     std::set<WorkerId> cutFrom; // from these workers
     int grantedLeases = 0; // by renewals
     double lateShare = 0; // of the orders: no answer, and carried out seconds later
+    Duration lateBy{}; // how much later; 0: 2 to 12 s
     Random random{1};
 
     void start(const WorkerEntry &worker, const StartOrder &order, FencingToken token,
@@ -382,15 +392,16 @@
               const WorkerCallback &done, bool isOrder)
     {
         const bool isLate = isOrder && random.unit() < lateShare;
-        const Duration delay =
-                isLate ? milliseconds(2000 + static_cast<std::int64_t>(random.below(10000)))
-                       : latency;
+        Duration delay = latency;
+        if (isLate)
+            delay = lateBy > Duration::zero()
+                            ? lateBy
+                            : milliseconds(2000 + static_cast<std::int64_t>(random.below(10000)));
         timers_.clock().after(delay, [this, worker, act = std::move(act), done, isLate] {
             if (!isLate && answersInstead(worker, done))
                 return;
+            // A call names the worker's id, which its next incarnation may have, too.
             FakeRunners::Worker *target = reach(worker);
-            if (target && target->entry.incarnation != worker.incarnation)
-                target = nullptr;
             if (target && isLate)
                 act(*target);
             else if (target)
@@ -420,9 +431,11 @@
             fail(done);
             return;
         }
-        const WorkerCallResult call = runners_.renew(*target, token, leaseEnd, acknowledged);
-        const bool isFinal = call.status != WorkerCallStatus::Ok
-                             || runners_.hasNews(*target, acknowledged)
+        // As the port promises, a position reaches only the incarnation that it belongs to.
+        const bool isMeant = target->entry.incarnation == worker.incarnation;
+        const WorkerCallResult call =
+                runners_.renew(*target, token, leaseEnd, isMeant ? acknowledged : 0);
+        const bool isFinal = call.status != WorkerCallStatus::Ok || FakeRunners::hasNews(*target)
                              || timers_.clock().now() >= until;
         if (isFinal) {
             answer(call, done);
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -210,8 +210,8 @@
                 platform::parseTaskName(body.at("Task").get<std::string>());
         const RunNumber run{body.at("Attempt").get<std::uint64_t>()};
         if (request.path == "/-/run-start")
-            port_.start(entry, {*task, run, entry.id, body.at("TaskSpec"), {}}, token, leaseEnd,
-                        answer);
+            port_.start(entry, {*task, run, entry.id, entry.incarnation, body.at("TaskSpec"), {}},
+                        token, leaseEnd, answer);
         else if (request.path == "/-/run-stop")
             port_.stop(entry, {*task, run, entry.id}, token, answer);
         else
