A long-running task that ends as done is started again

Cause: Scheduler::endRun() took an end as done for the end of any task, and looked at StepSpec::longRunning for failed runs only.

Three new cases of scheduler_test failed before: an end as done (single tasks and a gang), one of a run that had been considered lost, and a record of a former coordinator that says done.

Change: only a task that is not long-running is finished by an end as done. A long-running one is queued again, at once if it was at work, after a second if it never was, so that one that ends at each start does not fill the store with records. Records that say done for such a task are read as waiting. A task that ends by itself cannot be told from one that another writer ended, so there is no other condition.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -167,8 +167,10 @@
 {
     ScheduledJob &job = *task.job;
     task.progress = progress;
+    if (progress.phase == TaskPhase::Done && stepOf(task).longRunning)
+        task.progress.phase = TaskPhase::Waiting; // it is never finished
     job.suspectTasks += progress.lostStarts > 0 ? 1 : 0;
-    if (progress.phase == TaskPhase::Waiting)
+    if (task.progress.phase == TaskPhase::Waiting)
         return;
     countWaiting(task, -1);
     if (progress.phase == TaskPhase::Done)
@@ -277,7 +279,8 @@
     markChanged(*task.job);
 }
 
-/// Processes the end of the task's current run.
+/// Processes the end of the task's current run. A long-running task is started again however it has
+/// ended; any other one is finished when a run of it is done.
 void Scheduler::endRun(ScheduledTask &task, RunOutcome outcome, const std::string &checkpoint,
                        Time now)
 {
@@ -287,7 +290,7 @@
         task.progress.checkpoint = checkpoint;
     if (outcome == RunOutcome::Done || outcome == RunOutcome::Failed)
         acquit(task); // its worker has survived it
-    if (outcome == RunOutcome::Done) {
+    if (outcome == RunOutcome::Done && !step.longRunning) {
         updateDurationFactor(task, now);
         release(task);
         task.runState = RunState::None;
@@ -323,6 +326,8 @@
            {"worker", task.progress.worker.str()},
            {"end", runOutcomeName(outcome)}}});
     Duration delay{};
+    if (outcome == RunOutcome::Done && task.percent < 100)
+        delay = settings_.earlyEndDelay;
     if (outcome == RunOutcome::Failed) {
         ++task.progress.failures;
         task.failedOn.push_back(task.progress.worker);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -145,6 +145,8 @@
     // Delay of a retry from the second failed run on, doubled with each further failure.
     Duration retryDelay = milliseconds(50);
     Duration maxRetryDelay = seconds(2);
+    // Delay of the next run of a long-running task that has ended as done before it was at work.
+    Duration earlyEndDelay = seconds(1);
     // A worker that refused a run for lack of capacity gets no new tasks for this long.
     Duration startBackoff = milliseconds(300);
 
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -358,7 +358,7 @@
     task->usage = activeRun.usage;
     if (!activeRun.checkpoint.empty())
         task->progress.checkpoint = activeRun.checkpoint;
-    // A long-running task never ends as done: being at work is its success.
+    // A long-running task is not finished when it ends: being at work is its success.
     if (task->isTrial && stepOf(*task).longRunning && activeRun.percent == 100)
         countSuccess(worker);
     if (activeRun.percent != task->percent) {
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -318,6 +318,89 @@
     CHECK(again.front().task.job.str() == "long-running"); // before the tasks that waited earlier
 }
 
+// Guards against LOST: a task that lasts until its job is cancelled was taken for finished.
+TEST_CASE("a long-running task is started again however it ends")
+{
+    SchedulerHarness harness(2);
+    StepSpec step = SchedulerHarness::step(3);
+    step.longRunning = true;
+    RunOutcome outcome = RunOutcome::Done;
+    SUBCASE("done") { }
+    SUBCASE("done, as a gang")
+    {
+        step.gang = true;
+    }
+    SUBCASE("failed")
+    {
+        outcome = RunOutcome::Failed;
+    }
+    SUBCASE("stopped")
+    {
+        outcome = RunOutcome::Stopped;
+    }
+    harness.add("lasting", {step});
+    std::vector<StartOrder> starts = harness.planAndStart();
+    REQUIRE(starts.size() == 3);
+    for (int round = 0; round < 4; ++round) {
+        harness.now += seconds(2);
+        harness.reportWorkers();
+        for (const StartOrder &order : starts)
+            harness.endRun(order, outcome);
+        harness.reportWorkers();
+        CHECK(harness.state("lasting") == JobState::Active);
+        harness.now += seconds(2); // less than users may notice
+        harness.reportWorkers();
+        starts = harness.planAndStart();
+        REQUIRE(starts.size() == 3);
+    }
+}
+
+TEST_CASE("a long-running task whose lost run has ended as done is started again")
+{
+    SchedulerHarness harness(2);
+    StepSpec step = SchedulerHarness::step(1);
+    step.longRunning = true;
+    harness.add("lasting", {step});
+    const StartOrder first = harness.planAndStart().at(0);
+    harness.silent.insert(first.worker);
+    for (int i = 0; i < 80; ++i) { // until the lease has run out; no other worker takes the task
+        harness.now += milliseconds(100);
+        if (i == 0)
+            harness.entries.back().draining = harness.entries.front().draining = true;
+        harness.scheduler.setWorkers(harness.entries, harness.now);
+        harness.reportWorkers();
+        harness.planAndStart();
+    }
+    harness.silent.clear();
+    harness.endRun(first, RunOutcome::Done);
+    harness.reportWorkers();
+    CHECK(harness.state("lasting") == JobState::Active);
+    harness.entries.back().draining = harness.entries.front().draining = false;
+    harness.scheduler.setWorkers(harness.entries, harness.now);
+    harness.now += seconds(2);
+    harness.reportWorkers();
+    CHECK(harness.planAndStart().size() == 1);
+}
+
+TEST_CASE("a long-running task that a former coordinator recorded as done is started again")
+{
+    SchedulerHarness harness(1);
+    JobSpec spec;
+    spec.id = JobId("lasting");
+    spec.queue = QueueId("urgent");
+    spec.steps = {SchedulerHarness::step(1)};
+    spec.steps[0].longRunning = true;
+    JobProgress progress;
+    progress.state = JobState::Active;
+    progress.tasks.resize(1);
+    progress.tasks[0].phase = TaskPhase::Done;
+    progress.tasks[0].run.value = 1;
+    harness.scheduler.addJob(spec, progress, harness.now, harness.now);
+    const std::vector<StartOrder> starts = harness.planAndStart();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.value == 2);
+}
+
 TEST_CASE("occurrences of a repeated job become due by the time of day")
 {
     SchedulerHarness harness(1);
