A position in a worker's list of ends reaches only the life that it belongs to

Cause: nothing in a renewal names the life that the cursor is meant for. sendRenewal() took care of the order of events that was known, after a failed call; the reports that are requested in between did not, and a restart between two calls, with the connection closed while it was idle, escaped both.

Change: the client remembers on which connections a life has answered with a report, and sends a position only on one of them; if none is idle, the call acknowledges nothing, and the next one does. A TCP connection cannot lead to another process, so this holds at whatever moment the worker restarts. Reports requested in between acknowledge nothing any more.

--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -17,6 +17,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -142,10 +144,14 @@
 /// Returns true if the failure guarantees that no byte of the request was sent.
 bool isCertainlyUnsent(HttpFailure failure);
 
+/// One TCP connection of an HttpClient. All that is sent on it goes to the same process.
+using ConnectionId = Number<struct ConnectionTag>;
+
 struct HttpResult
 {
     HttpFailure failure = HttpFailure::None;
     HttpResponse response; // set if failure is None
+    ConnectionId connection; // that carried the response; set if failure is None
     std::string detail; // reason of the failure
 };
 
@@ -184,6 +190,14 @@
               const HttpHeaders &headers, const std::string &body, Duration timeout,
               std::function<void(const HttpResult &, Time now)> done,
               ResponseValidator validator = {});
+    /// The same on this connection, which findIdleConnection() has just returned. The request is
+    /// sent on no other one: if the connection fails, so does the request.
+    void sendOn(ConnectionId connection, const Address &address, const std::string &method,
+                const std::string &target, const HttpHeaders &headers, const std::string &body,
+                Duration timeout, std::function<void(const HttpResult &, Time now)> done);
+    /// One of these connections to the address that is open and idle, or nothing.
+    std::optional<ConnectionId> findIdleConnection(const Address &address,
+                                                   const std::set<ConnectionId> &among) const;
 
     struct Private; // internal state, accessed by the callbacks of evhttp
 
--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -69,6 +69,7 @@
     }
 
     HttpClient::Private *client = nullptr;
+    ConnectionId id;
     std::weak_ptr<Connection> self;
     Address address;
     evhttp_connection *evcon = nullptr;
@@ -197,7 +198,15 @@
     EventLoop &loop;
     HttpClientSettings settings;
     std::map<Address, ConnectionPool> pools;
-
+    ConnectionId lastConnection;
+
+    std::shared_ptr<OutgoingRequest> makeRequest(const Address &address, const std::string &method,
+                                                 const std::string &target,
+                                                 const HttpHeaders &headers,
+                                                 const std::string &body, Duration timeout,
+                                                 ResultCallback done);
+    void failLater(const std::shared_ptr<OutgoingRequest> &request, const std::string &detail);
+    std::shared_ptr<Connection> idleConnection(const Address &address, ConnectionId id) const;
     void dispatch(const Address &address);
     std::shared_ptr<Connection> takeIdleConnection(ConnectionPool &pool);
     bool isReusable(const Connection &connection) const;
@@ -286,6 +295,7 @@
         throw std::bad_alloc();
     auto connection = std::make_shared<Connection>();
     connection->client = this;
+    connection->id.value = ++lastConnection.value;
     connection->self = connection;
     connection->address = address;
     connection->evcon = evcon;
@@ -438,6 +448,7 @@
         return;
     }
     connection->request->result.response = std::move(response);
+    connection->request->result.connection = connection->id;
     client->scheduleFinish(*connection);
 }
 
@@ -586,13 +597,13 @@
     d_->pools.clear();
 }
 
-void HttpClient::send(const Address &address, const std::string &method, const std::string &target,
-                      const HttpHeaders &headers, const std::string &body, Duration timeout,
-                      std::function<void(const HttpResult &, Time now)> done,
-                      ResponseValidator validator)
+/// Returns the request, or null if it cannot be sent: it then fails in the next pass of the event
+/// loop.
+std::shared_ptr<OutgoingRequest> HttpClient::Private::makeRequest(
+        const Address &address, const std::string &method, const std::string &target,
+        const HttpHeaders &headers, const std::string &body, Duration timeout, ResultCallback done)
 {
     assert(done);
-    const WorkMeter::Scope scope(&d_->loop.workMeter(), d_->settings.workKind);
     auto request = std::make_shared<OutgoingRequest>();
     request->address = address;
     request->method = parseMethod(method);
@@ -600,20 +611,78 @@
     request->headers = headers;
     request->body = body;
     request->done = std::move(done);
-    request->validator = std::move(validator);
     const std::string requestError = findRequestError(*request, timeout);
     if (!requestError.empty()) {
-        d_->loop.after(Duration::zero(),
-                       [weak = d_->weak_from_this(), request, requestError](Time) {
-                           if (const std::shared_ptr<Private> self = weak.lock())
-                               self->abortRequest(request, requestError);
-                       });
-        return;
+        failLater(request, requestError);
+        return nullptr;
     }
-    request->latestEnd = d_->loop.now() + std::max(timeout, d_->settings.maxResponseTime);
-    d_->scheduleTimeout(request, timeout);
-    d_->pools[address].queuedRequests.push_back(std::move(request));
+    request->latestEnd = loop.now() + std::max(timeout, settings.maxResponseTime);
+    scheduleTimeout(request, timeout);
+    return request;
+}
+
+void HttpClient::Private::failLater(const std::shared_ptr<OutgoingRequest> &request,
+                                    const std::string &detail)
+{
+    loop.after(Duration::zero(), [weak = weak_from_this(), request, detail](Time) {
+        if (const std::shared_ptr<Private> self = weak.lock())
+            self->abortRequest(request, detail);
+    });
+}
+
+/// The connection if it is open and idle, or null.
+std::shared_ptr<Connection> HttpClient::Private::idleConnection(const Address &address,
+                                                                ConnectionId id) const
+{
+    const auto pool = pools.find(address);
+    if (pool == pools.end())
+        return nullptr;
+    for (const std::shared_ptr<Connection> &connection : pool->second.connections) {
+        if (connection->id == id)
+            return !connection->request && isReusable(*connection) ? connection : nullptr;
+    }
+    return nullptr;
+}
+
+void HttpClient::send(const Address &address, const std::string &method, const std::string &target,
+                      const HttpHeaders &headers, const std::string &body, Duration timeout,
+                      std::function<void(const HttpResult &, Time now)> done,
+                      ResponseValidator validator)
+{
+    const WorkMeter::Scope scope(&d_->loop.workMeter(), d_->settings.workKind);
+    const std::shared_ptr<OutgoingRequest> request =
+            d_->makeRequest(address, method, target, headers, body, timeout, std::move(done));
+    if (!request)
+        return;
+    request->validator = std::move(validator);
+    d_->pools[address].queuedRequests.push_back(request);
     d_->dispatch(address);
 }
 
+void HttpClient::sendOn(ConnectionId connection, const Address &address, const std::string &method,
+                        const std::string &target, const HttpHeaders &headers,
+                        const std::string &body, Duration timeout,
+                        std::function<void(const HttpResult &, Time now)> done)
+{
+    const WorkMeter::Scope scope(&d_->loop.workMeter(), d_->settings.workKind);
+    const std::shared_ptr<OutgoingRequest> request =
+            d_->makeRequest(address, method, target, headers, body, timeout, std::move(done));
+    if (!request)
+        return;
+    if (const std::shared_ptr<Connection> idle = d_->idleConnection(address, connection))
+        d_->startRequest(idle, request);
+    else
+        d_->failLater(request, "the connection is not idle any more");
+}
+
+std::optional<ConnectionId> HttpClient::findIdleConnection(
+        const Address &address, const std::set<ConnectionId> &among) const
+{
+    for (const ConnectionId id : among) {
+        if (d_->idleConnection(address, id))
+            return id;
+    }
+    return std::nullopt;
+}
+
 } // namespace monsoonledge
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -163,6 +163,8 @@
     /// Renews the leases of all runs on the worker unless `leaseEnd` is 0, acknowledges the ended
     /// runs up to position `acknowledged`, which the worker then forgets, and returns the lists of
     /// running and ended runs. Long poll: without news, the worker answers when `wait` has passed.
+    /// The position must not reach another incarnation than `worker.incarnation`, whose ends have
+    /// other positions: if that is not certain, the call acknowledges nothing.
     virtual void renew(const WorkerEntry &worker, FencingToken token, std::uint64_t leaseEnd,
                        std::uint64_t acknowledged, Duration wait, WorkerCallback done) = 0;
 };
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -290,7 +290,7 @@
 
 /// Requests a worker's lists of runs at once, in parallel to a renewal that may be waiting there.
 /// Used when a task waits for them: after a stop, after a start whose outcome is unknown, and while
-/// a suspect is isolated.
+/// a suspect is isolated. Ended runs are left for the renewals to acknowledge.
 void Coordinator::requestReport(const WorkerId &id, Time now)
 {
     const auto worker = scheduler_->workers().find(id);
@@ -299,7 +299,7 @@
         return;
     const WorkerEntry &entry = worker->second->entry;
     ports_.workers.renew(
-            entry, token_, 0, scheduler_->acknowledgeablePosition(id), Duration::zero(),
+            entry, token_, 0, 0, Duration::zero(),
             onAnswer(entry,
                      [this, id, sentAt = now](const WorkerCallResult &callResult, Time eventTime) {
                          // After a failure, the waiting renewal returns the same lists later.
