A start order that never reached its worker does not count as a crash

Cause: countLoss() took each start whose worker was replaced for a start that had crashed it, also one without an answer, one that another worker had refused (421), and one that a successor only knew from the record.

The new case of invariant_crash_test failed before with "another worker answers at once" and "later" (failed after the second loss).

Change: a crash counts only if the worker, or a report, has confirmed the start, and the worker's end is known before the run could have ended with its lease. For successors, the record of a suspect says that its start was confirmed; it is written as soon as the worker has answered, so that a task that crashes its workers is found also when each coordinator dies just after the start (invariant_crash_test, unchanged).

--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -113,6 +113,8 @@
                                  {"run", std::to_string(order.run.value)}}});
                 }
                 scheduler_->onStartAnswered(order, outcome, eventTime);
+                if (scheduler_->isConfirmedSuspect(order.task))
+                    writeChanges(eventTime);
                 if (outcome == StartOutcome::Unknown) {
                     logCallFailed(order.worker, "start", callResult.detail, eventTime);
                     requestReport(order.worker, eventTime);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -128,6 +128,7 @@
     // Starts in a row that were lost with their worker before they had proven to survive.
     int lostStarts = 0;
     int crashes = 0; // those of them that nothing else can have caused
+    bool startConfirmed = false; // the worker has begun the last run; kept after lost starts only
 };
 
 struct JobProgress
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -128,7 +128,8 @@
         return;
     }
     const bool isSuspect = task.lostStarts > 0 || task.crashes > 0;
-    out.beginArray(isSuspect ? 8 : 6); // 6 items are the form before losses were counted
+    // 6 items are the form before losses were counted, 8 that before starts were confirmed.
+    out.beginArray(isSuspect ? 9 : 6);
     out.add(static_cast<std::uint64_t>(task.phase));
     out.add(task.run.value);
     out.add(static_cast<std::uint64_t>(task.failures));
@@ -139,6 +140,7 @@
         return;
     out.add(static_cast<std::uint64_t>(task.lostStarts));
     out.add(static_cast<std::uint64_t>(task.crashes));
+    out.add(static_cast<std::uint64_t>(task.startConfirmed ? 1 : 0));
 }
 
 /// Throws std::exception if the item is not a plausible count.
@@ -168,6 +170,8 @@
         task.lostStarts = decodeCount(json.at(6));
         task.crashes = decodeCount(json.at(7));
     }
+    if (json.size() > 8)
+        task.startConfirmed = decodeCount(json.at(8)) > 0;
     return task;
 }
 
--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -59,6 +59,12 @@
     });
 }
 
+bool Scheduler::isConfirmedSuspect(const TaskRef &ref) const
+{
+    const ScheduledTask *task = findTask(ref);
+    return task && task->runState == RunState::Running && isSuspect(*task);
+}
+
 /// Notes that the worker has reported the run. A report that arrives shortly after the start may
 /// have been written before the crash that the start causes.
 void Scheduler::noteReported(ScheduledTask &task, Time now)
@@ -123,7 +129,7 @@
                          WorkerLoss loss, Time now)
 {
     const std::vector<ScheduledTask *> suspects = suspectsAmong(worker, lost);
-    countLoss(worker, suspects, loss);
+    countLoss(worker, suspects, loss, now);
     for (ScheduledTask *task : lost) {
         if (task->progress.phase == TaskPhase::Assigned) // else the end of another one has ended it
             endRun(*task, RunOutcome::LeaseExpired, {}, now);
@@ -161,10 +167,21 @@
     loseRuns(worker, lost, WorkerLoss::Crashed, now);
 }
 
+/// True if the task's run has certainly begun on its worker, and cannot have ended with its lease.
+bool Scheduler::hasBegunOnWorker(const ScheduledTask &task, Time now) const
+{
+    if (task.runState == RunState::Running)
+        return now - task.startedAt < settings_.maxCrashAge;
+    // A former coordinator started it, some time before this one was elected.
+    return task.runState == RunState::Restored && task.progress.startConfirmed
+           && now - startedAt_ < settings_.maxCrashAge / 2;
+}
+
 /// Counts the loss of the worker against the suspects. A crash is counted only if it is proven and
-/// one task or gang alone can be to blame for it.
+/// one task or gang alone can be to blame for it. A start order without a confirmation proves
+/// nothing: it may never have reached the worker.
 void Scheduler::countLoss(const ScheduledWorker &worker,
-                          const std::vector<ScheduledTask *> &suspects, WorkerLoss loss)
+                          const std::vector<ScheduledTask *> &suspects, WorkerLoss loss, Time now)
 {
     if (suspects.empty())
         return;
@@ -172,9 +189,7 @@
     const bool isNamed =
             loss == WorkerLoss::Crashed
             && std::all_of(suspects.begin(), suspects.end(), [&](const ScheduledTask *task) {
-                   // A restored run that was not isolated may have run there for long.
-                   return startTogether(first, *task)
-                          && (task->runState != RunState::Restored || isSuspect(*task));
+                   return startTogether(first, *task) && hasBegunOnWorker(*task, now);
                });
     std::string list; // "task:lost starts:crashes", separated by spaces
     for (std::size_t i = 0; i < suspects.size(); ++i) {
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -566,6 +566,7 @@
     task.runState = RunState::AwaitingRecord;
     task.stopConfirmed = false;
     task.hasSurvivedStart = false;
+    task.progress.startConfirmed = false;
     task.isTrial = awaitsTrial(worker);
     countWaiting(task, -1);
     reserve(worker, task);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -80,7 +80,7 @@
     return task.job->spec.steps[static_cast<std::size_t>(task.ref.step)];
 }
 
-ScheduledTask *Scheduler::findTask(const TaskRef &ref)
+ScheduledTask *Scheduler::findTask(const TaskRef &ref) const
 {
     const auto it = jobs_.find(ref.job);
     if (it == jobs_.end())
@@ -440,6 +440,8 @@
     task.startedAt = now;
     task.progressChangedAt = now;
     task.lastReportedAt = now;
+    if (isSuspect(task) && !std::exchange(task.progress.startConfirmed, true))
+        markChanged(*task.job); // for a successor, should the worker crash
     if (stepOf(task).bestEffort && task.worker)
         task.worker->pacedAt = {}; // decide soon: a new run starts at full pace
     if (task.job->state != JobState::Pending)
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -157,6 +157,9 @@
     // Crashes at starts of a task, with no other possible cause, after which its job is given up.
     // One may be a coincidence.
     int maxCrashes = 2;
+    // The end of a worker that is noticed later than this after a start proves nothing: the run may
+    // have ended with its lease before. Shorter than any lease that a start carries.
+    Duration maxCrashAge = milliseconds(5500);
     // Suspects are started on workers that have answered all calls for this long, if there are any.
     Duration stableAfter = seconds(10);
     // How long, and which share of the workers, is kept free of other starts for suspects.
@@ -480,6 +483,9 @@
     /// The incarnation of the worker that has answered is not known: a report shows whether the run
     /// belongs to the present one.
     void onStartAnswered(const StartOrder &order, StartOutcome outcome, Time now);
+    /// True if the task is a suspect whose present start a worker has confirmed: its record should
+    /// be written at once, as the worker may crash next.
+    bool isConfirmedSuspect(const TaskRef &ref) const;
     /// `stopped`: the worker has confirmed the order, which was sent to its present incarnation.
     void onStopAnswered(const StopOrder &order, bool stopped, Time now);
 
@@ -522,7 +528,7 @@
     bool hasChanges() const { return !changes_.empty(); }
 
 private:
-    ScheduledTask *findTask(const TaskRef &ref);
+    ScheduledTask *findTask(const TaskRef &ref) const;
     const StepSpec &stepOf(const ScheduledTask &task) const;
     void addOccurrence(ScheduledJob &job, Time now);
     void addDueOccurrences(Time now);
@@ -568,8 +574,9 @@
     std::vector<ScheduledTask *> suspectsAmong(const ScheduledWorker &worker,
                                                const std::vector<ScheduledTask *> &lost) const;
     void countLoss(const ScheduledWorker &worker, const std::vector<ScheduledTask *> &suspects,
-                   WorkerLoss loss);
+                   WorkerLoss loss, Time now);
     void giveUpDeadly(const std::vector<ScheduledTask *> &suspects, Time now);
+    bool hasBegunOnWorker(const ScheduledTask &task, Time now) const;
     static void setLostStarts(ScheduledTask &task, int lostStarts);
     bool isSuspect(const ScheduledTask &task) const;
     void noteReported(ScheduledTask &task, Time now);
--- a/tests/unit/invariant_crash_test.cpp
+++ b/tests/unit/invariant_crash_test.cpp
@@ -161,3 +161,53 @@
     CHECK(world.wait([&] { return world.state(0, "a") == JobState::Completed; }, seconds(20)));
     CHECK(world.runners.findings == std::vector<std::string>());
 }
+
+// Guards against LOST: start orders that never arrived counted as crashes of their workers (review
+// case 4).
+TEST_CASE("a job does not fail by start orders that never reached a worker")
+{
+    bool isBackAtOnce = false;
+    bool keepsId = false;
+    SUBCASE("another worker answers at once")
+    {
+        isBackAtOnce = true;
+    }
+    SUBCASE("another worker answers later") { }
+    SUBCASE("the worker is back under its id")
+    {
+        keepsId = true;
+    }
+    FleetWorld world(2, 8);
+    for (FleetWorld::Process &process : world.processes)
+        process.workers->latency = milliseconds(20);
+    world.clock.advance(seconds(3));
+    REQUIRE(world.submit(0, FleetWorld::job("a", 1, "ms=500")) == JobAnswer::Accepted);
+    // The worker is lost when the run is recorded for it, before the start order arrives.
+    RunNumber seen;
+    int lost = 0;
+    for (int i = 0; i < 60000 && lost < 3; ++i) {
+        world.clock.advance(milliseconds(1));
+        const auto record = world.store.items().find("jobs/progress/a");
+        if (record == world.store.items().end())
+            continue;
+        const TaskProgress task = decodeProgress(record->second.value)->tasks.front();
+        if (task.phase != TaskPhase::Assigned || task.run == seen)
+            continue;
+        seen = task.run;
+        ++lost;
+        const std::string id = task.worker.str();
+        const std::string newId = keepsId ? id : "new" + std::to_string(lost);
+        world.runners.at(id).up = false;
+        world.clock.after(isBackAtOnce ? Duration::zero() : milliseconds(600),
+                          [&world, keepsId, id, newId] {
+                              if (keepsId)
+                                  world.runners.restart(id);
+                              else
+                                  world.runners.replace(id, newId);
+                              world.publish(newId);
+                          });
+    }
+    CHECK(lost == 3);
+    CHECK(world.wait([&] { return world.state(0, "a") == JobState::Completed; }, seconds(20)));
+    CHECK(world.runners.findings == std::vector<std::string>());
+}
