Jobs of a removed queue keep its service under later coordinators

Cause: which service runs a job's tasks stood only in the configuration. A coordinator kept what it knew of a removed queue in memory; its successor found no queue, so that no worker was of the right service.

The new case of invariant_fleet_test failed before.

Change: the specification of a job holds the terms of its queue at its submission: service, priority, attempts, and what its objective depends on. They apply once the queue is gone. Records of the former form are read as before. Later changes of a queue that is removed afterwards are not kept over a change of the coordinator.

--- a/src/fleet/clients.cpp
+++ b/src/fleet/clients.cpp
@@ -33,7 +33,10 @@
             return;
         }
     };
-    writer_.create(keys::spec(spec.id), encodeSpec(spec), deadline, onCreateDone, now);
+    JobSpec stored = spec;
+    if (const QueueSpec *queue = config_.find(spec.queue))
+        stored.terms = *queue;
+    writer_.create(keys::spec(spec.id), encodeSpec(stored), deadline, onCreateDone, now);
 }
 
 /// Notes that the job exists, also if its specification cannot be decoded.
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -77,10 +77,21 @@
     int maxUnavailable = 0; // tasks that may be interrupted at the same time; 0: no limit
 };
 
+/// What the configuration of a queue means for its jobs.
+struct QueueTerms
+{
+    ServiceId service; // whose workers run the tasks
+    int priority = 0; // 0: the highest priority
+    int maxAttempts = 1; // failed runs after which the task fails
+    double slackFactor = 1; // multiple of the critical path that is allowed for the job
+    Duration targetLatency{}; // added to that allowance
+};
+
 struct JobSpec
 {
     JobId id;
     QueueId queue;
+    QueueTerms terms; // of the queue at submission; apply once it has been removed
     std::string payload; // passed to workers unchanged
     std::vector<StepSpec> steps;
     int occurrences = 0; // 0: the steps run once, without waiting for firstDue
@@ -95,6 +106,8 @@
 constexpr std::uint64_t MaxTimestampMs = 4102444800000; // the year 2100 in Unix time
 constexpr std::uint64_t MaxCapacity = 1000000000; // processor time in millicores, or memory in MiB
 constexpr int MaxAccelerators = 100000;
+constexpr double MaxQueueNumber = 1e6; // priorities and attempts of a queue
+constexpr double MaxSlackFactor = 100; // of a queue
 constexpr int MaxTasksOfAllOccurrences = 200000; // of a job; each task takes memory
 
 /// Returns the reason why the job can never run, or an empty string. Clients see the reason.
@@ -141,16 +154,11 @@
 
 // [4] Queues
 
-struct QueueSpec
+struct QueueSpec : QueueTerms
 {
     QueueId id;
     std::string httpHost; // HTTP host name of the requests that belong to the queue
     std::string pathPrefix;
-    ServiceId service; // whose workers run the tasks
-    int priority = 0; // 0: the highest priority
-    int maxAttempts = 1; // failed runs after which the task fails
-    double slackFactor = 1; // multiple of the critical path that is allowed for the job
-    Duration targetLatency{}; // added to that allowance
     bool needsPlacementAdvice = false; // an external service decides which workers may run a step
 };
 
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <cstdlib>
 
 namespace monsoonledge {
 
@@ -143,6 +144,29 @@
     out.add(static_cast<std::uint64_t>(task.startConfirmed ? 1 : 0));
 }
 
+Json encodeTerms(const QueueTerms &terms)
+{
+    return Json::array({terms.service.str(), terms.priority, terms.maxAttempts, terms.slackFactor,
+                        wholeMilliseconds(terms.targetLatency)});
+}
+
+/// Throws std::exception if a value is not plausible.
+QueueTerms decodeTerms(const Json &json)
+{
+    QueueTerms terms;
+    terms.service = ServiceId(json.at(0).get<std::string>());
+    terms.priority = json.at(1).get<int>();
+    terms.maxAttempts = json.at(2).get<int>();
+    terms.slackFactor = json.at(3).get<double>();
+    terms.targetLatency = decodeDuration(json.at(4));
+    const bool isPlausible = std::abs(terms.priority) <= MaxQueueNumber && terms.maxAttempts >= 1
+                             && terms.maxAttempts <= MaxQueueNumber && terms.slackFactor >= 0
+                             && terms.slackFactor <= MaxSlackFactor;
+    if (!isPlausible)
+        throw std::out_of_range("terms of the queue out of range");
+    return terms;
+}
+
 /// Throws std::exception if the item is not a plausible count.
 int decodeCount(const Json &json)
 {
@@ -182,9 +206,10 @@
     Json steps = Json::array();
     for (const StepSpec &step : spec.steps)
         steps.push_back(encodeStep(step));
-    return toBytes(Json::array({SpecFormat, spec.id.str(), spec.queue.str(), spec.payload, steps,
-                                spec.occurrences, spec.firstDue.value,
-                                wholeMilliseconds(spec.interval), spec.submitted.value}));
+    return toBytes(
+            Json::array({SpecFormat, spec.id.str(), spec.queue.str(), spec.payload, steps,
+                         spec.occurrences, spec.firstDue.value, wholeMilliseconds(spec.interval),
+                         spec.submitted.value, encodeTerms(spec.terms)}));
 }
 
 std::optional<JobSpec> decodeSpec(const std::string &bytes)
@@ -203,6 +228,10 @@
         spec.firstDue.value = json.at(6).get<std::uint64_t>();
         spec.interval = decodeDuration(json.at(7));
         spec.submitted.value = json.at(8).get<std::uint64_t>();
+        if (json.size() > 9)
+            spec.terms = decodeTerms(json.at(9));
+        else // the form before the terms were stored
+            spec.terms.maxAttempts = 2; // tolerates one faulty worker
         // Another writer may have changed the record.
         const bool isValid = validateJob(spec).empty() && spec.submitted.value <= MaxTimestampMs;
         return isValid ? std::optional<JobSpec>(spec) : std::nullopt;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -128,8 +128,8 @@
     if (const QueueSpec *queue = config_.find(spec.queue)) {
         job.queue = *queue;
     } else {
-        job.queue.id = spec.queue;
-        job.queue.maxAttempts = 2; // the queue was removed; 2 attempts tolerate one faulty worker
+        job.queue.id = spec.queue; // the queue was removed
+        static_cast<QueueTerms &>(job.queue) = spec.terms;
     }
     job.submittedAt = submittedAt;
     for (const StepSpec &step : spec.steps) {
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -50,6 +50,12 @@
             start(i);
     }
 
+    /// Writes a configuration without its queue.
+    void removeQueue(std::uint64_t version)
+    {
+        store.put("op/config", std::to_string(version) + " no queue");
+    }
+
     /// Writes a configuration whose value is padded to at least `bytes`.
     void putConfig(std::uint64_t version, std::size_t bytes = 0)
     {
@@ -193,6 +199,8 @@
     {
         QueueConfig config;
         config.version = std::stoull(value);
+        if (value.find("no queue") != std::string::npos)
+            return config;
         QueueSpec queue;
         queue.id = QueueId("renewal");
         queue.httpHost = "desk.example";
--- a/tests/unit/invariant_fleet_test.cpp
+++ b/tests/unit/invariant_fleet_test.cpp
@@ -188,6 +188,23 @@
     CHECK(world.runners.findings.empty());
 }
 
+// Guards against LOST: only the coordinator's memory said which service the job's tasks run on.
+TEST_CASE("a job whose queue was removed completes under a later coordinator")
+{
+    FleetWorld world(2);
+    world.clock.advance(seconds(2));
+    JobSpec spec = FleetWorld::job("a", 2, "ms=3000");
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().after = {0};
+    REQUIRE(world.submit(0, spec) == JobAnswer::Accepted);
+    REQUIRE(world.wait([&] { return world.runners.runningCount() == 2; }));
+    world.removeQueue(2);
+    world.clock.advance(seconds(1));
+    world.start(world.coordinator());
+    CHECK(world.wait([&] { return world.state(0, "a") == JobState::Completed; }, seconds(20)));
+    CHECK(world.runners.findings == std::vector<std::string>());
+}
+
 TEST_CASE("a process on a much stronger host becomes coordinator without interrupting runs")
 {
     FleetWorld world(2);
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -36,6 +36,11 @@
     spec.firstDue.value = 1700000000000;
     spec.interval = seconds(3);
     spec.submitted.value = 1700000000123;
+    spec.terms.service = ServiceId("desk");
+    spec.terms.priority = 2;
+    spec.terms.maxAttempts = 3;
+    spec.terms.slackFactor = 1.5;
+    spec.terms.targetLatency = milliseconds(300);
     return spec;
 }
 
@@ -48,6 +53,9 @@
     REQUIRE(decoded);
     CHECK(encodeSpec(*decoded) == encodeSpec(spec));
     CHECK(decoded->steps[1].after == std::vector<int>{0});
+    CHECK(decoded->terms.service == ServiceId("desk"));
+    CHECK(decoded->terms.maxAttempts == 3);
+    CHECK(decoded->terms.targetLatency == milliseconds(300));
     CHECK(decoded->steps[1].bestEffort);
     CHECK_FALSE(decoded->steps[1].gang);
     CHECK(decoded->interval == seconds(3));
