Workers that failed together and work again are used soon

Cause: a worker that fails runs of three jobs in a row is quarantined for 4, 8, then 16 s, however many others are. maxQuarantinedShare was meant to bound that and was used nowhere.

Evidence: the new case of scheduler_test failed before: no start within 3 s after all six workers worked again.

Change: once a third of the workers is set aside, a quarantine lasts 1.5 s, then one task tries the worker again. No quarantine is longer than 6 s: tasks that last must run 7 s after the end of a disturbance if there is room.

--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -168,9 +168,13 @@
 
     // Consecutive failed runs of different jobs before a worker is quarantined.
     int failuresToQuarantine = 3;
-    // Length of the first quarantine. Doubled each time until a run succeeds, up to 4 times this.
+    // Length of the first quarantine. Doubled each time until a run succeeds, up to the maximum.
     Duration quarantineDuration = seconds(4);
-    double maxQuarantinedShare = 0.34; // share of the workers
+    Duration maxQuarantineDuration = seconds(6);
+    // Share of the workers above which a quarantine is short: workers that fail together may also
+    // work again together, and tasks must not wait for them with all room free.
+    double maxQuarantinedShare = 0.34;
+    Duration shortQuarantineDuration = milliseconds(1500);
 
     // A run is stalled if it makes no progress for `minStallDuration` and for `stallFactor` tenths
     // of its estimated duration.
@@ -553,6 +557,7 @@
     void endRun(ScheduledTask &task, RunOutcome outcome, const std::string &checkpoint, Time now);
     void completeWaiting(ScheduledTask &task, const std::string &checkpoint, Time now);
     void updateQuarantine(ScheduledWorker &worker, const JobId &job, RunOutcome outcome, Time now);
+    bool areManyQuarantined(Time now) const;
     bool awaitsTrial(const ScheduledWorker &worker) const;
     void countSuccess(ScheduledWorker &worker);
     void processActiveRun(ScheduledWorker &worker, const ActiveRun &activeRun, Time now);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -313,17 +313,35 @@
     if (worker.consecutiveFailures < settings_.failuresToQuarantine
         || now < worker.quarantinedUntil)
         return;
-    worker.quarantineDuration =
-            worker.quarantineDuration == Duration::zero()
-                    ? settings_.quarantineDuration
-                    : std::min(worker.quarantineDuration * 2, settings_.quarantineDuration * 4);
-    worker.quarantinedUntil = now + worker.quarantineDuration;
+    if (worker.quarantineDuration == Duration::zero())
+        worker.quarantineDuration = settings_.quarantineDuration;
+    else
+        worker.quarantineDuration =
+                std::min(worker.quarantineDuration * 2, settings_.maxQuarantineDuration);
+    const Duration duration =
+            areManyQuarantined(now) ? settings_.shortQuarantineDuration : worker.quarantineDuration;
+    worker.quarantinedUntil = now + duration;
     log_({LogLevel::Warning,
           "worker-set-aside",
           "the worker is quarantined after consecutive failed runs of different jobs",
           {{"worker", worker.entry.id.str()},
            {"failures", std::to_string(worker.consecutiveFailures)},
-           {"forMs", std::to_string(worker.quarantineDuration.count() / 1000)}}});
+           {"forMs", std::to_string(wholeMilliseconds(duration))}}});
+}
+
+/// True if another long quarantine would set aside more than the allowed share of the workers.
+bool Scheduler::areManyQuarantined(Time now) const
+{
+    std::size_t listed = 0;
+    std::size_t quarantined = 0;
+    for (const auto &[id, worker] : workers_) {
+        if (!worker->listed || worker->hasEnded)
+            continue;
+        ++listed;
+        quarantined += now < worker->quarantinedUntil ? 1 : 0;
+    }
+    return static_cast<double>(quarantined + 1)
+           > settings_.maxQuarantinedShare * static_cast<double>(listed);
 }
 
 /// True from the worker's quarantine on until a run has succeeded there.
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -421,3 +421,25 @@
     harness.reportWorkers();
     CHECK(harness.planAndStart().size() == 1); // overlaps the first
 }
+
+// Guards against LOST: the room of workers that work again was left unused for up to 16 s.
+TEST_CASE("tasks start soon after workers have stopped failing, although all of them had failed")
+{
+    SchedulerHarness harness(6);
+    const auto startsInTick = [&](RunOutcome outcome) {
+        const std::vector<StartOrder> starts = harness.planAndStart();
+        harness.now += milliseconds(100);
+        for (const StartOrder &order : starts)
+            harness.endRun(order, outcome);
+        harness.reportWorkers();
+        return starts.size();
+    };
+    for (int tick = 0; tick < 250; ++tick) { // 25 s in which every run fails
+        harness.add("job" + std::to_string(tick), {SchedulerHarness::step(2)});
+        startsInTick(RunOutcome::Failed);
+    }
+    std::size_t starts = 0;
+    for (int tick = 0; tick < 30; ++tick) // 3 s
+        starts += startsInTick(RunOutcome::Done);
+    CHECK(starts > 6); // each worker has been tried, and more
+}
