A best-effort job gets one task also where it disturbs serving tasks, if there is room

Cause: no worker would gain from one more best-effort task by the estimates of interference with serving tasks, so none was started, for as long as the estimates held. After the disturbance the backlog was large, and the jobs that came last never got a worker. The log could not tell this from room that is not used; it now counts such workers as noGain.

Change: while less than half of a service's processors are reserved, a best-effort job of which nothing has run for 1.5 s gets one task on the worker where it does the least harm. Its pace is decided as that of others, so it may be very low beside a serving task near its target; it is evicted after 6 s of that instead of 1.5 s. A log line starved-task-started names it.

The new case of besteffort_test fails with the wait set to 1,500 s.

--- a/src/scheduling/interference.cpp
+++ b/src/scheduling/interference.cpp
@@ -316,20 +316,27 @@
     return use;
 }
 
-/// The gain of starting one more best-effort task on the worker, in thousandths of a core: the CPU
-/// that the best-effort tasks there use in addition, less the harm to the serving tasks. 0 if the
-/// new task would be too slow.
-double Scheduler::bestEffortCpuGain(const ScheduledWorker &worker, const ScheduledTask &bestEffort,
-                                    Time now) const
+/// What starting one more best-effort task on a worker would bring.
+struct Scheduler::BestEffortEstimate
+{
+    double speed = 0; // of the new task, relative to full speed
+    // In thousandths of a core: the CPU that the best-effort tasks there use in addition, less the
+    // harm to the serving tasks.
+    double gain = 0;
+};
+
+/// Nothing if the worker lacks idle processors for the task.
+std::optional<Scheduler::BestEffortEstimate> Scheduler::estimateBestEffort(
+        const ScheduledWorker &worker, const ScheduledTask &bestEffort, Time now) const
 {
     const StepSpec &step = stepOf(bestEffort);
     const double share = expectedBestEffortShare(worker, step, settings_);
     if (share < settings_.minBestEffortCpuShare)
-        return 0;
+        return std::nullopt;
     const auto addedCpu = static_cast<double>(step.cpu.value);
     const BestEffortOutlook &outlook = outlookOf(worker, now);
     if (outlook.servings.empty())
-        return share * addedCpu;
+        return BestEffortEstimate{share, share * addedCpu};
     const double cpu = std::max(static_cast<double>(worker.entry.cpu.value), 1.0);
     std::vector<ServingSlack> servings = outlook.servings;
     double harm = 0; // expected number of serving tasks over their targets because of the new task
@@ -341,14 +348,90 @@
                 * (overTargetProbability(serving.load, serving.increaseAtFullPace)
                    - outlook.overTargetProbabilities[i]);
     }
-    const double ownPace = std::min(paceOf(bestEffort, cpu, servings), share);
-    if (ownPace < settings_.minStartSpeed)
-        return 0;
-    double gain = ownPace * addedCpu - settings_.placementOverTargetCost * harm * addedCpu;
+    BestEffortEstimate estimate;
+    estimate.speed = std::min(paceOf(bestEffort, cpu, servings), share);
+    estimate.gain = estimate.speed * addedCpu - settings_.placementOverTargetCost * harm * addedCpu;
     if (outlook.hasTaskWithOwnPace)
-        gain += bestEffortCpuUse(worker, cpu, servings)
-                - bestEffortCpuUse(worker, cpu, outlook.servings);
-    return std::max(gain, 0.0);
+        estimate.gain += bestEffortCpuUse(worker, cpu, servings)
+                         - bestEffortCpuUse(worker, cpu, outlook.servings);
+    return estimate;
+}
+
+/// The gain of starting one more best-effort task on the worker. 0 if there is none, or if the new
+/// task would be too slow.
+double Scheduler::bestEffortCpuGain(const ScheduledWorker &worker, const ScheduledTask &bestEffort,
+                                    Time now) const
+{
+    const std::optional<BestEffortEstimate> estimate = estimateBestEffort(worker, bestEffort, now);
+    if (!estimate || estimate->speed < settings_.minStartSpeed)
+        return 0;
+    return std::max(estimate->gain, 0.0);
+}
+
+/// The number of the job's tasks that have a run or are about to get one.
+int Scheduler::assignedTasks(const ScheduledJob &job)
+{
+    int done = 0;
+    for (const int count : job.doneTaskCounts)
+        done += count;
+    return static_cast<int>(job.tasks.size()) - job.waitingTasks - done;
+}
+
+/// True if most processors of the workers that can run the job are not reserved.
+bool Scheduler::hasIdleService(const ScheduledJob &job) const
+{
+    double reserved = 0;
+    double all = 0;
+    for (const auto &[id, worker] : workers_) {
+        if (!worker->listed || worker->hasEnded || worker->entry.service != job.queue.service)
+            continue;
+        reserved += static_cast<double>(worker->reservedCpu);
+        all += static_cast<double>(worker->entry.cpu.value);
+    }
+    return reserved < settings_.idleServiceShare * all;
+}
+
+/// Starts a best-effort task that no worker would gain from, if nothing of its job has run for too
+/// long. Its pace is decided as that of others, so it may be very low beside serving tasks that it
+/// disturbs. Returns false if nothing was started.
+bool Scheduler::startStarvedTask(ScheduledTask &task, Time now)
+{
+    ScheduledJob &job = *task.job;
+    if (assignedTasks(job) > 0) {
+        job.idleSince.reset();
+        return false;
+    }
+    if (!job.idleSince)
+        job.idleSince = now;
+    if (now - *job.idleSince < settings_.maxBestEffortWait)
+        return false;
+    job.idleSince = now - settings_.maxBestEffortWait + settings_.starvedRetryDelay;
+    if (!hasIdleService(job))
+        return false;
+    ScheduledWorker *best = nullptr;
+    double bestGain = 0;
+    for (const auto &[id, worker] : workers_) {
+        if (obstacleOn(*worker, task, now) != Obstacle::None)
+            continue;
+        const std::optional<BestEffortEstimate> estimate = estimateBestEffort(*worker, task, now);
+        if (!estimate || (best && estimate->gain <= bestGain))
+            continue;
+        best = worker.get();
+        bestGain = estimate->gain;
+    }
+    if (!best)
+        return false;
+    job.idleSince.reset();
+    assign(task, *best);
+    task.wasStarved = true;
+    log_({LogLevel::Info,
+          "starved-task-started",
+          "nothing of a best-effort job has run for long; one task starts although it disturbs "
+          "serving tasks",
+          {{"task", formatTaskRef(task.ref)},
+           {"worker", best->entry.id.str()},
+           {"gain", std::to_string(static_cast<std::int64_t>(bestGain))}}});
+    return true;
 }
 
 /// The common pace of the best-effort tasks that interfere little: the work that they get done is
@@ -490,8 +573,9 @@
             continue;
         }
         const bool losesLittle = step.checkpointing || task->percent < 30;
-        if (!losesLittle
-            || now - std::max(task->belowEvictPaceSince, task->startedAt) < settings_.evictAfter)
+        const Duration limit =
+                task->wasStarved ? settings_.evictStarvedAfter : settings_.evictAfter;
+        if (!losesLittle || now - std::max(task->belowEvictPaceSince, task->startedAt) < limit)
             continue;
         log_({LogLevel::Info,
               "run-evicted",
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -231,6 +231,8 @@
 /// Makes room for a task that no worker can take, if it is a long-running one that was interrupted.
 void Scheduler::waitForRoom(ScheduledTask &task, Time now)
 {
+    if (stepOf(task).bestEffort && startStarvedTask(task, now))
+        return;
     logWaiting(task, now);
     if (!isInterrupted(task))
         return;
@@ -386,6 +388,8 @@
         return "antiAffinity";
     case Obstacle::Isolation:
         return "isolation";
+    case Obstacle::NoGain:
+        return "noGain";
     case Obstacle::None:
     case Obstacle::Count:
         break;
@@ -430,8 +434,12 @@
     task.waitLoggedAt = now;
     waitLoggedAt_ = now;
     std::array<int, static_cast<std::size_t>(Obstacle::Count)> workers{};
-    for (const auto &[id, worker] : workers_)
-        ++workers.at(static_cast<std::size_t>(obstacleOn(*worker, task, now)));
+    for (const auto &[id, worker] : workers_) {
+        Obstacle obstacle = obstacleOn(*worker, task, now);
+        if (obstacle == Obstacle::None && !scoreOf(*worker, task, now))
+            obstacle = Obstacle::NoGain;
+        ++workers.at(static_cast<std::size_t>(obstacle));
+    }
     LogEvent event{
             LogLevel::Info,
             "task-waiting",
@@ -567,6 +575,7 @@
     task.stopConfirmed = false;
     task.hasSurvivedStart = false;
     task.progress.startConfirmed = false;
+    task.wasStarved = false;
     task.isTrial = awaitsTrial(worker);
     countWaiting(task, -1);
     reserve(worker, task);
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -58,6 +58,7 @@
     Label,
     AntiAffinity,
     Isolation, // of a task that may crash its worker: this one, or one that was started there
+    NoGain, // a best-effort task that would find too few idle processors, or disturb serving tasks
     Count
 };
 
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -211,10 +211,17 @@
     Duration zeroPaceAfter = milliseconds(1600);
     // Speed, relative to full speed, that a best-effort task must be expected to get at its start.
     double minStartSpeed = 0.4;
+    // While less than this share of its service's processors is reserved, a best-effort job of
+    // which nothing has run for this long gets one task where it does the least harm, at whatever
+    // pace: estimates of interference must not keep it waiting for good. Tried again after a pause.
+    double idleServiceShare = 0.5;
+    Duration maxBestEffortWait = milliseconds(1500);
+    Duration starvedRetryDelay = milliseconds(200);
     // Best-effort tasks whose pace in percent stays below `evictBelowPace` for `evictAfter` are
     // evicted.
     int evictBelowPace = 25;
     Duration evictAfter = milliseconds(1500);
+    Duration evictStarvedAfter = seconds(6); // of the only task of a job that no worker gains from
 
     // Share of a job's remaining critical path that must fit before its objective for the job to
     // count as still on time.
@@ -342,6 +349,7 @@
     Time orderSentAt{}; // time of the start order or the last stop order
     bool stopConfirmed = false; // by the worker, for the last stop order
     bool hasSurvivedStart = false; // the current run was reported well after its start
+    bool wasStarved = false; // the current run was started although no worker gains from it
     bool isTrial = false; // the current run shows whether a quarantined worker works again
     Time lastReportedAt{}; // last report that contained the run
     Time startedAt{}; // when the run was first confirmed
@@ -380,6 +388,7 @@
     bool hasLongRunningStep = false; // a step that runs until the job is cancelled
     std::vector<int> doneTaskCounts; // by stepIndex()
     std::vector<LoadTrend> stepLoads; // of serving steps, best-effort load excluded; by stepIndex()
+    std::optional<Time> idleSince; // a task was first seen to find no worker while nothing runs
     Time finalAt{};
 
     /// Index of a step of one occurrence in the tables that are kept by step.
@@ -622,8 +631,15 @@
                       const std::vector<ServingSlack> &servings) const;
     double chooseCommonPace(const std::vector<ServingSlack> &servings, double commonPaceTasks,
                             double currentPace) const;
+    struct BestEffortEstimate;
+    std::optional<BestEffortEstimate> estimateBestEffort(const ScheduledWorker &worker,
+                                                         const ScheduledTask &bestEffort,
+                                                         Time now) const;
     double bestEffortCpuGain(const ScheduledWorker &worker, const ScheduledTask &bestEffort,
                              Time now) const;
+    bool startStarvedTask(ScheduledTask &task, Time now);
+    bool hasIdleService(const ScheduledJob &job) const;
+    static int assignedTasks(const ScheduledJob &job);
     LoadTrend &loadTrendOf(const ScheduledTask &serving);
     double servingScore(const ScheduledWorker &worker, const ScheduledTask &task) const;
     void updateDurationFactor(const ScheduledTask &task, Time now);
--- a/tests/unit/besteffort_test.cpp
+++ b/tests/unit/besteffort_test.cpp
@@ -177,6 +177,59 @@
     CHECK(late == 0);
 }
 
+// Guards against LOST: jobs stood still for the rest of the day with most of the room free.
+TEST_CASE(
+        "a best-effort job gets one task although it disturbs every serving task, if there is room")
+{
+    // "report" interferes strongly with "desk", which is on both workers and uses a quarter of
+    // them.
+    SchedulerHarness harness(2, 20000);
+    StepSpec serving = SchedulerHarness::step(2, 5000);
+    serving.longRunning = true;
+    serving.antiAffinity = 1;
+    serving.image = "desk";
+    serving.tailLatencyTarget = milliseconds(60);
+    harness.add("desk", {serving});
+    REQUIRE(harness.planAndStart().size() == 2);
+    StepSpec bestEffortStep = SchedulerHarness::step(3, 4000, seconds(2));
+    bestEffortStep.bestEffort = true;
+    bestEffortStep.image = "report";
+    harness.add("first", {bestEffortStep}, "batch");
+    Duration longestIdle{};
+    std::map<std::string, Time> lastRun{{"first", harness.now}, {"second", harness.now}};
+    for (int i = 0; i < 300; ++i) {
+        if (i == 50)
+            harness.add("second", {bestEffortStep}, "batch");
+        harness.planAndStart();
+        for (const StopOrder &order : harness.scheduler.takeStops())
+            harness.endRun({order.task, order.run, order.worker, {}, {}, {}}, RunOutcome::Stopped);
+        std::map<std::string, int> runs;
+        for (auto &[worker, rows] : harness.running) {
+            double stretch = 1;
+            for (ActiveRun &row : rows) {
+                ++runs[row.task.job.str()];
+                const bool isServing = row.task.job == JobId("desk");
+                row.percent = isServing ? 100 : 10;
+                row.usage = 4000;
+                stretch += isServing ? 0 : 0.5;
+            }
+            for (ActiveRun &row : rows) {
+                if (row.task.job == JobId("desk"))
+                    row.usage = 10 * stretch / (1 - std::min(0.6 * stretch, 0.98));
+            }
+        }
+        for (const std::string job : {"first", "second"}) {
+            if (runs[job] > 0 || (job == "second" && i < 50))
+                lastRun[job] = harness.now;
+            else
+                longestIdle = std::max(longestIdle, harness.now - lastRun[job]);
+        }
+        harness.now += milliseconds(100);
+        harness.reportWorkers();
+    }
+    CHECK(longestIdle < seconds(3));
+}
+
 TEST_CASE("serving tasks of the same image share workers")
 {
     SchedulerHarness harness(4, 16000);
