The late end of a lost run counts until another run may have begun

A run that was considered lost was reported as done once its worker answered again, while the next run had been assigned but not yet been sent; its end was acknowledged and the next run started all the same.

The new case of workerlives_test failed before. The end now counts whenever no other run can have begun: while the task waits, whatever its last number, and while the record of the next assignment is not stored.

--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -285,12 +285,13 @@
         }
         if (isCurrent) {
             endRun(*task, finished.outcome, finished.checkpoint, now);
-        } else if (finished.outcome == RunOutcome::Done
-                   && task->progress.phase == TaskPhase::Waiting
-                   && finished.run == task->progress.run) {
-            // The run was considered lost, but it succeeded and no other run has been assigned
-            // since, so its result counts.
-            completeWaiting(*task, finished.checkpoint, now);
+        } else if (finished.outcome == RunOutcome::Done && !stepOf(*task).longRunning) {
+            // The run was considered lost, but it succeeded. Its result counts unless another run
+            // may have begun since.
+            if (task->progress.phase == TaskPhase::Waiting)
+                completeWaiting(*task, finished.checkpoint, now);
+            else if (task->runState == RunState::AwaitingRecord)
+                endRun(*task, RunOutcome::Done, finished.checkpoint, now);
         }
         pending.version = task->job->version;
     }
--- a/tests/unit/workerlives_test.cpp
+++ b/tests/unit/workerlives_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include "fakes/fleetworld.h"
+#include "fakes/schedulerharness.h"
 
 using namespace monsoonledge;
 
@@ -78,3 +79,23 @@
     world.clock.advance(seconds(8));
     world.checkCompleted(2);
 }
+
+// Guards against TWICE: work whose end was reported late was started again.
+TEST_CASE("the late end of a run that was considered lost counts although another run is assigned")
+{
+    SchedulerHarness harness(2);
+    harness.add("a", {SchedulerHarness::step(1)});
+    const StartOrder first = harness.planAndStart().at(0);
+    harness.silent.insert(first.worker);
+    for (int i = 0; i < 75; ++i) { // until its lease has run out
+        harness.now += milliseconds(100);
+        harness.reportWorkers();
+        harness.scheduler.plan(harness.now); // assigns the next run, whose record is not stored yet
+    }
+    REQUIRE(harness.scheduler.jobs().at(JobId("a"))->tasks.front().progress.run.value == 2);
+    harness.silent.clear();
+    harness.endRun(first, RunOutcome::Done);
+    harness.reportWorkers();
+    CHECK(harness.state("a") == JobState::Completed);
+    CHECK(harness.planAndStart().empty());
+}
