Keep what concerns lives of workers in a file of its own

Functions are moved as they are, to lives.cpp, and constants that two files need to the private header; no change of behaviour.

--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -151,22 +151,6 @@
     loseRuns(worker, lost, loss, now);
 }
 
-/// Ends the runs of a restarted worker's former incarnations that are not in its report and cannot
-/// begin any more. Runs whose start order may still arrive are left to handleMissingRuns().
-void Scheduler::loseRunsOfFormerIncarnations(ScheduledWorker &worker, Time sentAt, Time now)
-{
-    std::vector<ScheduledTask *> lost;
-    for (ScheduledTask *task : worker.tasks) {
-        // The worker refuses orders of former coordinators from its first report on.
-        const bool isStartAnswered =
-                task->runState == RunState::Restored
-                || (task->runState == RunState::Running && sentAt >= task->startedAt);
-        if (isOfFormerIncarnation(*task) && isStartAnswered)
-            lost.push_back(task);
-    }
-    loseRuns(worker, lost, WorkerLoss::Crashed, now);
-}
-
 /// True if the task's run has certainly begun on its worker, and cannot have ended with its lease.
 bool Scheduler::hasBegunOnWorker(const ScheduledTask &task, Time now) const
 {
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -14,6 +14,10 @@
 
 namespace monsoonledge {
 
+constexpr Duration StopRetryDelay = milliseconds(600); // of a stop order that was not confirmed
+/// How long an order for a former incarnation of a worker may be on its way to the present one.
+constexpr Duration MaxOrderDelay = milliseconds(500);
+
 /// How much interference a serving task tolerates. Increases are those of its service time,
 /// relative to the service time without best-effort tasks.
 struct Scheduler::ServingSlack
