--- a/src/scheduling/lives.cpp
+++ b/src/scheduling/restarts.cpp
@@ -1,6 +1,6 @@
-// Workers that restart under their id. Orders name the id alone, so what was meant for one life of
-// a worker may reach the next one: its reports, which name the incarnation, decide what counts for
-// it.
+// Workers that restart under their id. Orders name the id alone, so what was meant for one
+// incarnation of a worker may reach the next one: its reports, which name the incarnation, decide
+// what counts for it.
 #include "scheduling/planpass_p.h"
 
 #include <algorithm>
@@ -84,8 +84,8 @@
             {order.task, order.run, order.incarnation, {}, now + MaxUnansweredAge});
 }
 
-/// Has a restarted worker told to refuse what its former lives were told to refuse: start orders
-/// that may still arrive.
+/// Has a restarted worker told to refuse what its former incarnations were told to refuse: start
+/// orders that may still arrive.
 void Scheduler::refuseUnansweredStarts(const ScheduledWorker &worker, Time now)
 {
     const auto found = unansweredStarts_.find(worker.entry.id);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -403,8 +403,8 @@
     }
 };
 
-/// A start order without an answer. The worker may carry it out much later, even in its next life,
-/// which has not been told to refuse it.
+/// A start order without an answer. The worker may carry it out much later, even in its next
+/// incarnation, which has not been told to refuse it.
 struct UnansweredStart
 {
     TaskRef task;
--- a/tests/unit/workerconnections_test.cpp
+++ b/tests/unit/workerconnections_test.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-/// One life of a worker at an address. Answers each call with empty lists.
-class WorkerLife
+/// One incarnation of a worker at an address. Answers each call with empty lists.
+class IncarnationServer
 {
 public:
-    WorkerLife(EventLoop &loop, const Address &address, std::uint64_t born)
+    IncarnationServer(EventLoop &loop, const Address &address, std::uint64_t born)
         : server_(loop, HttpServerSettings{address},
                   [this, born](const HttpRequest &request, const HttpResponder &respond, Time) {
                       const nlohmann::json body = nlohmann::json::parse(request.body);
@@ -36,7 +36,7 @@
     HttpServer server_;
 };
 
-/// The client, and a worker that it takes for the life with this number.
+/// The client, and a worker that it takes for the incarnation with this number.
 struct ClientBed
 {
     TestLoop loop;
@@ -62,21 +62,23 @@
 
 } // namespace
 
-// Guards against TWICE: the next life forgot its ends up to a position in the former life's list.
-TEST_CASE("the position of a life's last end reaches no other life of the worker")
+// Guards against TWICE: the next incarnation forgot its ends up to a position in the former
+// incarnation's list.
+TEST_CASE("the position of an incarnation's last end reaches no other incarnation of the worker")
 {
     ClientBed bed;
-    auto life = std::make_unique<WorkerLife>(bed.loop, bed.worker.address, 1);
-    CHECK(bed.renew(7) == WorkerCallStatus::Ok); // nothing is known of this life yet
+    auto server = std::make_unique<IncarnationServer>(bed.loop, bed.worker.address, 1);
+    CHECK(bed.renew(7) == WorkerCallStatus::Ok); // nothing is known of this incarnation yet
     CHECK(bed.renew(8) == WorkerCallStatus::Ok);
-    CHECK(life->cursors == std::vector<std::uint64_t>{0, 8});
+    CHECK(server->cursors == std::vector<std::uint64_t>{0, 8});
 
     // It restarts between two calls, and the connection is closed while it is idle.
-    life.reset();
-    life = std::make_unique<WorkerLife>(bed.loop, bed.worker.address, 2);
+    server.reset();
+    server = std::make_unique<IncarnationServer>(bed.loop, bed.worker.address, 2);
     CHECK(bed.renew(9) == WorkerCallStatus::Ok);
-    CHECK(bed.renew(9) == WorkerCallStatus::Ok); // the caller still takes it for the former life
+    CHECK(bed.renew(9)
+          == WorkerCallStatus::Ok); // the caller still takes it for the former incarnation
     bed.worker.incarnation.value = 2;
     CHECK(bed.renew(1) == WorkerCallStatus::Ok);
-    CHECK(life->cursors == std::vector<std::uint64_t>{0, 0, 1});
+    CHECK(server->cursors == std::vector<std::uint64_t>{0, 0, 1});
 }
--- a/tests/unit/workerlives_test.cpp
+++ b/tests/unit/workerrestart_test.cpp
@@ -1,5 +1,5 @@
-// What one life of a worker is told or answers must not count for the next one, which may have the
-// same id.
+// What one incarnation of a worker is told or answers must not count for the next one, which may
+// have the same id.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
@@ -41,8 +41,8 @@
 
 } // namespace
 
-// Guards against TWICE: the coordinator took the run for one of the former life.
-TEST_CASE("a run that the next life of its worker has begun is not started again elsewhere")
+// Guards against TWICE: the coordinator took the run for one of the former incarnation.
+TEST_CASE("a run that the next incarnation of its worker has begun is not started again elsewhere")
 {
     RestartWorld world;
     world.runners.restart("w0"); // nobody has been told yet
@@ -58,8 +58,9 @@
 }
 
 // Guards against TWICE: the restart was taken for proof that the start order has no effect, and
-// what the former life had been told to refuse was forgotten.
-TEST_CASE("a start order without an answer does not take effect in the next life of its worker "
+// what the former incarnation had been told to refuse was forgotten.
+TEST_CASE("a start order without an answer does not take effect in the next incarnation of its "
+          "worker "
           "beside or after another run")
 {
     RestartWorld world;
