--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -313,13 +313,19 @@
         const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Planning);
         scheduler_->plan(now);
     }
-    writeChanges(now);
+    writeChanges(WriteScope::Urgent, now);
     sendOrders(now);
     renewLeases(now);
 }
 
-void Coordinator::writeChanges(Time now)
+/// Writes changed records. If none of them is urgent, they wait a little for others to be written
+/// with.
+void Coordinator::writeChanges(WriteScope records, Time now)
 {
+    if (records == WriteScope::Urgent && !scheduler_->hasUrgentChanges()) {
+        scheduleDeferredWrite();
+        return;
+    }
     while (scheduler_->hasChanges() && writesInFlight_ < settings_.maxWritesInFlight
            && now >= writeNotBefore_) {
         auto write = std::make_shared<ProgressWrite>();
@@ -340,6 +346,20 @@
     }
 }
 
+void Coordinator::scheduleDeferredWrite()
+{
+    if (isDeferredWriteScheduled_ || !scheduler_->hasChanges())
+        return;
+    isDeferredWriteScheduled_ = true;
+    ports_.timers.after(settings_.maxRecordDelay,
+                        [this, alive = std::weak_ptr<int>(alive_)](Time now) {
+                            if (alive.expired() || isDeposed_)
+                                return;
+                            isDeferredWriteScheduled_ = false;
+                            writeChanges(WriteScope::All, now);
+                        });
+}
+
 void Coordinator::sendProgressWrite(const std::shared_ptr<ProgressWrite> &write)
 {
     ports_.store.commit(write->transaction, [this, write, alive = std::weak_ptr<int>(alive_)](
@@ -384,7 +404,7 @@
         return;
     }
     // A stored record frees no room, so there is nothing to plan.
-    writeChanges(now);
+    writeChanges(WriteScope::Urgent, now);
     sendOrders(now);
     renewLeases(now);
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -196,7 +196,8 @@
     // store. A successor waits for it before it starts the runs of unreachable workers again.
     Duration maxLeaseWithoutStore = seconds(7);
     Duration renewWait = seconds(1); // after which a worker without news answers a renewal
-    Duration jobWatchPause = milliseconds(700); // between two watches of submitted jobs
+    // Between two watches of submitted jobs, whose backlog may be shown with a delay of 2 s.
+    Duration jobWatchPause = milliseconds(1200);
     Duration backlogInterval = seconds(1); // between two reports of the backlog by the coordinator
     Duration registryWatchPause = milliseconds(400); // between two watches of the workers' entries
     // After which a watch without events returns. A dead connection is detected after this and the
@@ -207,6 +208,9 @@
     Duration planDelay = milliseconds(10); // to handle events that arrive together in one pass
     Duration finishedJobRetention = seconds(125); // then the records of an ended job are removed
     int maxWritesInFlight = 4; // limit for the coordinator's writes of progress records
+    // For records that nobody waits for. Writing more of them together costs fewer calls to the
+    // store, but a worker's next ended run is reported only after the record of the last one.
+    Duration maxRecordDelay = milliseconds(30);
     SchedulingSettings scheduling;
 };
 
@@ -478,7 +482,9 @@
     void schedulePass();
     void scheduleTick();
     void runPass(Time now);
-    void writeChanges(Time now);
+    enum class WriteScope { Urgent, All };
+    void writeChanges(WriteScope records, Time now);
+    void scheduleDeferredWrite();
     void sendProgressWrite(const std::shared_ptr<ProgressWrite> &write);
     void onWritten(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
                    Time now);
@@ -540,6 +546,7 @@
     bool isDeposed_ = false;
     int writesInFlight_ = 0;
     Time writeNotBefore_{};
+    bool isDeferredWriteScheduled_ = false;
     Time lastCleanup_{};
     Time nextBacklogAt_{};
     std::shared_ptr<int> alive_ = std::make_shared<int>();
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -114,7 +114,7 @@
                 }
                 scheduler_->onStartAnswered(order, outcome, eventTime);
                 if (scheduler_->isConfirmedSuspect(order.task))
-                    writeChanges(eventTime);
+                    writeChanges(WriteScope::Urgent, eventTime);
                 if (outcome == StartOutcome::Unknown) {
                     logCallFailed(order.worker, "start", callResult.detail, eventTime);
                     requestReport(order.worker, eventTime);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -231,13 +231,18 @@
         release(task);
     activeJobs_.erase(std::remove(activeJobs_.begin(), activeJobs_.end(), it->second.get()),
                       activeJobs_.end());
+    urgentChanges_ -= it->second->isChangeUrgent ? 1 : 0;
     jobs_.erase(it);
 }
 
-void Scheduler::markChanged(ScheduledJob &job)
+/// Queues the job's record to be written. A deferrable change is one that nobody waits for: runs
+/// that ended while other tasks of the job go on, and the first confirmed run.
+void Scheduler::markChanged(ScheduledJob &job, RecordUrgency urgency)
 {
     ++job.version;
     job.remainingPathEstimate.reset();
+    if (urgency == RecordUrgency::Immediate && !std::exchange(job.isChangeUrgent, true))
+        ++urgentChanges_;
     if (job.isChangeQueued)
         return;
     job.isChangeQueued = true;
@@ -276,7 +281,7 @@
     task.earliestStart = now + delay;
     task.waitingSince = now;
     countWaiting(task, 1);
-    markChanged(*task.job);
+    markChanged(*task.job, RecordUrgency::Deferrable); // urgent once it is assigned again
 }
 
 /// The delay of the next start after this many fruitless ones: none after the first.
@@ -311,7 +316,7 @@
                   {{"job", job.spec.id.str()},
                    {"step", std::to_string(task.ref.step)},
                    {"tasks", std::to_string(done)}}});
-        markChanged(job);
+        markChanged(job, RecordUrgency::Deferrable);
         if (step.gang) { // the result of one member counts for the whole gang
             for (ScheduledTask &other : job.tasks) {
                 if (other.ref.occurrence != task.ref.occurrence || other.ref.step != task.ref.step)
@@ -447,7 +452,7 @@
     if (task.job->state != JobState::Pending)
         return;
     task.job->state = JobState::Active;
-    markChanged(*task.job);
+    markChanged(*task.job, RecordUrgency::Deferrable);
 }
 
 std::vector<JobChange> Scheduler::takeChanges(std::size_t max)
@@ -466,6 +471,7 @@
             continue;
         }
         job.isChangeQueued = false;
+        urgentChanges_ -= std::exchange(job.isChangeUrgent, false) ? 1 : 0;
         job.inFlightVersion = job.version;
         JobProgress progress;
         progress.state = job.state;
@@ -528,10 +534,10 @@
         return;
     ScheduledJob &job = *it->second;
     job.inFlightVersion = 0;
-    if (!job.isChangeQueued) {
-        job.isChangeQueued = true;
+    if (!std::exchange(job.isChangeUrgent, true))
+        ++urgentChanges_;
+    if (!std::exchange(job.isChangeQueued, true))
         changes_.push_back(id);
-    }
 }
 
 std::vector<StartOrder> Scheduler::takeStarts()
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -385,6 +385,7 @@
     std::uint64_t savedVersion = 0; // latest stored version
     std::uint64_t inFlightVersion = 0; // version whose write is in flight; 0: none
     bool isChangeQueued = false; // listed for takeChanges()
+    bool isChangeUrgent = false; // its listed change must not be deferred
     bool hasLongRunningStep = false; // a step that runs until the job is cancelled
     std::vector<int> doneTaskCounts; // by stepIndex()
     std::vector<LoadTrend> stepLoads; // of serving steps, best-effort load excluded; by stepIndex()
@@ -539,6 +540,9 @@
     const std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> &jobs() const { return jobs_; }
     const std::map<WorkerId, std::unique_ptr<ScheduledWorker>> &workers() const { return workers_; }
     bool hasChanges() const { return !changes_.empty(); }
+    /// True if a start order or a client waits for a record that takeChanges() returns. The others
+    /// may be written a little later, together with further changes.
+    bool hasUrgentChanges() const { return urgentChanges_ > 0; }
 
 private:
     ScheduledTask *findTask(const TaskRef &ref) const;
@@ -547,7 +551,8 @@
     void addDueOccurrences(Time now);
     void finishJob(ScheduledJob &job, JobState state, Time now);
     void restoreTask(ScheduledTask &task, const TaskProgress &progress);
-    void markChanged(ScheduledJob &job);
+    enum class RecordUrgency { Immediate, Deferrable };
+    void markChanged(ScheduledJob &job, RecordUrgency urgency = RecordUrgency::Immediate);
     void markRunning(ScheduledTask &task, Time now);
     void completeIfDone(ScheduledJob &job, Time now);
     static bool isStepRunnable(const ScheduledJob &job, int occurrence, int step);
@@ -694,6 +699,7 @@
     int heldWorkers_ = 0; // for suspects
     std::map<WorkerId, std::vector<UnansweredStart>> unansweredStarts_;
     std::deque<JobId> changes_; // jobs whose record has to be written
+    int urgentChanges_ = 0; // those that must not be deferred
     std::vector<StartOrder> starts_;
     std::vector<StopOrder> stops_;
     std::vector<PaceOrder> paces_;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -240,7 +240,7 @@
                                && task->progress.worker == worker.entry.id;
         if (task->job->state == JobState::Pending) { // the run ended before its start was confirmed
             task->job->state = JobState::Active;
-            markChanged(*task->job);
+            markChanged(*task->job, RecordUrgency::Deferrable);
         }
         if (isCurrent) {
             endRun(*task, finished.outcome, finished.checkpoint, now);
