Repeat calls to a failing store with growing delays

A write without an answer was repeated at once instead of after 60 ms, because the answer's handler sent the whole queue again. Each write now has the time of its next attempt; the delays of writes and watches double up to 480 and 600 ms.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -350,6 +350,7 @@
         CreateCallback done;
         bool maybeWritten = false; // an earlier attempt was not answered
         int attempts = 0;
+        Time notBefore{}; // of the next attempt
     };
     struct Batch
     {
--- a/src/fleet/oncewriter.cpp
+++ b/src/fleet/oncewriter.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr Duration BatchDelay = milliseconds(1); // so that simultaneous writes share a batch
-constexpr Duration RetryDelay = milliseconds(60);
+constexpr Duration RetryDelay = milliseconds(60); // doubled with each attempt, up to the maximum
+constexpr Duration MaxRetryDelay = milliseconds(480);
 constexpr Duration StallTime = milliseconds(450); // a reachable store answers sooner, even if slow
 constexpr std::size_t MaxInFlight = 3; // transactions
 // A transaction has a condition and a put for each key.
@@ -57,7 +58,7 @@
             const bool isRepeated =
                     std::any_of(batch->items.begin(), batch->items.end(),
                                 [&](const Item &other) { return other.key == item.key; });
-            if (batch->items.size() >= MaxBatchSize || isRepeated) {
+            if (batch->items.size() >= MaxBatchSize || isRepeated || item.notBefore > now) {
                 remaining.push_back(std::move(item));
                 continue;
             }
@@ -67,6 +68,8 @@
             batch->items.push_back(std::move(item));
         }
         queue_ = std::move(remaining);
+        if (batch->items.empty()) // the rest of the queue waits for its next attempt
+            return;
         inFlight_.push_back(batch);
         ports_.timers.after(StallTime + milliseconds(1),
                             [this, alive = std::weak_ptr<int>(alive_)](Time eventTime) {
@@ -125,14 +128,17 @@
         item.done(CreateOutcome::NotApplied, now);
         return;
     }
+    const Duration delay =
+            std::min(RetryDelay * (1 << std::min(item.attempts - 1, 8)), MaxRetryDelay);
     // If other writes are unanswered too, the store is unreachable, and retrying would only keep
     // the caller waiting.
-    if (now + RetryDelay >= item.deadline || (item.maybeWritten && isStalled(now))) {
+    if (now + delay >= item.deadline || (item.maybeWritten && isStalled(now))) {
         item.done(item.maybeWritten ? CreateOutcome::Unknown : CreateOutcome::NotApplied, now);
         return;
     }
+    item.notBefore = now + delay;
     queue_.push_back(std::move(item));
-    scheduleFlush(RetryDelay);
+    scheduleFlush(delay);
 }
 
 } // namespace monsoonledge
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -7,7 +7,15 @@
 
 namespace {
 
-constexpr Duration RetryDelay = milliseconds(150);
+constexpr Duration RetryDelay = milliseconds(150); // doubled with each failure, up to the maximum
+constexpr Duration MaxRetryDelay = milliseconds(600);
+
+/// The delay after this many failed calls in a row, at least one. A store that refuses calls at
+/// once would otherwise get several of them a second from every process.
+Duration retryDelayAfter(std::uint64_t failures)
+{
+    return std::min(RetryDelay * (1 << std::min<std::uint64_t>(failures - 1, 8)), MaxRetryDelay);
+}
 
 StoreRevision highestRevision(const std::vector<KeyValue> &items)
 {
@@ -122,7 +130,7 @@
 {
     if (result.status != KeyValueStatus::Ok) {
         onCallFailed("load", result, now);
-        scheduleStep(RetryDelay, &PrefixWatch::loadPage);
+        scheduleStep(retryDelayAfter(failuresInARow_), &PrefixWatch::loadPage);
         return;
     }
     onCallAnswered(result, now);
@@ -178,7 +186,7 @@
     }
     if (result.status != KeyValueStatus::Ok) {
         onCallFailed("watch", result, now);
-        scheduleWatch(true, RetryDelay);
+        scheduleWatch(true, retryDelayAfter(failuresInARow_));
         return;
     }
     onCallAnswered(result, now);
