Record each lost start of a task with what is known of its worker's end

A successor of the coordinator knew the number of lost starts only, not which of them a later registry entry could still explain. TaskProgress now holds the losses (StartLoss, compact) and the time of the last assignment of a suspect. Records without lost starts are unchanged; those of suspects in the former forms can be read.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -130,6 +130,31 @@
     Failed, // has used up its attempts
 };
 
+/// What is known of the end of a worker that was lost shortly after a start.
+enum class LossEnd {
+    Unknown, // it may still exist
+    BeforeOrder, // it had ended before the start order was sent
+    RightAfter, // it has ended, right after the start
+    Later, // it has ended, possibly long after the start
+    Removed, // its registry entry is gone
+};
+
+/// A start that was lost with its worker before it had proven to survive.
+struct StartLoss
+{
+    RunNumber run;
+    WorkerId worker;
+    WorkerIncarnation incarnation; // of that worker
+    std::string address; // of that worker; empty: not known
+    std::string place; // failure domain and labels of that worker; empty: not known
+    WallMilliseconds orderedAt; // when the start was assigned; 0: not known
+    LossEnd end = LossEnd::Unknown;
+    bool isConfirmed = false; // the worker has answered the start
+    bool wasReachable = false; // the worker was heard shortly before the start order
+    bool isOnlySuspect = false; // no other task or gang may have caused the loss
+    bool isCorrelated = false; // other workers of its rack or failure domain were lost with it
+};
+
 struct TaskProgress
 {
     TaskPhase phase = TaskPhase::Waiting;
@@ -142,6 +167,8 @@
     int lostStarts = 0;
     int crashes = 0; // those of them that nothing else can have caused
     bool startConfirmed = false; // the worker has begun the last run; kept after lost starts only
+    WallMilliseconds orderedAt{}; // when the last run was assigned; kept after lost starts only
+    std::vector<StartLoss> losses{}; // lost starts in a row, oldest first; a few of the latest
 };
 
 struct JobProgress
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -18,8 +18,16 @@
 constexpr int ProgressFormat = 1;
 constexpr int BacklogFormat = 1;
 constexpr std::uint64_t MaxCount = 1000000; // of lost starts
+constexpr std::size_t MaxLosses = 64; // of one task
 constexpr unsigned char CborArrayOfThree = 0x83; // first byte of a CBOR array of three items
 
+enum LossFlag : unsigned {
+    Confirmed = 1,
+    Reachable = 2,
+    OnlySuspect = 4,
+    Correlated = 8,
+};
+
 enum StepFlag : unsigned {
     Checkpointing = 1,
     Gang = 2,
@@ -122,6 +130,24 @@
     std::string bytes_;
 };
 
+void encodeLoss(const StartLoss &loss, CborWriter &out)
+{
+    unsigned flags = 0;
+    flags |= loss.isConfirmed ? Confirmed : 0U;
+    flags |= loss.wasReachable ? Reachable : 0U;
+    flags |= loss.isOnlySuspect ? OnlySuspect : 0U;
+    flags |= loss.isCorrelated ? Correlated : 0U;
+    out.beginArray(8);
+    out.add(loss.run.value);
+    out.add(loss.worker.str());
+    out.add(loss.incarnation.value);
+    out.add(loss.address);
+    out.add(loss.place);
+    out.add(loss.orderedAt.value);
+    out.add(static_cast<std::uint64_t>(loss.end));
+    out.add(static_cast<std::uint64_t>(flags));
+}
+
 void encodeTask(const TaskProgress &task, CborWriter &out)
 {
     if (task.phase == TaskPhase::Waiting && task.run.value == 0) {
@@ -129,8 +155,11 @@
         return;
     }
     const bool isSuspect = task.lostStarts > 0 || task.crashes > 0;
-    // 6 items are the form before losses were counted, 8 that before starts were confirmed.
-    out.beginArray(isSuspect ? 9 : 6);
+    const bool hasLosses = isSuspect && (!task.losses.empty() || task.orderedAt.value > 0);
+    // 6 items are the form before losses were counted, 8 that before starts were confirmed, 9 that
+    // before losses were described.
+    const std::size_t items = hasLosses ? 11 : 9;
+    out.beginArray(isSuspect ? items : 6);
     out.add(static_cast<std::uint64_t>(task.phase));
     out.add(task.run.value);
     out.add(static_cast<std::uint64_t>(task.failures));
@@ -142,6 +171,12 @@
     out.add(static_cast<std::uint64_t>(task.lostStarts));
     out.add(static_cast<std::uint64_t>(task.crashes));
     out.add(static_cast<std::uint64_t>(task.startConfirmed ? 1 : 0));
+    if (!hasLosses)
+        return;
+    out.add(task.orderedAt.value);
+    out.beginArray(task.losses.size());
+    for (const StartLoss &loss : task.losses)
+        encodeLoss(loss, out);
 }
 
 Json encodeTerms(const QueueTerms &terms)
@@ -176,6 +211,37 @@
     return static_cast<int>(count);
 }
 
+/// Throws std::exception if the item is not a plausible time.
+WallMilliseconds decodeTimestamp(const Json &json)
+{
+    const auto value = json.get<std::uint64_t>();
+    if (!json.is_number_unsigned() || value > MaxTimestampMs)
+        throw std::out_of_range("time out of range");
+    return {value};
+}
+
+/// Throws std::exception if the item is not the record of a loss.
+StartLoss decodeLoss(const Json &json)
+{
+    StartLoss loss;
+    loss.run.value = json.at(0).get<std::uint64_t>();
+    loss.worker = WorkerId(json.at(1).get<std::string>());
+    loss.incarnation.value = json.at(2).get<std::uint64_t>();
+    loss.address = json.at(3).get<std::string>();
+    loss.place = json.at(4).get<std::string>();
+    loss.orderedAt = decodeTimestamp(json.at(5));
+    const int end = decodeCount(json.at(6));
+    if (end > static_cast<int>(LossEnd::Removed))
+        throw std::out_of_range("unknown end of a worker");
+    loss.end = static_cast<LossEnd>(end);
+    const auto flags = static_cast<unsigned>(decodeCount(json.at(7)));
+    loss.isConfirmed = (flags & Confirmed) != 0;
+    loss.wasReachable = (flags & Reachable) != 0;
+    loss.isOnlySuspect = (flags & OnlySuspect) != 0;
+    loss.isCorrelated = (flags & Correlated) != 0;
+    return loss;
+}
+
 TaskProgress decodeTask(const Json &json)
 {
     TaskProgress task;
@@ -196,6 +262,13 @@
     }
     if (json.size() > 8)
         task.startConfirmed = decodeCount(json.at(8)) > 0;
+    if (json.size() > 10) {
+        task.orderedAt = decodeTimestamp(json.at(9));
+        if (!json.at(10).is_array() || json.at(10).size() > MaxLosses)
+            throw std::out_of_range("losses out of range");
+        for (const Json &loss : json.at(10))
+            task.losses.push_back(decodeLoss(loss));
+    }
     return task;
 }
 
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -113,6 +113,64 @@
     }
 }
 
+// Guards against BUDGET: a successor that does not know the losses starts the task once more.
+TEST_CASE("the losses of a task are part of its record, and records without them can be read")
+{
+    JobProgress progress;
+    progress.tasks.resize(1);
+    TaskProgress &task = progress.tasks[0];
+    task.phase = TaskPhase::Assigned;
+    task.run.value = 3;
+    task.lostStarts = 2;
+    task.crashes = 1;
+    task.startConfirmed = true;
+    const std::string former = encodeProgress(progress); // the form before losses were described
+    const std::optional<JobProgress> decodedFormer = decodeProgress(former);
+    REQUIRE(decodedFormer);
+    CHECK(decodedFormer->tasks[0].crashes == 1);
+    CHECK(decodedFormer->tasks[0].startConfirmed);
+    CHECK(decodedFormer->tasks[0].losses.empty());
+
+    task.orderedAt.value = 1700000000000;
+    StartLoss loss;
+    loss.run.value = 2;
+    loss.worker = WorkerId("w1");
+    loss.incarnation.value = 1699999999999;
+    loss.address = "10.0.0.1:80";
+    loss.place = "z/r1";
+    loss.orderedAt.value = 1700000000001;
+    loss.end = LossEnd::Removed;
+    loss.wasReachable = true;
+    loss.isCorrelated = true;
+    task.losses = {loss, StartLoss()};
+    task.losses[1].isConfirmed = true;
+    task.losses[1].isOnlySuspect = true;
+    const std::string bytes = encodeProgress(progress);
+    const std::optional<JobProgress> decoded = decodeProgress(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->tasks[0].orderedAt.value == 1700000000000);
+    REQUIRE(decoded->tasks[0].losses.size() == 2);
+    const StartLoss &first = decoded->tasks[0].losses[0];
+    CHECK(first.run.value == 2);
+    CHECK(first.worker == loss.worker);
+    CHECK(first.incarnation == loss.incarnation);
+    CHECK(first.address == loss.address);
+    CHECK(first.place == loss.place);
+    CHECK(first.orderedAt.value == loss.orderedAt.value);
+    CHECK(first.end == LossEnd::Removed);
+    CHECK((first.wasReachable && first.isCorrelated));
+    CHECK_FALSE((first.isConfirmed || first.isOnlySuspect));
+    const StartLoss &second = decoded->tasks[0].losses[1];
+    CHECK((second.isConfirmed && second.isOnlySuspect));
+    CHECK_FALSE((second.wasReachable || second.isCorrelated));
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(decodeProgress(bytes.substr(0, length)));
+    task.losses[0].end = static_cast<LossEnd>(5);
+    CHECK_FALSE(decodeProgress(encodeProgress(progress)));
+    task.losses.assign(65, loss);
+    CHECK_FALSE(decodeProgress(encodeProgress(progress)));
+}
+
 TEST_CASE("truncated records are rejected, and decoding changed bytes does not crash")
 {
     const std::string spec = encodeSpec(fullSpec());
