Decide by evidence how certain it is that a task crashes its workers

A task that crashes its worker before its start is answered, or on workers that come back late or never, was started a sixth time (BUDGET), since only losses with an answered start and an end known within 5.5 s counted. Losses now have a certainty that late evidence changes: the birth of the next incarnation with the id or address, the removal from the registry, an answer of the same incarnation. Suspects keep away from serving tasks and nearly finished runs.

--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -2,15 +2,17 @@
 // given up.
 //
 // A task that crashes each worker that starts it would end everything else on worker after worker.
-// Its job is given up when that is proven. A worker that cannot be reached proves nothing: its run
-// may go on or end with its lease. Such losses only make a task a suspect, whose next starts come
-// later and later, on workers that have been reachable for long.
+// Its job is given up when the evidence suffices (crashevidence.cpp, losses.cpp). A worker that
+// cannot be reached proves nothing at first: its run may go on or end with its lease. Such losses
+// make a task a suspect, whose next starts come later and later, on workers that have been
+// reachable for long.
 //
 // The crash follows within moments of the start, so the suspects of a loss are the runs that had
 // been started there but had not yet proven to survive their start. One loss has several suspects
 // if several tasks started shortly before it. Each suspect is therefore started again apart from
 // other unproven starts: a second loss then names its task, and a start that is survived acquits
 // it.
+#include "scheduling/crashevidence_p.h"
 #include "scheduling/planpass_p.h"
 
 #include <algorithm>
@@ -19,15 +21,21 @@
 
 namespace {
 
-constexpr std::size_t MaxLoggedSuspects = 8; // of one lost worker
 constexpr double InstabilityPenalty = 1; // per ms; exceeds any difference between numbers of runs
+constexpr double CostlyRunPenalty = 100; // in runs: of a run that is costly to lose
+constexpr double SamePlacePenalty = 10; // in runs: a loss elsewhere is better evidence
+constexpr double NearlyFinishedShare = 0.5; // of the estimate of a run without checkpoints
 
-/// True if the two tasks are the same or members of one gang, which start and end together.
-bool startTogether(const ScheduledTask &a, const ScheduledTask &b)
+/// True if much is lost with the run: users notice the interruption of a serving task, and a run
+/// without checkpoints begins anew.
+bool isCostlyToLose(const ScheduledTask &task, Time now)
 {
-    return &a == &b
-           || (a.job == b.job && a.ref.occurrence == b.ref.occurrence && a.ref.step == b.ref.step
-               && a.job->spec.steps[static_cast<std::size_t>(a.ref.step)].gang);
+    const StepSpec &step = task.job->spec.steps[static_cast<std::size_t>(task.ref.step)];
+    if (step.longRunning)
+        return true;
+    return !step.checkpointing && task.runState == RunState::Running
+           && toMilliseconds(now - task.startedAt)
+                      > NearlyFinishedShare * toMilliseconds(step.estimate);
 }
 
 /// True if the task has a run that has not proven to survive its start.
@@ -38,6 +46,13 @@
 
 } // namespace
 
+bool startTogether(const ScheduledTask &a, const ScheduledTask &b)
+{
+    return &a == &b
+           || (a.job == b.job && a.ref.occurrence == b.ref.occurrence && a.ref.step == b.ref.step
+               && a.job->spec.steps[static_cast<std::size_t>(a.ref.step)].gang);
+}
+
 /// Sets the number of lost starts. Keeps the job's number of suspects.
 void Scheduler::setLostStarts(ScheduledTask &task, int lostStarts)
 {
@@ -85,6 +100,7 @@
         return;
     setLostStarts(task, 0);
     task.progress.crashes = 0;
+    task.progress.losses.clear();
     markChanged(*task.job);
 }
 
@@ -135,7 +151,7 @@
             endRun(*task, RunOutcome::LeaseExpired, {}, now);
     }
     for (ScheduledTask *task : suspects)
-        task->earliestStart = now + retryDelayAfter(task->progress.lostStarts - 1);
+        task->earliestStart = now + delayAfterLoss(*task);
     giveUpDeadly(suspects, now);
 }
 
@@ -151,58 +167,15 @@
     loseRuns(worker, lost, loss, now);
 }
 
-/// True if the task's run has certainly begun on its worker, and cannot have ended with its lease.
-bool Scheduler::hasBegunOnWorker(const ScheduledTask &task, Time now) const
-{
-    if (task.runState == RunState::Running)
-        return now - task.startedAt < settings_.maxCrashAge;
-    // A former coordinator started it, some time before this one was elected.
-    return task.runState == RunState::Restored && task.progress.startConfirmed
-           && now - startedAt_ < settings_.maxCrashAge / 2;
-}
-
-/// Counts the loss of the worker against the suspects. A crash is counted only if it is proven and
-/// one task or gang alone can be to blame for it. A start order without a confirmation proves
-/// nothing: it may never have reached the worker.
-void Scheduler::countLoss(const ScheduledWorker &worker,
-                          const std::vector<ScheduledTask *> &suspects, WorkerLoss loss, Time now)
-{
-    if (suspects.empty())
-        return;
-    const ScheduledTask &first = *suspects.front();
-    const bool isNamed =
-            loss == WorkerLoss::Crashed
-            && std::all_of(suspects.begin(), suspects.end(), [&](const ScheduledTask *task) {
-                   return startTogether(first, *task) && hasBegunOnWorker(*task, now);
-               });
-    std::string list; // "task:lost starts:crashes", separated by spaces
-    for (std::size_t i = 0; i < suspects.size(); ++i) {
-        ScheduledTask &task = *suspects[i];
-        setLostStarts(task, task.progress.lostStarts + 1);
-        task.progress.crashes += isNamed ? 1 : 0;
-        if (i < MaxLoggedSuspects)
-            list += (i > 0 ? " " : "") + formatTaskRef(task.ref) + ':'
-                    + std::to_string(task.progress.lostStarts) + ':'
-                    + std::to_string(task.progress.crashes);
-    }
-    log_({LogLevel::Warning,
-          "crash-suspected",
-          "the worker was lost before runs had survived their start; their tasks are started again "
-          "apart from others",
-          {{"worker", worker.entry.id.str()},
-           {"loss", loss == WorkerLoss::Crashed ? "crashed" : "unreachable"},
-           {"suspects", std::to_string(suspects.size())},
-           {"job", isNamed ? first.ref.job.str() : ""},
-           {"tasks", list}}});
-}
-
-/// Fails the jobs of suspects that have been proven to crash their workers. Their runs have ended.
+/// Fails the jobs of suspects that crash their workers by the evidence. Their runs have ended.
 void Scheduler::giveUpDeadly(const std::vector<ScheduledTask *> &suspects, Time now)
 {
     for (ScheduledTask *task : suspects) {
         const TaskProgress &progress = task->progress;
-        if (progress.crashes < settings_.maxCrashes || isFinal(task->job->state)
-            || progress.phase != TaskPhase::Waiting)
+        const bool isGivenUp =
+                progress.crashes >= settings_.maxCrashes
+                || decideNextStart(progress.crashes, progress.losses) == CrashAction::GiveUp;
+        if (!isGivenUp || isFinal(task->job->state) || progress.phase != TaskPhase::Waiting)
             continue;
         task->progress.phase = TaskPhase::Failed;
         countWaiting(*task, -1);
@@ -212,7 +185,8 @@
               {{"job", task->ref.job.str()},
                {"task", formatTaskRef(task->ref)},
                {"crashes", std::to_string(progress.crashes)},
-               {"lostStarts", std::to_string(progress.lostStarts)}}});
+               {"lostStarts", std::to_string(progress.lostStarts)},
+               {"points", std::to_string(crashPoints(progress.crashes, progress.losses))}}});
         finishJob(*task->job, JobState::Failed, now);
     }
 }
@@ -223,6 +197,9 @@
     suspectTasks_ = 0;
     for (const ScheduledJob *job : activeJobs_)
         suspectTasks_ += job->suspectTasks;
+    planCache_->startedAt = now;
+    if (suspectTasks_ > 0)
+        reviewLosses(now);
     if (heldWorkers_ == 0)
         return;
     heldWorkers_ = 0;
@@ -255,13 +232,23 @@
     });
 }
 
-/// The score of a worker for a suspect: its crash should end as few other runs as possible. Workers
-/// that were unreachable or new a moment ago have the fewest runs, but a suspect would often be
-/// lost there without any fault of its own.
-double Scheduler::isolationScore(const ScheduledWorker &worker, Time now) const
+/// The score of a worker for a suspect: its crash should end as few other runs as possible, and
+/// none that is costly to lose. Workers that were unreachable or new a moment ago have the fewest
+/// runs, but a suspect would often be lost there without any fault of its own.
+double Scheduler::isolationScore(const ScheduledWorker &worker, const ScheduledTask &suspect,
+                                 Time now) const
 {
     const Duration unstableFor = worker.unstableSince + settings_.stableAfter - now;
+    const auto costly =
+            std::count_if(worker.tasks.begin(), worker.tasks.end(),
+                          [&](const ScheduledTask *task) { return isCostlyToLose(*task, now); });
+    const std::vector<StartLoss> &losses = suspect.progress.losses;
+    const bool isInPlaceOfLoss =
+            std::any_of(losses.begin(), losses.end(),
+                        [&](const StartLoss &loss) { return loss.place == placeOf(worker.entry); });
     return -static_cast<double>(worker.tasks.size())
+           - CostlyRunPenalty * static_cast<double>(costly)
+           - (isInPlaceOfLoss ? SamePlacePenalty : 0)
            - InstabilityPenalty * std::max(toMilliseconds(unstableFor), 0.0);
 }
 
@@ -314,7 +301,7 @@
         // Only workers that isolation alone keeps from the suspect.
         if (!worker->heldFor.isEmpty() || obstacleOn(*worker, suspect, now) != Obstacle::Isolation)
             continue;
-        if (!best || isolationScore(*worker, now) > isolationScore(*best, now))
+        if (!best || isolationScore(*worker, suspect, now) > isolationScore(*best, suspect, now))
             best = worker.get();
     }
     if (!best)
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -482,7 +482,7 @@
         score = static_cast<double>(worker.reservedCpu) - static_cast<double>(entry.cpu.value);
     }
     if (isSuspect(task))
-        return isolationScore(worker, now) - (hasFailedOn(task, worker) ? FailurePenalty : 0);
+        return isolationScore(worker, task, now) - (hasFailedOn(task, worker) ? FailurePenalty : 0);
     if (!step.affinity.empty() && hasLabel(entry, step.affinity))
         score += AffinityBonus;
     if (hasFailedOn(task, worker))
@@ -577,6 +577,7 @@
     task.progress.startConfirmed = false;
     task.wasStarved = false;
     task.isTrial = awaitsTrial(worker);
+    noteAssigned(task, worker);
     countWaiting(task, -1);
     reserve(worker, task);
     markChanged(job);
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -73,6 +73,10 @@
     ScheduledWorker *worker = nullptr;
 };
 
+/// True if the two tasks are the same or members of one gang, which start and end together.
+bool startTogether(const ScheduledTask &a, const ScheduledTask &b);
+/// Failure domain and labels of a worker, one of which names its rack.
+std::string placeOf(const WorkerEntry &worker);
 bool hasLabel(const WorkerEntry &worker, const std::string &label);
 /// The number of tasks on the worker that belong to the same step and occurrence of the job.
 int countTasksOfStep(const ScheduledWorker &worker, const TaskRef &ref);
@@ -80,6 +84,7 @@
 struct Scheduler::PlanCache
 {
     std::uint64_t passNumber = 1; // of the current planning pass
+    Time startedAt{}; // of the current planning pass
     Time clearedAt{};
     std::vector<UnplacedRequest> unplacedRequests;
     std::unordered_map<const ScheduledWorker *, BestEffortOutlook> outlooks;
--- a/src/scheduling/restarts.cpp
+++ b/src/scheduling/restarts.cpp
@@ -29,6 +29,8 @@
 /// the worker's id alone. Its reports decide about them.
 void Scheduler::resetWorker(ScheduledWorker &worker, WorkerIncarnation incarnation, Time now)
 {
+    noteSilence(worker, now);
+    markSharedLosses(worker);
     const std::vector<ScheduledTask *> tasks = worker.tasks; // the loop changes the original
     for (ScheduledTask *task : tasks) {
         if (task->progress.phase != TaskPhase::Assigned || task->progress.incarnation >= incarnation
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -155,7 +155,7 @@
     // after it. A task that crashes its worker does so within some tens of milliseconds.
     Duration startProofAge = milliseconds(100);
     // Crashes at starts of a task, with no other possible cause, after which its job is given up.
-    // One may be a coincidence.
+    // One may be a coincidence. Less certain ones count less (crashevidence_p.h).
     int maxCrashes = 2;
     // The end of a worker that is noticed later than this after a start proves nothing: the run may
     // have ended with its lease before. Shorter than any lease that a start carries.
@@ -348,6 +348,9 @@
     std::uint64_t assignedInVersion = 0; // first version of the job's record with the current run
     Time orderSentAt{}; // time of the start order or the last stop order
     bool stopConfirmed = false; // by the worker, for the last stop order
+    Time assignedAt{}; // when the current run was assigned
+    bool wasWorkerHeard = false; // shortly before the current run was assigned
+    bool hasSharedLoss = false; // its worker has restarted, and other starts were lost with it
     bool hasSurvivedStart = false; // the current run was reported well after its start
     bool wasStarved = false; // the current run was started although no worker gains from it
     bool isTrial = false; // the current run shows whether a quarantined worker works again
@@ -456,9 +459,20 @@
     Time reportRequestedAt{}; // last time, to prove that starts are survived
 };
 
+/// A worker that has stopped answering or has ended.
+struct WorkerSilence
+{
+    WorkerId worker;
+    WorkerIncarnation incarnation;
+    DomainId domain;
+    std::string place; // failure domain and labels
+    Time since{};
+};
+
 // [6] Scheduler
 
 struct UnplacedRequest;
+struct CrashVerdict;
 
 class Scheduler
 {
@@ -588,9 +602,28 @@
     std::vector<ScheduledTask *> suspectsAmong(const ScheduledWorker &worker,
                                                const std::vector<ScheduledTask *> &lost) const;
     void countLoss(const ScheduledWorker &worker, const std::vector<ScheduledTask *> &suspects,
-                   WorkerLoss loss, Time now);
+                   WorkerLoss how, Time now);
     void giveUpDeadly(const std::vector<ScheduledTask *> &suspects, Time now);
-    bool hasBegunOnWorker(const ScheduledTask &task, Time now) const;
+    WallMilliseconds wallAt(Time time) const;
+    void noteSilence(const ScheduledWorker &worker, Time now);
+    void endSilence(const ScheduledWorker &worker);
+    bool isLostWithItsPlace(const ScheduledWorker &worker, WorkerIncarnation incarnation,
+                            Time now) const;
+    void noteAssigned(ScheduledTask &task, const ScheduledWorker &worker);
+    void markSharedLosses(const ScheduledWorker &worker);
+    void endStoppedRun(ScheduledWorker &worker, ScheduledTask &task, Time now);
+    LossEnd endOf(const StartLoss &loss, Time now) const;
+    bool isLossKnownSoon(const ScheduledTask &task, Time now) const;
+    StartLoss describeLoss(const ScheduledWorker &worker, const ScheduledTask &task,
+                           bool isOnlySuspect, WorkerLoss how, Time now) const;
+    CrashVerdict addLoss(ScheduledTask &task, const StartLoss &loss);
+    Duration delayAfterLoss(const ScheduledTask &task) const;
+    void reviewLosses(Time now);
+    void reviewLossesOf(ScheduledTask &task, Time now);
+    bool hasSurvived(const StartLoss &loss, Time now) const;
+    void withdrawLoss(const StartOrder &order);
+    void logEvidence(const ScheduledTask &task, const StartLoss &loss,
+                     const CrashVerdict &verdict) const;
     static void setLostStarts(ScheduledTask &task, int lostStarts);
     bool isSuspect(const ScheduledTask &task) const;
     void noteReported(ScheduledTask &task, Time now);
@@ -598,7 +631,8 @@
     bool wasReplaced(const ScheduledWorker &worker) const;
     void beginIsolation(Time now);
     bool isKeptApart(const ScheduledWorker &worker, const ScheduledTask &task) const;
-    double isolationScore(const ScheduledWorker &worker, Time now) const;
+    double isolationScore(const ScheduledWorker &worker, const ScheduledTask &suspect,
+                          Time now) const;
     void assignSuspects(ScheduledJob &job, int occurrence, int step,
                         std::vector<const ScheduledTask *> &assigned, Time now);
     bool hasSuspectStart(const ScheduledTask &task) const;
@@ -692,6 +726,8 @@
     std::vector<ScheduledJob *> activeJobs_; // jobs that have not ended
     int suspectTasks_ = 0; // of all active jobs, in the last planning pass
     int heldWorkers_ = 0; // for suspects
+    std::deque<WorkerSilence> silences_; // of the last 30 s
+    Time nextLossReviewAt_{};
     std::map<WorkerId, std::vector<UnansweredStart>> unansweredStarts_;
     std::deque<JobId> changes_; // jobs whose record has to be written
     std::vector<StartOrder> starts_;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -170,6 +170,8 @@
     const auto it = workers_.find(id);
     if (it == workers_.end())
         return;
+    if (!it->second->lastCallFailed)
+        noteSilence(*it->second, now);
     it->second->lastCallFailed = true;
     it->second->unstableSince = now;
 }
@@ -183,6 +185,7 @@
     if (worker.entry.incarnation != incarnation || worker.hasEnded)
         return;
     worker.hasEnded = true;
+    noteSilence(worker, now);
     log_({LogLevel::Warning,
           "worker-ended",
           "another worker answers at the worker's address, so the worker and its runs have ended",
@@ -209,6 +212,8 @@
         worker.leaseExpiry = now + settings_.maxLeaseDuration + MaxOrderDelay;
     if (!worker.hasReported || worker.lastCallFailed)
         markWorkerChanged(worker);
+    if (worker.lastCallFailed)
+        endSilence(worker);
     worker.hasReported = true;
     worker.lastCallFailed = false;
     worker.lastReport = now;
@@ -397,7 +402,7 @@
             break;
         case RunState::Stopping:
             if (task->stopConfirmed && sentAt > task->orderSentAt)
-                endRun(*task, RunOutcome::Stopped, {}, now);
+                endStoppedRun(worker, *task, now);
             else if (!task->stopConfirmed && now - task->orderSentAt > StopRetryDelay)
                 stopRun(*task, now);
             break;
@@ -412,6 +417,8 @@
     ScheduledTask *task = findTask(order.task);
     const bool isCurrent =
             task && task->progress.phase == TaskPhase::Assigned && task->progress.run == order.run;
+    if (!isCurrent && outcome != StartOutcome::Started && outcome != StartOutcome::Unknown)
+        withdrawLoss(order);
     if (!isCurrent || task->runState != RunState::StartSent)
         return; // a report or a stop order was processed first
     switch (outcome) {
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -78,6 +78,17 @@
     /// Called for a worker that is back after a crash, under its former id or a new one.
     std::function<void(const std::string &formerId, const std::string &id)> onBack;
     bool keepsIdAfterCrash = false; // otherwise a worker is back under a new id at its address
+    /// How a worker is back after a crash, if not as `keepsIdAfterCrash` says.
+    enum class Return { SameId, NewId, NewAddress, Never };
+    std::function<Return()> chooseReturn;
+    Duration crashDuration = seconds(3); // until a worker is back
+    /// Unix time in ms, which is the incarnation of workers that are back; unset: a larger number.
+    std::function<std::uint64_t()> wall;
+    /// Called when a run has begun on a worker.
+    std::function<void(const WorkerId &, const TaskRef &)> onStart;
+    /// Called some seconds after the crash of a worker that is not back at its address: the
+    /// registry removes its entry.
+    std::function<void(const std::string &id)> onExpired;
 
     Worker &add(const WorkerEntry &entry)
     {
@@ -101,7 +112,7 @@
     void restart(const std::string &id)
     {
         Worker &worker = at(id);
-        worker.entry.incarnation.value += 1000;
+        worker.entry.incarnation = nextIncarnation(worker.entry.incarnation);
         worker.running.clear();
         worker.barred.clear();
         worker.finished.clear();
@@ -124,7 +135,7 @@
         worker.running.clear();
         WorkerEntry entry = worker.entry;
         entry.id = WorkerId(newId);
-        entry.incarnation.value += 1000;
+        entry.incarnation = nextIncarnation(entry.incarnation);
         return add(entry);
     }
 
@@ -137,19 +148,16 @@
         ++crashes;
         worker.up = false;
         worker.running.clear();
-        clock_.after(CrashDuration, [this, id] {
-            WorkerEntry entry = at(id).entry;
-            entry.incarnation.value += 1000;
-            if (!keepsIdAfterCrash) {
-                entry.id = WorkerId("again" + std::to_string(++returned_) + '-'
-                                    + id.substr(id.rfind('-') + 1));
-                replace(id, entry.id.str());
-            } else {
-                restart(id);
-            }
-            if (onBack)
-                onBack(id, entry.id.str());
-        });
+        Return how = keepsIdAfterCrash ? Return::SameId : Return::NewId;
+        if (chooseReturn)
+            how = chooseReturn();
+        if (how == Return::Never || how == Return::NewAddress)
+            clock_.after(EntryLifetime, [this, id] {
+                if (onExpired)
+                    onExpired(id);
+            });
+        if (how != Return::Never)
+            clock_.after(crashDuration, [this, id, how] { comeBack(id, how); });
     }
 
     int runningCount() const
@@ -193,6 +201,8 @@
         run.endsAt += milliseconds(payloadNumber(order.payload, "ms", 100));
         run.fails = count <= payloadNumber(order.payload, "fail", 0);
         worker.running[key] = run;
+        if (onStart)
+            onStart(worker.entry.id, order.task);
         if (payloadNumber(order.payload, "deadly", 0) > order.task.index)
             clock_.after(CrashDelay, [this, id = worker.entry.id.str(),
                                       incarnation = worker.entry.incarnation] {
@@ -243,7 +253,35 @@
 
 private:
     static constexpr Duration CrashDelay = milliseconds(10); // after the start of a deadly task
-    static constexpr Duration CrashDuration = seconds(3);
+    static constexpr Duration EntryLifetime = seconds(8); // without heartbeats
+
+    WorkerIncarnation nextIncarnation(WorkerIncarnation present) const
+    {
+        return {wall ? wall() : present.value + 1000};
+    }
+
+    /// Ends the absence of a worker that has crashed.
+    void comeBack(const std::string &id, Return how)
+    {
+        const std::string root = id.substr(id.rfind('-') + 1);
+        std::string newId = id;
+        if (how == Return::SameId) {
+            restart(id);
+        } else {
+            newId = "again" + std::to_string(++returned_) + '-' + root;
+            if (how == Return::NewId) {
+                replace(id, newId);
+            } else {
+                WorkerEntry entry = at(id).entry;
+                entry.id = WorkerId(newId);
+                entry.incarnation = nextIncarnation(entry.incarnation);
+                entry.address.ip = "10.0.1." + std::to_string(returned_);
+                add(entry);
+            }
+        }
+        if (onBack)
+            onBack(how == Return::NewAddress ? newId : id, newId);
+    }
 
     WorkerCallResult check(Worker &worker, FencingToken token)
     {
@@ -322,6 +360,10 @@
     int grantedLeases = 0; // by renewals
     double lateShare = 0; // of the orders: no answer, and carried out seconds later
     Duration lateBy{}; // how much later; 0: 2 to 12 s
+    // How long a worker takes to answer an order that it has carried out. It answers only if it has
+    // not crashed or been cut off meanwhile.
+    Duration orderDuration{};
+    double lostAnswerShare = 0; // of the orders that are carried out: without an answer
     Random random{1};
 
     void start(const WorkerEntry &worker, const StartOrder &order, FencingToken token,
@@ -388,6 +430,26 @@
         timers_.after(latency, [call, done](Time now) { done(call, now); });
     }
 
+    /// Answers an order that the worker has carried out, if it is still there.
+    void answerOrder(const WorkerEntry &worker, const WorkerCallResult &call,
+                     const WorkerCallback &done)
+    {
+        if (lostAnswerShare > 0 && random.unit() < lostAnswerShare) {
+            fail(done);
+        } else if (orderDuration == Duration::zero()) {
+            answer(call, done);
+        } else {
+            const WorkerIncarnation incarnation = runners_.at(worker.id.str()).entry.incarnation;
+            timers_.clock().after(orderDuration, [this, worker, call, done, incarnation] {
+                const FakeRunners::Worker *target = reach(worker);
+                if (target && target->entry.incarnation == incarnation)
+                    answer(call, done);
+                else
+                    fail(done);
+            });
+        }
+    }
+
     void send(const WorkerEntry &worker, std::function<WorkerCallResult(FakeRunners::Worker &)> act,
               const WorkerCallback &done, bool isOrder)
     {
@@ -405,7 +467,7 @@
             if (target && isLate)
                 act(*target);
             else if (target)
-                answer(act(*target), done);
+                answerOrder(worker, act(*target), done);
             if (!target && !isLate)
                 fail(done);
         });
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -34,6 +34,7 @@
                 store.remove("servers/" + formerId);
             publish(id);
         };
+        runners.onExpired = [this](const std::string &id) { store.remove("servers/" + id); };
         for (int i = 0; i < workerCount; ++i) {
             WorkerEntry entry;
             entry.id = WorkerId("w" + std::to_string(i));
@@ -69,6 +70,29 @@
         store.put("servers/" + id, encodeWorker(runners.at(id).entry));
     }
 
+    /// From now on, the incarnations of workers are the times of their starts, and the workers are
+    /// spread over three failure domains with two racks each. Call it before time advances.
+    void useBirthTimes()
+    {
+        runners.wall = [this] { return wall().value; };
+        for (auto &[id, worker] : runners.all()) {
+            worker.entry.incarnation.value = wall().value;
+            publish(id.str());
+        }
+        workerDecoder = [](const std::string &key, const std::string &value) {
+            std::optional<WorkerEntry> entry = decodeWorker(key, value);
+            if (entry) {
+                const int number =
+                        std::stoi(entry->address.ip.substr(entry->address.ip.rfind('.') + 1));
+                entry->domain = DomainId("z" + std::to_string(number % 3));
+                entry->labels = {"a", "r" + std::to_string(number % 6)};
+            }
+            return entry;
+        };
+        for (std::size_t i = 0; i < processes.size(); ++i)
+            start(static_cast<int>(i));
+    }
+
     void start(int index)
     {
         Process &process = processes.at(static_cast<std::size_t>(index));
@@ -77,6 +101,8 @@
         process.store = std::make_unique<FakeKeyValuePort>(store, *process.timers);
         process.workers = std::make_unique<FakeRunPort>(runners, *process.timers);
         process.workers->random = Random(random.next());
+        process.workers->orderDuration = orderDuration;
+        process.workers->lostAnswerShare = lostAnswerShare;
         FleetSettings settings;
         settings.name = "p" + std::to_string(index);
         const auto cores = cpuShares.find(index);
@@ -89,7 +115,11 @@
                                *process.timers,
                                FleetDecoders{decodeConfig, workerDecoder},
                                [this] { return wall(); },
-                               [this](const LogEvent &event) { log.push_back(event.event); }};
+                               [this](const LogEvent &event) {
+                                   log.push_back(event.event);
+                                   if (onLog)
+                                       onLog(event);
+                               }};
         process.node = std::make_unique<FleetNode>(settings, ports, random.next(), clock.now());
         process.node->start();
     }
@@ -190,6 +220,9 @@
     std::vector<Process> processes;
     std::vector<std::string> log;
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
+    Duration orderDuration{}; // of workers; taken at the start of a process
+    double lostAnswerShare = 0; // of answers to orders; taken at the start of a process
+    std::function<void(const LogEvent &)> onLog;
     // Of the workers' entries; taken at the start of a process.
     std::function<std::optional<WorkerEntry>(const std::string &, const std::string &)>
             workerDecoder = decodeWorker;
