Count losses that a rack or failure domain shares as possible crashes at most

Four losses of a whole failure domain, each right after an answered start of one task, would have failed its job: each counted as likely. They count as possible now, in the whole gang's case without the workers of its other members, which are lost together by its own crash.

invariant_evidence_test, with a new case for it, crashevidence_test, crash_test and invariant_crash_test pass.

--- a/src/scheduling/crashevidence.cpp
+++ b/src/scheduling/crashevidence.cpp
@@ -96,13 +96,12 @@
     }
     if (!loss.isOnlySuspect)
         return {CrashCertainty::Possible, "several-suspects"};
-    if (loss.isConfirmed)
-        return isExplained ? CrashVerdict{CrashCertainty::Likely, "lost-with-its-place"}
-                           : CrashVerdict{CrashCertainty::Proven, "ended-after-confirmed-start"};
-    if (!loss.wasReachable)
+    if (!hasBegunPossibly(loss))
         return {CrashCertainty::None, "start-not-received"};
-    return isExplained ? CrashVerdict{CrashCertainty::Possible, "lost-with-its-place"}
-                       : CrashVerdict{CrashCertainty::Likely, "ended-after-unanswered-start"};
+    if (isExplained)
+        return {CrashCertainty::Possible, "lost-with-its-place"};
+    return loss.isConfirmed ? CrashVerdict{CrashCertainty::Proven, "ended-after-confirmed-start"}
+                            : CrashVerdict{CrashCertainty::Likely, "ended-after-unanswered-start"};
 }
 
 const char *crashActionName(CrashAction action)
--- a/src/scheduling/losses.cpp
+++ b/src/scheduling/losses.cpp
@@ -5,6 +5,7 @@
 #include "scheduling/planpass_p.h"
 
 #include <algorithm>
+#include <set>
 
 namespace monsoonledge {
 
@@ -17,6 +18,7 @@
 // A worker whose last report before a start is older was silent already: renewals are answered
 // within 1.9 s.
 constexpr Duration MaxReportAgeAtOrder = milliseconds(2000);
+constexpr std::size_t MaxLoggedSuspects = 8; // of one lost worker
 constexpr Duration LossReviewInterval = milliseconds(50);
 // The registry removes the entry of a worker that has ended some seconds after its last heartbeat,
 // mostly after its leases have expired. A task that waits longer than 3 s breaks LOST.
@@ -87,11 +89,19 @@
                     silences_.end());
 }
 
-/// True if so many workers of the same rack or failure domain were lost at the same moment that the
-/// place explains the loss.
-bool Scheduler::isLostWithItsPlace(const ScheduledWorker &worker, WorkerIncarnation incarnation,
+/// True if so many workers of the same rack or failure domain were lost with the run's worker that
+/// the place explains the loss. Workers of members of its gang do not count: they start together.
+bool Scheduler::isLostWithItsPlace(const ScheduledWorker &worker, const ScheduledTask &task,
                                    Time now) const
 {
+    const WorkerIncarnation incarnation = task.progress.incarnation;
+    std::set<WorkerId> workersOfGang;
+    if (stepOf(task).gang) {
+        for (const ScheduledTask &other : task.job->tasks) {
+            if (startTogether(task, other))
+                workersOfGang.insert(other.progress.worker);
+        }
+    }
     const std::string place = placeOf(worker.entry);
     const DomainId &domain = worker.entry.domain;
     Time since = now;
@@ -107,8 +117,8 @@
         zone.workers += isOther && other->entry.domain == domain ? 1 : 0;
     }
     for (const WorkerSilence &silence : silences_) {
-        if (silence.worker == worker.entry.id || silence.since < since - SameMoment
-            || silence.since > since + SameMoment)
+        if (silence.worker == worker.entry.id || workersOfGang.count(silence.worker) > 0
+            || silence.since < since - SameMoment || silence.since > since + SameMoment)
             continue;
         rack.lost += silence.place == place ? 1 : 0;
         zone.lost += silence.domain == domain ? 1 : 0;
@@ -214,7 +224,7 @@
             task.runState == RunState::Running || (isRestored && task.progress.startConfirmed);
     loss.wasReachable = isRestored || task.wasWorkerHeard;
     loss.isOnlySuspect = isOnlySuspect;
-    loss.isCorrelated = isLostWithItsPlace(worker, task.progress.incarnation, now);
+    loss.isCorrelated = isLostWithItsPlace(worker, task, now);
     loss.end = endOf(loss, now);
     const bool hasEnded = how == WorkerLoss::Crashed;
     if (hasEnded && loss.end != LossEnd::RightAfter && loss.end != LossEnd::BeforeOrder)
@@ -239,7 +249,6 @@
 void Scheduler::countLoss(const ScheduledWorker &worker,
                           const std::vector<ScheduledTask *> &suspects, WorkerLoss how, Time now)
 {
-    constexpr std::size_t MaxLoggedSuspects = 8; // of one lost worker
     if (suspects.empty())
         return;
     const ScheduledTask &first = *suspects.front();
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -607,7 +607,7 @@
     WallMilliseconds wallAt(Time time) const;
     void noteSilence(const ScheduledWorker &worker, Time now);
     void endSilence(const ScheduledWorker &worker);
-    bool isLostWithItsPlace(const ScheduledWorker &worker, WorkerIncarnation incarnation,
+    bool isLostWithItsPlace(const ScheduledWorker &worker, const ScheduledTask &task,
                             Time now) const;
     void noteAssigned(ScheduledTask &task, const ScheduledWorker &worker);
     void markSharedLosses(const ScheduledWorker &worker);
--- a/tests/unit/invariant_evidence_test.cpp
+++ b/tests/unit/invariant_evidence_test.cpp
@@ -175,6 +175,32 @@
     CHECK(brokenProperty(scenario) == "");
 }
 
+// Guards against LOST: losses of a failure domain that the task has nothing to do with add up.
+TEST_CASE("a sound job completes although its failure domain is lost after start after start")
+{
+    constexpr int LostDomains = 4;
+    FleetWorld world(2, 18);
+    world.useBirthTimes();
+    world.runners.keepsIdAfterCrash = true;
+    int lost = 0;
+    world.runners.onStart = [&](const WorkerId &id, const TaskRef &) {
+        if (++lost > LostDomains)
+            return;
+        const int domain = std::stoi(id.str().substr(1)) % 3;
+        world.clock.after(milliseconds(15), [&world, domain] {
+            for (auto &[other, worker] : world.runners.all()) {
+                if (std::stoi(other.str().substr(1)) % 3 == domain)
+                    world.runners.crash(other.str());
+            }
+        });
+    };
+    world.clock.advance(seconds(13));
+    REQUIRE(world.submit(0, FleetWorld::job("a", 1, "ms=1000")) == JobAnswer::Accepted);
+    CHECK(world.wait([&] { return world.state(0, "a") == JobState::Completed; }, seconds(90)));
+    CHECK(lost == LostDomains + 1);
+    CHECK(world.runners.findings.empty());
+}
+
 TEST_CASE("crashing tasks are failed and sound ones are not, whatever happens to the workers")
 {
     runSchedules(12, [](std::uint64_t seed) {
