Close failure domains at the operator's request, and move long runs off them

Change: each process follows op/evacuate/ZONE with its watch of op/. The scheduler assigns and starts nothing in a closed domain, and the coordinator starts nothing anywhere while its watch has not been confirmed for seven tenths of EvacuationMs. Long-running and checkpointing runs are stopped there within MaxUnavailable, and only if an open domain has room for them. Workers that state WarmupLeftMs get less work while they are cold, and their run times are not learnt. All of it is off unless the settings ask for it.

--- a/scripts/check_docs.py
+++ b/scripts/check_docs.py
@@ -9,7 +9,7 @@
 
 
 EVENT = re.compile(r'LogLevel::\w+,\s*"([a-z-]+)"|\? "([a-z]+-[a-z-]+)" : "([a-z]+-[a-z-]+)",\s*isThere')
-EVENT_SOURCES = ["src/fleet", "src/scheduling", "src/metrics", "platform"]
+EVENT_SOURCES = ["src/evacuation", "src/fleet", "src/scheduling", "src/metrics", "platform"]
 
 
 def check_events() -> list[str]:
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -134,6 +134,7 @@
     scheduler_->setConfig(hooks_.config());
     scheduler_->setWallClock(ports_.wallNow(), now);
     updateSchedulerWorkers(now);
+    scheduler_->setClosedDomains(hooks_.closedDomains(), now);
     std::unordered_map<JobId, JobProgress> progress;
     for (const KeyValue &item : loadedJobItems_) {
         const std::optional<JobId> id = keys::parse(keys::ProgressPrefix, item.key);
@@ -237,6 +238,12 @@
             continue;
         }
         if (const std::optional<WorkerEntry> entry = ports_.decoders.worker(item.key, item.value)) {
+            if (entry->isWarmupUnreadable && settings_.scheduling.warmupOverage > 0)
+                ports_.log({LogLevel::Warning,
+                            "worker-warmup-unreadable",
+                            "the registry entry of a worker has a malformed time to warm up; the "
+                            "worker is used as a warm one",
+                            {{"key", item.key}}});
             registryEntries_[item.key] = *entry;
             continue;
         }
@@ -309,6 +316,7 @@
 {
     if (!scheduler_ || isDeposed_)
         return;
+    updateStartsPaused(now);
     if (isWithinRenewalGrace(now)) {
         const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Planning);
         scheduler_->plan(now);
@@ -352,6 +360,7 @@
 void Coordinator::onWritten(const std::shared_ptr<ProgressWrite> &write,
                             const KeyValueResult &result, Time now)
 {
+    updateStartsPaused(now);
     switch (result.status) {
     case KeyValueStatus::Ok:
         for (const JobChange &change : write->changes) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -35,6 +35,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -177,6 +178,11 @@
     std::string configKey; // key of the configuration in the store
     std::string configPrefix; // prefix of the keys that the operator writes
     std::string workerPrefix; // prefix of the workers' registry entries
+    // Prefix, under configPrefix, of the keys by which the operator closes failure domains; empty:
+    // such keys are ignored.
+    std::string evacuationPrefix;
+    // After which nothing may start in a domain whose closing is stored; 0: such keys are ignored.
+    Duration evacuationLimit{};
     double hostCores = 1; // hosts with more cores become candidates for coordinator sooner
     Duration coordinatorLeaseTtl = seconds(2); // time to live of the coordinator record's lease
     // A process whose host has at least this many times the cores of the coordinator's host
@@ -217,6 +223,8 @@
     std::function<std::optional<QueueConfig>(const std::string &value)> config;
     std::function<std::optional<WorkerEntry>(const std::string &key, const std::string &value)>
             worker;
+    // Never fails: a request that cannot be read is marked as such.
+    std::function<EvacuationRequest(const std::string &key, const std::string &value)> evacuation;
 };
 
 struct FleetPorts
@@ -271,6 +279,8 @@
     StoreRevision revision() const { return revision_; }
     /// Time of the store's last successful answer.
     Time lastStoreContact() const { return lastStoreContact_; }
+    /// All changes that were stored before this time have been delivered to the owner.
+    Time confirmedAt() const { return confirmedAt_; }
     /// The answer that is being delivered or was delivered last.
     const Answer &lastAnswer() const { return lastAnswer_; }
     /// Calls that were not answered successfully since this object was created.
@@ -301,6 +311,8 @@
     std::string lastLoadedKey_; // the next page starts after it
     Time lastStoreContact_{};
     Time callSentAt_{}; // of the call in flight
+    Time loadSentAt_{}; // of the first page of the last load
+    Time confirmedAt_{};
     Answer lastAnswer_;
     std::uint64_t failedCalls_ = 0;
     std::uint64_t failuresInARow_ = 0;
@@ -421,6 +433,9 @@
     {
         std::function<void()> deposed; // another process is the coordinator or may become it
         std::function<QueueConfig()> config;
+        std::function<std::set<DomainId>()> closedDomains;
+        // False while a closed domain could be unknown here, so that no task may be started.
+        std::function<bool(Time now)> knowsClosedDomains;
     };
 
     /// `recordRevision`: revision of the coordinator record, which is also the fencing token.
@@ -434,6 +449,7 @@
     /// The coordinator's lease was renewed by a call sent at `sentAt`.
     void onStoreContact(Time sentAt);
     void onConfigChanged();
+    void onClosedDomainsChanged(Time now);
     /// False if most of the registered workers cannot be reached from this process.
     bool reachesMostWorkers(Time now) const;
     /// Null until the records of jobs and workers have been loaded.
@@ -474,6 +490,7 @@
     void addJobFromSpec(const KeyValue &item, const std::optional<JobProgress> &progress, Time now);
     void setAside(const JobId &id);
     void updateSchedulerWorkers(Time now);
+    void updateStartsPaused(Time now);
 
     void schedulePass();
     void scheduleTick();
@@ -582,6 +599,8 @@
     bool isConfigCurrent(Time now) const;
     /// The watch that delivers the configuration.
     const PrefixWatch &configWatch() const { return *configWatch_; }
+    /// The failure domains that the operator has closed. Always empty if evacuations are off.
+    const std::set<DomainId> &closedDomains() const { return closedDomains_.domains(); }
 
     void submit(const JobSpec &spec, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
@@ -597,6 +616,9 @@
 private:
     void onConfigItems(const std::vector<KeyValue> &items);
     void applyConfig(const QueueConfig &config);
+    bool followsEvacuations() const;
+    void onEvacuationItems(const std::vector<KeyValue> &items, bool isCompleteLoad, Time now);
+    bool knowsClosedDomains(Time now) const;
     void onCoordinatorItems(const std::vector<KeyValue> &items, Time now);
     void scheduleStoreCheck();
     void readState(const JobId &id, JobState known, StateCallback done);
@@ -622,6 +644,7 @@
     Random random_;
     QueueConfig config_;
     StoreRevision configRevision_; // of the item that was decoded last
+    ClosedDomains closedDomains_;
     JobView jobView_;
     BacklogReport backlogReport_; // the coordinator's last one; revision 0: none was received yet
     OnceWriter writer_;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -21,14 +21,19 @@
 
 FleetNode::FleetNode(const FleetSettings &settings, const FleetPorts &ports, std::uint64_t seed,
                      Time now)
-    : settings_(settings), ports_(ports), random_(seed), writer_(ports), lastStoreContact_(now),
-      storeContactSince_(now)
+    : settings_(settings), ports_(ports), random_(seed), closedDomains_(ports.log), writer_(ports),
+      lastStoreContact_(now), storeContactSince_(now)
 {
     configWatch_ = std::make_unique<PrefixWatch>(
             ports_, settings_.configPrefix, settings_.configWatchWait, Duration::zero(),
-            PrefixWatch::Hooks{
-                    [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); },
-                    [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); }},
+            PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
+                                   onEvacuationItems(items, true, eventTime);
+                                   onConfigItems(items);
+                               },
+                               [this](const std::vector<KeyValue> &items, Time eventTime) {
+                                   onEvacuationItems(items, false, eventTime);
+                                   onConfigItems(items);
+                               }},
             PrefixWatch::Delivery::LatestState);
     coordinatorWatch_ = std::make_unique<PrefixWatch>(
             ports_, keys::Coordinator, settings_.watchWait, Duration::zero(),
@@ -289,7 +294,10 @@
     jobsWatch_.reset(); // the coordinator updates the view of the jobs from now on
     coordinator_ = std::make_unique<Coordinator>(
             settings_, ports_, jobView_, recordRevision,
-            Coordinator::Hooks{[this] { stepDown(); }, [this] { return config_; }}, sentAt, now);
+            Coordinator::Hooks{[this] { stepDown(); }, [this] { return config_; },
+                               [this] { return closedDomains_.domains(); },
+                               [this](Time when) { return knowsClosedDomains(when); }},
+            sentAt, now);
     lastStoreContact_ = now;
     scheduleLeaseRenewal();
 }
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -93,8 +93,9 @@
 void Coordinator::sendStart(const StartOrder &order, Time now)
 {
     const auto found = scheduler_->workers().find(order.worker);
-    const std::uint64_t end =
-            found == scheduler_->workers().end() ? 0 : grantWorkerLease(order.worker, now);
+    const bool isAllowed =
+            found != scheduler_->workers().end() && scheduler_->mayStartOn(*found->second);
+    const std::uint64_t end = isAllowed ? grantWorkerLease(order.worker, now) : 0;
     if (end == 0) {
         scheduler_->onStartAnswered(order, StartOutcome::Refused, now);
         return;
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration RetryDelay = milliseconds(150);
+// The store ends an answer to a watch at about 1 MB, with later changes left for the next one.
+constexpr std::size_t MaxCompleteAnswerBytes = 256 * 1024;
 
 StoreRevision highestRevision(const std::vector<KeyValue> &items)
 {
@@ -51,6 +53,7 @@
     loadedItems_.clear();
     lastLoadedKey_.clear();
     revision_ = {};
+    loadSentAt_ = now;
     loadPage(now);
 }
 
@@ -148,6 +151,7 @@
     const bool isBehind = isLoaded_ && newest > newestItem_;
     newestItem_ = std::max(newestItem_, newest);
     isLoaded_ = true;
+    confirmedAt_ = loadSentAt_;
     if (hooks_.changed)
         scheduleWatch(isBehind, Duration::zero());
     hooks_.loaded(items, now); // may destroy this object
@@ -184,6 +188,8 @@
     onCallAnswered(result, now);
     revision_ = std::max(revision_, result.storeRevision);
     newestItem_ = std::max(newestItem_, highestRevision(result.items));
+    if (lastAnswer_.bytes < MaxCompleteAnswerBytes)
+        confirmedAt_ = callSentAt_;
     scheduleWatch(hasRepeatedKey(result.items), result.items.empty() ? Duration::zero() : pause_);
     if (!result.items.empty())
         hooks_.changed(result.items, now); // may destroy this object
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -96,7 +96,7 @@
 
 bool Scheduler::acceptsTasks(const ScheduledWorker &worker, Time now) const
 {
-    if (!worker.listed || worker.hasEnded || worker.entry.draining)
+    if (!worker.listed || worker.hasEnded || worker.entry.draining || worker.isDomainClosed)
         return false;
     if (!worker.hasReported || worker.lastCallFailed)
         return false;
@@ -166,8 +166,11 @@
     addDueOccurrences(now);
     beginPass(now);
     beginIsolation(now);
+    if (areStartsPaused_)
+        return;
     for (ScheduledJob *job : orderJobs(now))
         assignJob(*job, now);
+    planMoves(now);
 }
 
 void Scheduler::assignJob(ScheduledJob &job, Time now)
@@ -372,6 +375,8 @@
 const char *Scheduler::obstacleName(Obstacle obstacle)
 {
     switch (obstacle) {
+    case Obstacle::ClosedDomain:
+        return "closedDomain";
     case Obstacle::NotAccepting:
         return "notAccepting";
     case Obstacle::OtherService:
@@ -386,6 +391,8 @@
         return "label";
     case Obstacle::AntiAffinity:
         return "antiAffinity";
+    case Obstacle::WarmingUp:
+        return "warmingUp";
     case Obstacle::Isolation:
         return "isolation";
     case Obstacle::NoGain:
@@ -402,6 +409,8 @@
 {
     const StepSpec &step = stepOf(task);
     const WorkerEntry &entry = worker.entry;
+    if (worker.isDomainClosed)
+        return Obstacle::ClosedDomain;
     if (!acceptsTasks(worker, now))
         return Obstacle::NotAccepting;
     if (entry.service != task.job->queue.service)
@@ -414,6 +423,8 @@
         return Obstacle::Accelerators;
     if (!step.bestEffort && worker.reservedCpu + cpu > static_cast<std::int64_t>(entry.cpu.value))
         return Obstacle::Processors;
+    if (exceedsColdShare(worker, step, now))
+        return Obstacle::WarmingUp;
     if (!step.requirement.empty() && !hasLabel(entry, step.requirement))
         return Obstacle::Label;
     if (step.antiAffinity > 0 && countTasksOfStep(worker, task.ref) >= step.antiAffinity)
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -54,6 +54,7 @@
 /// Why a task cannot run on a worker now.
 enum class Scheduler::Obstacle {
     None,
+    ClosedDomain, // by the operator
     NotAccepting, // unreachable, draining, quarantined, or refused a run a moment ago
     OtherService,
     Memory,
@@ -61,6 +62,7 @@
     Processors,
     Label,
     AntiAffinity,
+    WarmingUp, // the worker is slow for now and has work in proportion
     Isolation, // of a task that may crash its worker: this one, or one that was started there
     NoGain, // a best-effort task that would find too few idle processors, or disturb serving tasks
     Count
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -367,12 +367,13 @@
 
 /// Updates the queue's ratio of measured to estimated durations. Besides their individual errors,
 /// the estimates of one queue share a common factor. Only runs that did not resume from a
-/// checkpoint and end at full pace are comparable with their estimate.
+/// checkpoint, end at full pace and began on a warm worker are comparable with their estimate.
 void Scheduler::updateDurationFactor(const ScheduledTask &task, Time now)
 {
     const StepSpec &step = stepOf(task);
     const bool isMeasured = task.runState == RunState::Running && task.pace == 100
-                            && task.progress.checkpoint.empty() && step.estimate > Duration::zero();
+                            && task.progress.checkpoint.empty() && step.estimate > Duration::zero()
+                            && !(task.worker && task.startedAt < task.worker->coldUntil);
     if (!isMeasured)
         return;
     const double ratio = toMilliseconds(now - task.startedAt) / toMilliseconds(step.estimate);
@@ -476,14 +477,14 @@
     return result;
 }
 
-/// False if an assigned run must not be started any more, because its job has ended or its worker
-/// has changed while the record was being stored.
-bool Scheduler::isStartable(const ScheduledTask &task)
+/// False if an assigned run must not be started any more, because its job has ended, or its worker
+/// has changed or its domain was closed while the record was being stored.
+bool Scheduler::isStartable(const ScheduledTask &task) const
 {
     return !isFinal(task.job->state) && task.worker && task.worker->listed && !task.worker->hasEnded
            && !task.worker->lastCallFailed && !task.worker->entry.draining
            && task.worker->entry.incarnation == task.progress.incarnation
-           && isWithinCapacity(*task.worker);
+           && mayStartOn(*task.worker) && isWithinCapacity(*task.worker);
 }
 
 void Scheduler::onSaved(const JobId &id, std::uint64_t version, Time now)
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -18,12 +18,15 @@
 //   [6] Scheduler
 #pragma once
 
+#include "capacity/capacity.h"
+#include "evacuation/evacuation.h"
 #include "jobs/jobs.h"
 #include "ports/ports.h"
 
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,6 +50,8 @@
     int accelerators = 0;
     std::vector<std::string> labels; // hardware kind and rack, matched by steps
     std::uint64_t clockMs = 0; // worker's clock in ms when it wrote the entry; 0: not given
+    Duration warmupLeft{}; // for which it is still slow when it writes the entry; 0: warm
+    bool isWarmupUnreadable = false; // a malformed value, which counts as warm
 };
 
 /// How a run ended.
@@ -166,6 +171,10 @@
     Duration maxHoldDuration = milliseconds(500);
     double maxHeldShare = 0.25;
 
+    // Run times on a worker that warms up, relative to those on a warm one. 0: all workers are used
+    // as warm ones.
+    double warmupOverage = 0;
+
     // Consecutive failed runs of different jobs before a worker is quarantined.
     int failuresToQuarantine = 3;
     // Length of the first quarantine. Doubled each time until a run succeeds, up to the maximum.
@@ -453,6 +462,8 @@
     double commonPace = 1; // as last decided, of those that share one
     JobId heldFor; // whose suspect is to be started here apart from others; empty: none
     Time heldUntil{};
+    bool isDomainClosed = false; // nothing may be started there
+    Time coldUntil{}; // it is slow until then, because it warms up
     Time reportRequestedAt{}; // last time, to prove that starts are survived
 };
 
@@ -481,6 +492,16 @@
 
     /// Replaces the list of registered workers.
     void setWorkers(const std::vector<WorkerEntry> &entries, Time now);
+    /// Replaces the set of failure domains in which nothing may be started.
+    void setClosedDomains(const std::set<DomainId> &domains, Time now);
+    /// While starts are paused, nothing is started anywhere. Runs go on.
+    void setStartsPaused(bool arePaused) { areStartsPaused_ = arePaused; }
+    bool areStartsPaused() const { return areStartsPaused_; }
+    /// False if nothing may be started on the worker: a start order that waits is not to be sent.
+    bool mayStartOn(const ScheduledWorker &worker) const
+    {
+        return !areStartsPaused_ && !worker.isDomainClosed;
+    }
     /// Processes the response to a lease renewal sent at `sentAt`.
     void onReport(const WorkerId &id, Time sentAt, const RunReport &report, Time now);
     /// A call to the worker failed: it gets no new tasks until its next report.
@@ -538,6 +559,8 @@
 
     const std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> &jobs() const { return jobs_; }
     const std::map<WorkerId, std::unique_ptr<ScheduledWorker>> &workers() const { return workers_; }
+    /// Number of runs in closed domains that are still to be moved, as of the last check.
+    int tasksToMove() const;
     bool hasChanges() const { return !changes_.empty(); }
 
 private:
@@ -559,7 +582,7 @@
     void release(ScheduledTask &task);
     static bool isWithinCapacity(const ScheduledWorker &worker);
     void markWorkerChanged(ScheduledWorker &worker);
-    static bool isStartable(const ScheduledTask &task);
+    bool isStartable(const ScheduledTask &task) const;
     void requeueTask(ScheduledTask &task, Duration delay, Time now);
     Duration retryDelayAfter(int attempts) const;
     void processFinishedRun(ScheduledWorker &worker, const FinishedRun &finished, Time now);
@@ -648,6 +671,18 @@
     Duration remainingCriticalPath(ScheduledJob &job) const;
     static Duration estimateRemainingPath(const ScheduledJob &job);
     void drainWorker(ScheduledWorker &worker, Time now);
+    WorkerSpeed speedOf(const ScheduledWorker &worker, Time now) const;
+    void updateWarmup(ScheduledWorker &worker, const WorkerEntry &entry, Time now) const;
+    bool exceedsColdShare(const ScheduledWorker &worker, const StepSpec &step, Time now) const;
+    void planMoves(Time now);
+    bool isToBeMoved(const ScheduledTask &task, Time now) const;
+    Duration remainingTime(const ScheduledTask &task, Time now) const;
+    bool isWorking(const ScheduledTask &task, Time now) const;
+    bool isStepMoving(const ScheduledTask &task) const;
+    MoveNeed moveNeedOf(const ScheduledTask &task) const;
+    MoveInput moveInput(Time now) const;
+    void logMove(const ScheduledTask &task);
+    void updateEvacuations(Time now);
     bool acceptsTasks(const ScheduledWorker &worker, Time now) const;
     std::vector<ScheduledJob *> orderJobs(Time now);
     struct Candidate;
@@ -693,6 +728,18 @@
     int suspectTasks_ = 0; // of all active jobs, in the last planning pass
     int heldWorkers_ = 0; // for suspects
     std::map<WorkerId, std::vector<UnansweredStart>> unansweredStarts_;
+    /// The evacuation of one closed domain.
+    struct Evacuation
+    {
+        Time since{}; // when this coordinator learnt of the request
+        int left = 0; // runs still to be moved, as of the last check
+        int moved = 0; // runs stopped for it by this coordinator
+        bool isChecked = false; // at least once, so that an unknown domain was logged
+        bool isEmptied = false; // it was logged that nothing is left to move
+    };
+    std::map<DomainId, Evacuation> evacuations_; // of the closed domains
+    Time nextMoveCheckAt_{};
+    bool areStartsPaused_ = false;
     std::deque<JobId> changes_; // jobs whose record has to be written
     std::vector<StartOrder> starts_;
     std::vector<StopOrder> stops_;
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -56,7 +56,9 @@
         const bool hasChanged = wasListed.count(entry.id) == 0
                                 || worker->entry.draining != entry.draining
                                 || !offersTheSame(worker->entry, entry);
+        updateWarmup(*worker, entry, now);
         worker->entry = entry;
+        worker->isDomainClosed = evacuations_.count(entry.domain) > 0;
         worker->listed = true;
         if (hasChanged)
             markWorkerChanged(*worker);
--- a/tests/fakes/fakekeyvalue.h
+++ b/tests/fakes/fakekeyvalue.h
@@ -227,6 +227,7 @@
     Duration latency = milliseconds(2); // each way
     bool refusing = false; // answers NotApplied at once
     bool silent = false; // nothing arrives there, and nothing comes back
+    std::string silentPrefix; // watches and loads of this prefix get no answer; empty: none
     bool losesAnswers = false; // of changes, which are made
     Duration lostAreLate{}; // the changes whose answers are lost are made so much later
     std::uint64_t bytesPerSecond = 0; // of the host's link from the store; 0: not limited
@@ -238,6 +239,8 @@
     void range(const std::string &prefix, const std::string &afterKey,
                KeyValueCallback done) override
     {
+        if (failPrefix(prefix, done))
+            return;
         call([this, prefix, afterKey] { return store_.range(prefix, afterKey); }, done, false);
     }
     void commit(const Transaction &transaction, KeyValueCallback done) override
@@ -280,7 +283,7 @@
     void watch(const std::string &prefix, StoreRevision after, Duration wait,
                KeyValueCallback done) override
     {
-        if (fail(done))
+        if (fail(done) || failPrefix(prefix, done))
             return;
         auto answered = std::make_shared<bool>(false);
         const Time deadline = store_.clock().now() + wait + Timeout;
@@ -339,6 +342,14 @@
         return true;
     }
 
+    bool failPrefix(const std::string &prefix, const KeyValueCallback &done)
+    {
+        if (silentPrefix.empty() || prefix != silentPrefix)
+            return false;
+        timers_.after(Timeout, [done](Time now) { done({}, now); });
+        return true;
+    }
+
     void call(std::function<KeyValueResult()> act, const KeyValueCallback &done, bool isChange)
     {
         if (fail(done))
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -457,6 +457,7 @@
                           {"service", entry.service.str()},
                           {"draining", entry.draining},
                           {"ip", entry.address.ip},
+                          {"domain", entry.domain.str()},
                           {"cpu", entry.cpu.value},
                           {"memory", entry.memory.value}}
             .dump();
@@ -473,6 +474,7 @@
     entry.service = ServiceId(json.at("service").get<std::string>());
     entry.draining = json.at("draining").get<bool>();
     entry.address.ip = json.at("ip").get<std::string>();
+    entry.domain = DomainId(json.value("domain", ""));
     entry.cpu.value = json.at("cpu").get<std::uint64_t>();
     entry.memory.value = json.at("memory").get<std::uint64_t>();
     entry.labels = {"a", "r1"};
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -84,10 +84,13 @@
         settings.configKey = "op/config";
         settings.configPrefix = "op/";
         settings.workerPrefix = "servers/";
+        settings.evacuationPrefix = "op/evacuate/";
+        settings.evacuationLimit = evacuationLimit;
+        settings.scheduling.warmupOverage = warmupOverage;
         const FleetPorts ports{*process.store,
                                *process.workers,
                                *process.timers,
-                               FleetDecoders{decodeConfig, workerDecoder},
+                               FleetDecoders{decodeConfig, workerDecoder, decodeClosing},
                                [this] { return wall(); },
                                [this](const LogEvent &event) { log.push_back(event.event); }};
         process.node = std::make_unique<FleetNode>(settings, ports, random.next(), clock.now());
@@ -189,12 +192,23 @@
     Random random;
     std::vector<Process> processes;
     std::vector<std::string> log;
+    Duration evacuationLimit{}; // 0: closed domains are ignored; taken at the start of a process
+    double warmupOverage = 0; // as in SchedulingSettings; taken at the start of a process
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
     // Of the workers' entries; taken at the start of a process.
     std::function<std::optional<WorkerEntry>(const std::string &, const std::string &)>
             workerDecoder = decodeWorker;
 
 private:
+    static EvacuationRequest decodeClosing(const std::string &key, const std::string &value)
+    {
+        EvacuationRequest request;
+        request.key = key;
+        request.domain = DomainId(key.substr(std::string("op/evacuate/").size()));
+        request.isReadable = value == "{}" && !request.domain.isEmpty();
+        return request;
+    }
+
     static std::optional<QueueConfig> decodeConfig(const std::string &value)
     {
         QueueConfig config;
