--- a/tests/unit/evacuation_moves_test.cpp
+++ b/tests/unit/evacuation_moves_test.cpp
@@ -361,6 +361,22 @@
     CHECK(harness.scheduler.takeStops().empty());
 }
 
+TEST_CASE("a run is not stopped that a limit of its step keeps from the open domain")
+{
+    SchedulerHarness harness(2);
+    spreadOverDomains(harness);
+    StepSpec step = servingStep(2);
+    step.antiAffinity = 1; // there is room in the open domain, but not for two of them
+    harness.add("serving", {step});
+    REQUIRE(harness.planAndStart().size() == 2);
+    reportPercent(harness, 100);
+    closeDomains(harness, {"z0"});
+    moveFor(harness, seconds(3));
+    CHECK(runsIn(harness, "z0") == 1);
+    CHECK(runsIn(harness, "z1") == 1);
+    CHECK(countEvents(harness, "evacuation-first-move", "z0") == 0);
+}
+
 TEST_CASE("an unknown domain is logged once")
 {
     SchedulerHarness harness(2);
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -275,7 +275,9 @@
     REQUIRE(starts.size() == 1);
     harness.scheduler.setStartsPaused(true);
     harness.add("b", {SchedulerHarness::step(1)});
+    harness.log.clear();
     CHECK(harness.planAndStart().empty());
+    CHECK(harness.log.empty()); // nothing is assigned either
     harness.endRun(starts.front(), RunOutcome::Done);
     passTime(harness, milliseconds(500));
     CHECK(harness.state("a") == JobState::Completed);
