--- a/tests/unit/invariant_evacuation_test.cpp
+++ b/tests/unit/invariant_evacuation_test.cpp
@@ -113,7 +113,7 @@
                 const auto closed = closedAt_.find(worker.entry.domain.str());
                 if (closed != closedAt_.end() && run.startedAt == world.clock.now()
                     && run.startedAt - closed->second > Limit)
-                    findings.push_back("a start in a closed domain");
+                    findings.emplace_back("a start in a closed domain");
             }
         }
     }
@@ -129,7 +129,7 @@
             unavailable += index != run.task.index && (isLong || stoppedTasks_.count(index) > 0);
         }
         if (unavailable >= MaxUnavailable)
-            findings.push_back("a stop beyond MaxUnavailable");
+            findings.emplace_back("a stop beyond MaxUnavailable");
         stoppedTasks_.insert(run.task.index);
     }
 
