--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -110,10 +110,13 @@
         settings.configKey = "op/config";
         settings.configPrefix = "op/";
         settings.workerPrefix = "servers/";
+        settings.evacuationPrefix = "op/evacuate/";
+        settings.evacuationLimit = evacuationLimit;
+        settings.scheduling.warmupOverage = warmupOverage;
         const FleetPorts ports{*process.store,
                                *process.workers,
                                *process.timers,
-                               FleetDecoders{decodeConfig, workerDecoder},
+                               FleetDecoders{decodeConfig, workerDecoder, decodeClosing},
                                [this] { return wall(); },
                                [this](const LogEvent &event) {
                                    log.push_back(event.event);
@@ -219,6 +222,8 @@
     Random random;
     std::vector<Process> processes;
     std::vector<std::string> log;
+    Duration evacuationLimit{}; // 0: closed domains are ignored; taken at the start of a process
+    double warmupOverage = 0; // as in SchedulingSettings; taken at the start of a process
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
     Duration orderDuration{}; // of workers; taken at the start of a process
     double lostAnswerShare = 0; // of answers to orders; taken at the start of a process
@@ -228,6 +233,15 @@
             workerDecoder = decodeWorker;
 
 private:
+    static EvacuationRequest decodeClosing(const std::string &key, const std::string &value)
+    {
+        EvacuationRequest request;
+        request.key = key;
+        request.domain = DomainId(key.substr(std::string("op/evacuate/").size()));
+        request.isReadable = value == "{}" && !request.domain.isEmpty();
+        return request;
+    }
+
     static std::optional<QueueConfig> decodeConfig(const std::string &value)
     {
         QueueConfig config;
