Hand requests over to a process that the store serves

A store may reject some hosts for up to 9 s while it serves the others. Such a host refused all submissions and cancellations and reported not ready after 2.6 s.

Without FleetSettings::relayAddress nothing changes.

--- a/src/fleet/clients.cpp
+++ b/src/fleet/clients.cpp
@@ -6,8 +6,8 @@
 
 namespace monsoonledge {
 
-void FleetNode::submit(const JobSpec &spec, Time deadline,
-                       std::function<void(JobAnswer, Time)> done, Time now)
+void FleetNode::submitHere(const JobSpec &spec, Time deadline,
+                           std::function<void(JobAnswer, Time)> done, Time now)
 {
     if (jobView_.contains(spec.id)) {
         done(JobAnswer::Accepted, now);
@@ -33,10 +33,16 @@
             return;
         }
     };
-    JobSpec stored = spec;
+    writer_.create(keys::spec(spec.id), encodeSpec(withTerms(spec)), deadline, onCreateDone, now);
+}
+
+/// The job with the terms of its queue, if the configuration in force has the queue.
+JobSpec FleetNode::withTerms(const JobSpec &spec) const
+{
+    JobSpec result = spec;
     if (const QueueSpec *queue = config_.find(spec.queue))
-        stored.terms = *queue;
-    writer_.create(keys::spec(spec.id), encodeSpec(stored), deadline, onCreateDone, now);
+        result.terms = *queue;
+    return result;
 }
 
 /// Notes that the job exists, also if its specification cannot be decoded.
@@ -46,8 +52,8 @@
     jobView_.setSpec(id, spec ? spec->queue : QueueId());
 }
 
-void FleetNode::cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
-                       Time now)
+void FleetNode::cancelHere(const JobId &id, Time deadline,
+                           std::function<void(JobAnswer, Time)> done, Time now)
 {
     if (jobView_.isCancelled(id)) {
         done(JobAnswer::Accepted, now);
@@ -66,7 +72,7 @@
                 return;
             }
             learnSpec(id, result.items.front());
-            cancel(id, deadline, done, eventTime);
+            cancelHere(id, deadline, done, eventTime);
         });
         return;
     }
@@ -112,7 +118,7 @@
     });
 }
 
-void FleetNode::state(const JobId &id, StateCallback done, Time now)
+void FleetNode::stateHere(const JobId &id, StateCallback done, Time now)
 {
     if (const std::optional<JobState> known = jobView_.state(id)) {
         const bool isCurrent = isFinal(*known) || knowsAllProgress();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -19,6 +19,7 @@
 //   jobs/progress/ID       progress of a job; written by the coordinator
 //   unreached/ID           the coordinator does not renew the leases of this worker, so a
 //                          successor has to wait for a single lease to expire
+//   entry/NAME             relay address and failure domain of an entry process
 //
 // Sections:
 //   [1] Store
@@ -42,6 +43,9 @@
 
 namespace monsoonledge {
 
+class Handover;
+class RelayPort;
+
 // [1] Store
 
 /// Revision of the whole store. Each change increases it.
@@ -206,6 +210,10 @@
     Duration configWatchWait = milliseconds(600);
     Duration planDelay = milliseconds(10); // to handle events that arrive together in one pass
     Duration finishedJobRetention = seconds(125); // then the records of an ended job are removed
+    // Where this process answers requests of others (relay.h). Port 0: none are answered or
+    // forwarded.
+    Address relayAddress;
+    DomainId domain; // failure domain of this process
     int maxWritesInFlight = 4; // limit for the coordinator's writes of progress records
     SchedulingSettings scheduling;
 };
@@ -228,6 +236,7 @@
     std::function<WallMilliseconds()> wallNow; // time of day on this host; it may jump
     LogHook log;
     WorkMeter *workMeter = nullptr; // null: the time of the work is not measured
+    RelayPort *relay = nullptr; // null: no request is forwarded to other processes
 };
 
 // [4] Watching a key prefix
@@ -589,12 +598,31 @@
                 Time now);
     /// `state` is valid only if the answer is Accepted.
     using StateCallback = std::function<void(JobAnswer, JobState state, Time now)>;
-    void state(const JobId &id, StateCallback done, Time now);
+    void state(const JobId &id, StateCallback done, Time now, Time deadline = Time::max());
     /// Number of accepted jobs of the queue of which no task has been started. Jobs that started
     /// since the coordinator's last report are still counted.
     int backlog(const QueueId &queue) const;
+    /// Requests that this process has forwarded to others, by outcome.
+    std::map<std::string, std::uint64_t> forwardedRequests() const;
+    /// Requests that other processes have forwarded to this one.
+    std::uint64_t answeredRequests() const;
 
 private:
+    // Calls of clients as this process serves them itself, from the store and its own view.
+    void submitHere(const JobSpec &spec, Time deadline, std::function<void(JobAnswer, Time)> done,
+                    Time now);
+    void cancelHere(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
+                    Time now);
+    void stateHere(const JobId &id, StateCallback done, Time now);
+    void forwardSubmission(const JobSpec &spec, bool maybeStored, Time deadline,
+                           std::function<void(JobAnswer, Time)> done, Time now);
+    void forwardCancellation(const JobId &id, Time deadline,
+                             std::function<void(JobAnswer, Time)> done, Time now);
+    void forwardStateQuery(const JobId &id, Time deadline, StateCallback done, Time now);
+    bool hasRelayPeers() const;
+    void makeHandover();
+    JobSpec withTerms(const JobSpec &spec) const;
+    Time lastStoreContact() const;
     void onConfigItems(const std::vector<KeyValue> &items);
     void applyConfig(const QueueConfig &config);
     void onCoordinatorItems(const std::vector<KeyValue> &items, Time now);
@@ -629,6 +657,7 @@
     std::unique_ptr<PrefixWatch> coordinatorWatch_;
     std::unique_ptr<PrefixWatch> jobsWatch_;
     std::unique_ptr<Coordinator> coordinator_;
+    std::unique_ptr<Handover> handover_; // null: no request is forwarded
     LeaseId lease_;
     bool isStoreReachable_ = true; // result of the last check whether the store is reachable
     bool isRecordPresent_ = false; // the coordinator record exists, so some process is coordinator
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleet.h"
 
+#include "fleet/handover_p.h"
 #include "fleet/keys_p.h"
 
 #include <algorithm>
@@ -41,6 +42,7 @@
                                [this](const std::vector<KeyValue> &items, Time eventTime) {
                                    onCoordinatorItems(items, eventTime);
                                }});
+    makeHandover();
 }
 
 FleetNode::~FleetNode() = default;
@@ -56,6 +58,8 @@
     configWatch_->start();
     coordinatorWatch_->start(); // the watch of the jobs follows when its keys are loaded
     scheduleStoreCheck();
+    if (handover_)
+        handover_->start();
 }
 
 /// Checks repeatedly whether the store is reachable, logs each change, and challenges a weaker
@@ -177,7 +181,8 @@
 void FleetNode::challengeIfStronger(Time now)
 {
     const bool isStronger = settings_.hostCores >= settings_.challengeFactor * coordinatorCores_;
-    if (!isRecordPresent_ || coordinator_ || isDraining_ || !isStronger || !isReady(now))
+    if (!isRecordPresent_ || coordinator_ || isDraining_ || !isStronger || !isReady(now)
+        || !reachesStore(now))
         return;
     if (now - std::max(recordReceivedAt_, storeContactSince_) < settings_.challengeAfter
         || (challengedAt_ && now - *challengedAt_ < settings_.challengeInterval))
@@ -346,6 +351,8 @@
     if (isDraining_)
         return;
     isDraining_ = true;
+    if (handover_)
+        handover_->drain();
     if (!coordinator_)
         return;
     const LeaseId lease = lease_;
@@ -356,13 +363,18 @@
 
 // Contact to the store
 
-bool FleetNode::reachesStore(Time now) const
+Time FleetNode::lastStoreContact() const
 {
     Time last = std::max({lastStoreContact_, configWatch_->lastStoreContact(),
                           coordinatorWatch_->lastStoreContact()});
     if (jobsWatch_)
         last = std::max(last, jobsWatch_->lastStoreContact());
-    return now - last < StoreContactTimeout;
+    return last;
+}
+
+bool FleetNode::reachesStore(Time now) const
+{
+    return now - lastStoreContact() < StoreContactTimeout;
 }
 
 bool FleetNode::isConfigCurrent(Time now) const
@@ -372,7 +384,8 @@
 
 bool FleetNode::isReady(Time now) const
 {
-    return config_.version > 0 && !isDraining_ && reachesStore(now);
+    return config_.version > 0 && !isDraining_
+           && (reachesStore(now) || (handover_ && handover_->canForward(now)));
 }
 
 } // namespace monsoonledge
--- /dev/null
+++ b/src/fleet/forwarding.cpp
@@ -0,0 +1,184 @@
+// Calls of clients that this process cannot serve from the store and hands over to another one.
+#include "fleet/handover_p.h"
+
+#include <algorithm>
+
+namespace monsoonledge {
+
+namespace {
+
+// Time that the repetition of a write without an answer leaves to other processes. It is longer
+// than the timeout of a call to the store, so that the last repetition ends within the deadline.
+constexpr Duration ForwardingReserve = milliseconds(1100);
+
+RelayRequest relayRequest(RelayRequest::Kind kind, const JobId &id)
+{
+    RelayRequest request;
+    request.kind = kind;
+    request.job = id;
+    return request;
+}
+
+} // namespace
+
+void FleetNode::makeHandover()
+{
+    if (settings_.relayAddress.port == 0 || !ports_.relay)
+        return;
+    Handover::Hooks hooks;
+    hooks.lastStoreContact = [this] { return lastStoreContact(); };
+    hooks.isStoreStalled = [this](Time now) { return writer_.isStalled(now); };
+    hooks.submit = [this](const JobSpec &spec, Time deadline,
+                          std::function<void(JobAnswer, Time)> done,
+                          Time now) { submitHere(spec, deadline, std::move(done), now); };
+    hooks.cancel = [this](const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
+                          Time now) { cancelHere(id, deadline, std::move(done), now); };
+    hooks.state = [this](const JobId &id, StateCallback done, Time now) {
+        stateHere(id, std::move(done), now);
+    };
+    handover_ = std::make_unique<Handover>(settings_, ports_, std::move(hooks), random_.next());
+}
+
+bool FleetNode::hasRelayPeers() const
+{
+    return handover_ && handover_->hasPeers();
+}
+
+std::map<std::string, std::uint64_t> FleetNode::forwardedRequests() const
+{
+    return handover_ ? handover_->forwarded() : std::map<std::string, std::uint64_t>();
+}
+
+std::uint64_t FleetNode::answeredRequests() const
+{
+    return handover_ ? handover_->answered() : 0;
+}
+
+void FleetNode::submit(const JobSpec &spec, Time deadline,
+                       std::function<void(JobAnswer, Time)> done, Time now)
+{
+    if (!hasRelayPeers()) {
+        submitHere(spec, deadline, std::move(done), now);
+        return;
+    }
+    // Without contact to the store, submitHere() answers at once.
+    submitHere(
+            spec, std::max(now, deadline - ForwardingReserve),
+            [this, spec, deadline, done = std::move(done)](JobAnswer outcome, Time eventTime) {
+                if (outcome == JobAnswer::Accepted)
+                    done(outcome, eventTime);
+                else
+                    forwardSubmission(spec, outcome == JobAnswer::Unknown, deadline, done,
+                                      eventTime);
+            },
+            now);
+}
+
+void FleetNode::forwardSubmission(const JobSpec &spec, bool maybeStored, Time deadline,
+                                  std::function<void(JobAnswer, Time)> done, Time now)
+{
+    RelayRequest request = relayRequest(RelayRequest::Kind::Submit, spec.id);
+    request.spec = encodeSpec(withTerms(spec));
+    handover_->forward(
+            request, maybeStored, deadline,
+            [this, id = spec.id, queue = spec.queue,
+             done = std::move(done)](const RelayAnswer &answer, Time eventTime) {
+                if (answer.kind == RelayAnswer::Kind::Stored) {
+                    jobView_.setSpec(id, queue);
+                    done(JobAnswer::Accepted, eventTime);
+                    return;
+                }
+                done(answer.kind == RelayAnswer::Kind::NotStored ? JobAnswer::NotAccepted
+                                                                 : JobAnswer::Unknown,
+                     eventTime);
+            },
+            now);
+}
+
+void FleetNode::cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
+                       Time now)
+{
+    if (!hasRelayPeers() || jobView_.isCancelled(id)) {
+        cancelHere(id, deadline, std::move(done), now);
+        return;
+    }
+    if (!reachesStore(now)) {
+        forwardCancellation(id, deadline, std::move(done), now);
+        return;
+    }
+    cancelHere(
+            id, std::max(now, deadline - ForwardingReserve),
+            [this, id, deadline, done = std::move(done)](JobAnswer outcome, Time eventTime) {
+                if (outcome == JobAnswer::Unknown)
+                    forwardCancellation(id, deadline, done, eventTime);
+                else
+                    done(outcome, eventTime);
+            },
+            now);
+}
+
+void FleetNode::forwardCancellation(const JobId &id, Time deadline,
+                                    std::function<void(JobAnswer, Time)> done, Time now)
+{
+    handover_->forward(
+            relayRequest(RelayRequest::Kind::Cancel, id), true, deadline,
+            [this, id, done = std::move(done)](const RelayAnswer &answer, Time eventTime) {
+                if (answer.kind == RelayAnswer::Kind::Stored) {
+                    if (jobView_.contains(id))
+                        jobView_.setCancelled(id);
+                    done(JobAnswer::Accepted, eventTime);
+                    return;
+                }
+                done(answer.kind == RelayAnswer::Kind::NoSuchJob ? JobAnswer::NotFound
+                                                                 : JobAnswer::Unknown,
+                     eventTime);
+            },
+            now);
+}
+
+void FleetNode::state(const JobId &id, StateCallback done, Time now, Time deadline)
+{
+    const std::optional<JobState> known = jobView_.state(id);
+    const bool isCurrent = known && (isFinal(*known) || knowsAllProgress());
+    if (!hasRelayPeers() || isCurrent) {
+        stateHere(id, std::move(done), now);
+        return;
+    }
+    if (!reachesStore(now) || writer_.isStalled(now)) {
+        forwardStateQuery(id, deadline, std::move(done), now);
+        return;
+    }
+    stateHere(
+            id,
+            [this, id, deadline, done = std::move(done)](JobAnswer outcome, JobState state,
+                                                         Time eventTime) {
+                if (outcome == JobAnswer::Unknown)
+                    forwardStateQuery(id, deadline, done, eventTime);
+                else
+                    done(outcome, state, eventTime);
+            },
+            now);
+}
+
+/// If no other process knows the state either, the last known one is returned, as without peers.
+void FleetNode::forwardStateQuery(const JobId &id, Time deadline, StateCallback done, Time now)
+{
+    handover_->forward(
+            relayRequest(RelayRequest::Kind::State, id), true, deadline,
+            [this, id, done = std::move(done)](const RelayAnswer &answer, Time eventTime) {
+                if (answer.kind == RelayAnswer::Kind::State) {
+                    done(JobAnswer::Accepted, answer.state, eventTime);
+                    return;
+                }
+                if (answer.kind == RelayAnswer::Kind::NoSuchJob) {
+                    done(JobAnswer::NotFound, JobState::Pending, eventTime);
+                    return;
+                }
+                const std::optional<JobState> known = jobView_.state(id);
+                done(known ? JobAnswer::Accepted : JobAnswer::Unknown,
+                     known.value_or(JobState::Pending), eventTime);
+            },
+            now);
+}
+
+} // namespace monsoonledge
--- a/src/fleet/keys_p.h
+++ b/src/fleet/keys_p.h
@@ -25,6 +25,14 @@
     return UnreachedPrefix + id.str();
 }
 
+/// Addresses at which the entry processes answer requests of each other.
+inline const std::string EntryPrefix = "entry/";
+
+inline std::string entry(const std::string &name)
+{
+    return EntryPrefix + name;
+}
+
 inline std::string spec(const JobId &id)
 {
     return SpecPrefix + id.str();
--- a/tests/fakes/fakekeyvalue.h
+++ b/tests/fakes/fakekeyvalue.h
@@ -229,6 +229,7 @@
     bool silent = false; // nothing arrives there, and nothing comes back
     bool losesAnswers = false; // of changes, which are made
     Duration lostAreLate{}; // the changes whose answers are lost are made so much later
+    int entryReads = 0; // ranges over the relay addresses
     std::uint64_t bytesPerSecond = 0; // of the host's link from the store; 0: not limited
 
     void get(const std::string &key, KeyValueCallback done) override
@@ -238,6 +239,7 @@
     void range(const std::string &prefix, const std::string &afterKey,
                KeyValueCallback done) override
     {
+        entryReads += prefix == "entry/" ? 1 : 0;
         call([this, prefix, afterKey] { return store_.range(prefix, afterKey); }, done, false);
     }
     void commit(const Transaction &transaction, KeyValueCallback done) override
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fakes/fakekeyvalue.h"
+#include "fakes/fakerelay.h"
 #include "fakes/fakerunners.h"
 
 #include <algorithm>
@@ -21,11 +22,14 @@
         std::unique_ptr<FakeTimers> timers;
         std::unique_ptr<FakeKeyValuePort> store;
         std::unique_ptr<FakeRunPort> workers;
+        std::unique_ptr<FakeRelayPort> relay; // null: the process forwards no requests
         std::unique_ptr<FleetNode> node;
     };
 
-    explicit FleetWorld(int processCount, int workerCount = 4, std::uint64_t seed = 1)
-        : store(clock), runners(clock), random(seed)
+    /// `hasRelays`: the processes forward requests that the store does not take from their hosts.
+    explicit FleetWorld(int processCount, int workerCount = 4, std::uint64_t seed = 1,
+                        bool hasRelays = false)
+        : store(clock), runners(clock), random(seed), hasRelays_(hasRelays)
     {
         putConfig(1);
         // The registry has removed an entry without heartbeats by then.
@@ -90,7 +94,15 @@
                                FleetDecoders{decodeConfig, workerDecoder},
                                [this] { return wall(); },
                                [this](const LogEvent &event) { log.push_back(event.event); }};
-        process.node = std::make_unique<FleetNode>(settings, ports, random.next(), clock.now());
+        FleetPorts allPorts = ports;
+        if (hasRelays_) {
+            settings.relayAddress = relayAddress(index);
+            settings.domain = DomainId("z" + std::to_string(index % 2));
+            process.relay = std::make_unique<FakeRelayPort>(relayNet, settings.relayAddress,
+                                                            *process.timers);
+            allPorts.relay = process.relay.get();
+        }
+        process.node = std::make_unique<FleetNode>(settings, allPorts, random.next(), clock.now());
         process.node->start();
     }
 
@@ -99,6 +111,8 @@
         Process &process = processes.at(static_cast<std::size_t>(index));
         if (process.timers)
             process.timers->kill();
+        if (process.relay)
+            process.relay->disconnect();
         // Ports and timers stay: calls that are under way still refer to them.
         if (process.node) {
             process.node.reset();
@@ -107,6 +121,8 @@
         }
     }
 
+    static Address relayAddress(int index) { return {"10.1.0." + std::to_string(index + 1), 4000}; }
+
     int coordinator() const
     {
         for (std::size_t i = 0; i < processes.size(); ++i) {
@@ -186,6 +202,7 @@
     FakeClock clock;
     FakeKeyValueStore store;
     FakeRunners runners;
+    FakeRelayNet relayNet;
     Random random;
     std::vector<Process> processes;
     std::vector<std::string> log;
@@ -213,6 +230,7 @@
         return config;
     }
 
+    bool hasRelays_;
     std::vector<Process> graveyard_;
 };
 
