Links for forwarded requests, and their wiring on the platform

RelayLinks implements RelayPort over the websocket channels of the peer links, with CBOR. A link is opened on demand, closed after 10 s without requests, and closed when nothing has arrived on it since a request that timed out. A request counts as not sent until the peer's hello has arrived.

The relay address is Ip and the first port of InternalPortRange; without both, or if the port cannot be bound, nothing is forwarded. A state from another process never goes back behind the one that this host has shown.

--- a/scripts/platformbed.py
+++ b/scripts/platformbed.py
@@ -187,6 +187,18 @@
         return 200, {"Revision": self.revision}
 
 
+class StoreGate(StandIn):
+    """The store as one host sees it; `fault` is None or "refuse"."""
+
+    def __init__(self, store):
+        self.store = store
+        self.fault = None
+        super().__init__()
+
+    def serve(self, method, path, query, body):
+        return (503, {}) if self.fault == "refuse" else self.store.serve(method, path, query, body)
+
+
 class Worker(StandIn):
     """Runs tasks in its own time, and notes what must not happen."""
     findings = []
@@ -296,16 +308,17 @@
 class Entry:
     """One entry process with a settings file of its own."""
 
-    def __init__(self, program, folder, index, store):
+    def __init__(self, program, folder, index, store, has_relay=False):
         self.ip = f"127.0.77.{10 + index}"
         self.name = f"edge-{index}"
         self.log = folder / f"{self.name}.log"
         settings = folder / f"{self.name}.yaml"
+        relay = [f'Ip: "{self.ip}"', 'InternalPortRange: "8170-8179"'] if has_relay else []
         settings.write_text("\n".join([
             f'NodeName: "{self.name}"', 'Zone: "a"', "ListenAddresses:",
             f'  Frontend: "{self.ip}:{CLIENT_PORT}"', f'  Readiness: "{self.ip}:{READINESS_PORT}"',
             "Limits:", "  CpuShare: 1", "Bounds:", "  GracePeriodS: 6", "  MaxHoldMs: 6000",
-            "  status_s: 120", "platform:", f'  Address: "{store.address}"', ""]))
+            "  status_s: 120", "platform:", f'  Address: "{store.address}"', *relay, ""]))
         self.command = [str(program), "platform", "serve"]
         self.environment = {"MONSOONLEDGE_SETTINGS": str(settings)}
         self.start()
@@ -360,7 +373,7 @@
 class PlatformBed:
     """The store, some workers and some entry processes."""
 
-    def __init__(self, build, entries=3, workers=4):
+    def __init__(self, build, entries=3, workers=4, has_relays=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="platformbed-"))
         Worker.findings.clear()
         Worker.starts.clear()
@@ -369,7 +382,11 @@
         self.store.put("op/config", CONFIG)
         self.workers = [Worker(f"w{i}", self.store) for i in range(workers)]
         program = pathlib.Path(build) / "monsoonledge"
-        self.entries = [Entry(program, self.folder, i, self.store) for i in range(entries)]
+        # With relays, the store can reject each host by itself.
+        self.gates = [StoreGate(self.store) for _ in range(entries)] if has_relays else []
+        stores = self.gates or [self.store] * entries
+        self.entries = [Entry(program, self.folder, i, store, has_relays)
+                        for i, store in enumerate(stores)]
 
     def wait(self, condition, what, seconds=15):
         end = time.monotonic() + seconds
@@ -395,7 +412,7 @@
         for entry in self.entries:
             if entry.process.poll() is None:
                 entry.kill()
-        for stand_in in [*self.workers, self.store]:
+        for stand_in in [*self.workers, *self.gates, self.store]:
             stand_in.close()
 
 
--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -7,7 +7,8 @@
 //   [3] HTTP client
 //   [4] Clients of the platform
 //   [5] Peer links
-//   [6] Logger
+//   [6] Links for forwarded requests
+//   [7] Logger
 #pragma once
 
 #include "base/base.h"
@@ -26,6 +27,8 @@
 
 namespace monsoonledge {
 
+class RelayPort; // fleet/relay.h
+
 // [1] Event loop
 
 class EventLoop : public TimerPort
@@ -278,7 +281,23 @@
 /// Throws std::runtime_error if the bytes are not a valid message.
 void decodePeerMessage(const std::string &bytes, const PeerMessageHandlers &handlers);
 
-// [6] Logger
+// [6] Links for forwarded requests
+
+struct RelayLinkSettings
+{
+    EntryRun self;
+    DomainId domain;
+    Address listen; // where other entry processes connect
+    Duration idleTimeout = seconds(10); // a link without requests for this long is closed
+    Duration connectTimeout = milliseconds(400);
+};
+
+/// Links to other entry processes for the requests of fleet/relay.h, opened on demand. A link on
+/// which nothing has arrived since a request that timed out is closed. Throws std::runtime_error,
+/// naming the address, if it cannot be bound. Ignores SIGPIPE in the whole process.
+std::unique_ptr<RelayPort> makeRelayLinks(EventLoop &loop, const RelayLinkSettings &settings);
+
+// [7] Logger
 
 struct LoggerSettings
 {
--- /dev/null
+++ b/src/adapters/relaylinks.cpp
@@ -0,0 +1,421 @@
+// Links for forwarded requests. The connections themselves are in peerchannel.cpp. The process that
+// sends a request opens the link; the other one only answers on it.
+//
+// Sections:
+//   [1] Links that this process has opened
+//   [2] Links that other processes have opened
+//   [3] Hello exchange and messages
+#include "adapters/peerchannel_p.h"
+#include "adapters/relaycodec_p.h"
+
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace monsoonledge {
+
+namespace {
+
+constexpr int ProtocolVersion = 1;
+// Limit of accepted connections; each of them has a read buffer of 16 KiB. A deployment has at most
+// some 50 entry processes.
+constexpr std::size_t MaxAcceptedChannels = 128;
+constexpr Duration AcceptRetryDelay = milliseconds(200); // if there are no file descriptors
+
+const char *lossName(LinkLoss loss)
+{
+    switch (loss) {
+    case LinkLoss::Refused:
+        return "connection refused";
+    case LinkLoss::Closed:
+        return "link closed";
+    case LinkLoss::TimedOut:
+        return "connection timed out";
+    }
+    return "";
+}
+
+PeerLinkSettings channelSettings(const RelayLinkSettings &settings)
+{
+    PeerLinkSettings result;
+    result.self = settings.self;
+    result.domain = settings.domain;
+    result.listen = settings.listen;
+    result.connectTimeout = settings.connectTimeout;
+    // The side that has opened a link closes it, so that no request meets a link that is closing.
+    result.silenceTimeout = 2 * settings.idleTimeout;
+    return result;
+}
+
+class RelayLinks : public RelayPort
+{
+public:
+    RelayLinks(EventLoop &loop, const RelayLinkSettings &settings);
+    ~RelayLinks() override;
+    RelayLinks(const RelayLinks &) = delete;
+    RelayLinks &operator=(const RelayLinks &) = delete;
+
+    void send(const RelayPeer &peer, const RelayRequest &request, Duration timeout,
+              std::function<void(const RelayResult &, Time now)> done) override;
+    void setReceiver(RelayReceiver receiver) override { receiver_ = std::move(receiver); }
+
+private:
+    struct Pending
+    {
+        RelayRequest request;
+        Time deadline;
+        std::function<void(const RelayResult &, Time now)> done;
+        TimerId timer = 0;
+        std::optional<Time> sentAt; // unset: the link is being opened
+    };
+    struct Link
+    {
+        PeerChannelPtr channel;
+        std::map<std::uint64_t, Pending> pending; // by correlation
+        std::optional<Time> openedAt; // unset: the peer's hello has not arrived
+        Time receivedAt{}; // last message
+        std::optional<TimerId> idleTimer; // set while nothing is pending
+    };
+
+    Link &linkTo(const RelayPeer &peer);
+    void sendPending(Link &link, Time now);
+    void onTimeout(const Address &address, std::uint64_t correlation, Time now);
+    void finish(Link &link, std::uint64_t correlation, const RelayResult &result,
+                const Address &address, Time now);
+    void closeLink(const Address &address, const std::string &cause, Time now);
+    std::map<Address, Link>::iterator findLink(const PeerChannelPtr &channel);
+
+    static void onAccept(evconnlistener *listener, evutil_socket_t socket, sockaddr *from,
+                         int fromLength, void *self);
+    static void onAcceptError(evconnlistener *listener, void *self);
+    void listen();
+
+    void sendHello(PeerChannel &channel);
+    void received(const PeerChannelPtr &channel, const std::string &bytes, Time now);
+    void receivedHello(const PeerChannelPtr &channel, const std::string &bytes, Time now);
+    void receivedRequest(const PeerChannelPtr &channel, const std::string &bytes, Time now);
+    void receivedAnswer(const PeerChannelPtr &channel, const std::string &bytes, Time now);
+    bool decodeOrReject(PeerChannel &channel, const std::function<void()> &decode);
+    void lost(const PeerChannelPtr &channel, Time now);
+
+    RelayLinkSettings settings_;
+    PeerChannelContext context_;
+    RelayReceiver receiver_;
+    evconnlistener *listener_ = nullptr;
+    std::optional<TimerId> acceptRetryTimer_;
+    std::map<Address, Link> links_; // opened by this process
+    std::set<PeerChannelPtr> accepted_; // opened by others
+    std::uint64_t lastCorrelation_ = 0;
+    std::shared_ptr<int> alive_ = std::make_shared<int>();
+};
+
+RelayLinks::RelayLinks(EventLoop &loop, const RelayLinkSettings &settings)
+    : settings_(settings), context_(loop, channelSettings(settings))
+{
+    context_.opened = [this](PeerChannel &channel) { sendHello(channel); };
+    context_.received = [this](const PeerChannelPtr &channel, const std::string &bytes, Time now) {
+        received(channel, bytes, now);
+    };
+    context_.lost = [this](const PeerChannelPtr &channel, Time now) { lost(channel, now); };
+    // libevent writes without MSG_NOSIGNAL. With SIGPIPE ignored, a write to a closed connection
+    // returns an error.
+    std::signal(SIGPIPE, SIG_IGN);
+    listen();
+}
+
+RelayLinks::~RelayLinks()
+{
+    if (acceptRetryTimer_)
+        context_.loop.cancel(*acceptRetryTimer_);
+    evconnlistener_free(listener_);
+    for (auto &[address, link] : links_) {
+        if (link.idleTimer)
+            context_.loop.cancel(*link.idleTimer);
+        for (const auto &[correlation, pending] : link.pending)
+            context_.loop.cancel(pending.timer);
+        link.channel->close();
+    }
+    for (const PeerChannelPtr &channel : accepted_)
+        channel->close();
+}
+
+// [1] Links that this process has opened
+
+RelayLinks::Link &RelayLinks::linkTo(const RelayPeer &peer)
+{
+    const auto [found, isNew] = links_.try_emplace(peer.address);
+    Link &link = found->second;
+    if (isNew) {
+        link.channel = std::make_shared<PeerChannel>(context_, PeerChannelKind::Connector,
+                                                     EntryId(peer.name));
+        link.channel->connect(peer.address);
+    }
+    return link;
+}
+
+void RelayLinks::send(const RelayPeer &peer, const RelayRequest &request, Duration timeout,
+                      std::function<void(const RelayResult &, Time now)> done)
+{
+    const Time now = context_.loop.now();
+    const std::uint64_t correlation = ++lastCorrelation_;
+    Link &link = linkTo(peer);
+    if (link.idleTimer)
+        context_.loop.cancel(*std::exchange(link.idleTimer, std::nullopt));
+    Pending &pending = link.pending[correlation];
+    pending.request = request;
+    pending.deadline = now + timeout;
+    pending.done = std::move(done);
+    pending.timer = context_.loop.after(
+            timeout, [this, address = peer.address, correlation](Time eventTime) {
+                onTimeout(address, correlation, eventTime);
+            });
+    if (link.openedAt)
+        sendPending(link, now);
+}
+
+/// Sends the requests that waited for the link. One that cannot be sent is reported at its timeout
+/// or when the link is lost, whichever comes first.
+void RelayLinks::sendPending(Link &link, Time now)
+{
+    for (auto &[correlation, pending] : link.pending) {
+        if (pending.sentAt)
+            continue;
+        pending.request.timeLeft = pending.deadline - now;
+        try {
+            if (link.channel->write(encodeRelayRequest(correlation, pending.request)))
+                pending.sentAt = now;
+        } catch (const std::invalid_argument &) {
+            // The message exceeds a limit. The peer would close the link each time it is sent.
+        }
+    }
+}
+
+void RelayLinks::onTimeout(const Address &address, std::uint64_t correlation, Time now)
+{
+    const auto found = links_.find(address);
+    if (found == links_.end() || found->second.pending.count(correlation) == 0)
+        return;
+    Link &link = found->second;
+    const Pending &pending = link.pending.at(correlation);
+    const bool isSilent = !link.openedAt || (pending.sentAt && link.receivedAt < *pending.sentAt);
+    if (isSilent) {
+        closeLink(address, "no answer", now);
+        return;
+    }
+    const RelayDelivery delivery = pending.sentAt ? RelayDelivery::Lost : RelayDelivery::NotSent;
+    finish(link, correlation, {delivery, {}, "no answer"}, address, now);
+}
+
+/// Reports the result of one request. May invalidate the link.
+void RelayLinks::finish(Link &link, std::uint64_t correlation, const RelayResult &result,
+                        const Address &address, Time now)
+{
+    const Pending pending = std::move(link.pending.at(correlation));
+    link.pending.erase(correlation);
+    context_.loop.cancel(pending.timer);
+    if (link.pending.empty())
+        link.idleTimer =
+                context_.loop.after(settings_.idleTimeout, [this, address](Time eventTime) {
+                    closeLink(address, "idle", eventTime);
+                });
+    pending.done(result, now);
+}
+
+/// Closes the link and reports its requests as not answered or not sent.
+void RelayLinks::closeLink(const Address &address, const std::string &cause, Time now)
+{
+    const auto found = links_.find(address);
+    if (found == links_.end())
+        return;
+    Link link = std::move(found->second);
+    links_.erase(found);
+    if (link.idleTimer)
+        context_.loop.cancel(*link.idleTimer);
+    link.channel->close();
+    for (auto &[correlation, pending] : link.pending)
+        context_.loop.cancel(pending.timer);
+    for (auto &[correlation, pending] : link.pending) {
+        const RelayDelivery delivery =
+                pending.sentAt ? RelayDelivery::Lost : RelayDelivery::NotSent;
+        pending.done({delivery, {}, cause}, now); // may open a new link
+    }
+}
+
+std::map<Address, RelayLinks::Link>::iterator RelayLinks::findLink(const PeerChannelPtr &channel)
+{
+    auto it = links_.begin();
+    while (it != links_.end() && it->second.channel != channel)
+        ++it;
+    return it;
+}
+
+// [2] Links that other processes have opened
+
+void RelayLinks::listen()
+{
+    SocketAddress address(settings_.listen);
+    errno = EINVAL;
+    if (address.length != 0)
+        listener_ = evconnlistener_new_bind(
+                context_.loop.base(), onAccept, this,
+                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, SOMAXCONN,
+                address.get(), static_cast<int>(address.length));
+    if (listener_ == nullptr)
+        throw std::runtime_error("cannot listen for forwarded requests on " + settings_.listen.str()
+                                 + ": " + std::strerror(errno));
+    evconnlistener_set_error_cb(listener_, onAcceptError);
+}
+
+void RelayLinks::onAccept(evconnlistener * /*listener*/, evutil_socket_t socket,
+                          sockaddr * /*from*/, int /*fromLength*/, void *self)
+{
+    auto *links = static_cast<RelayLinks *>(self);
+    if (links->accepted_.size() >= MaxAcceptedChannels) {
+        evutil_closesocket(socket);
+        return;
+    }
+    const auto channel =
+            std::make_shared<PeerChannel>(links->context_, PeerChannelKind::Acceptor, EntryId());
+    links->accepted_.insert(channel);
+    channel->accept(socket);
+}
+
+/// Out of file descriptors: the event loop would spin, as the pending connection keeps the socket
+/// readable.
+void RelayLinks::onAcceptError(evconnlistener * /*listener*/, void *self)
+{
+    auto *links = static_cast<RelayLinks *>(self);
+    evconnlistener_disable(links->listener_);
+    links->acceptRetryTimer_ = links->context_.loop.after(AcceptRetryDelay, [links](Time) {
+        links->acceptRetryTimer_.reset();
+        evconnlistener_enable(links->listener_);
+    });
+}
+
+void RelayLinks::lost(const PeerChannelPtr &channel, Time now)
+{
+    const std::string cause = lossName(channel->loss());
+    channel->close();
+    accepted_.erase(channel);
+    const auto link = findLink(channel);
+    if (link != links_.end())
+        closeLink(Address(link->first), cause, now);
+}
+
+// [3] Hello exchange and messages
+
+void RelayLinks::sendHello(PeerChannel &channel)
+{
+    channel.write(encodePeerMessage(PeerHello{settings_.self, settings_.domain, ProtocolVersion}));
+}
+
+void RelayLinks::received(const PeerChannelPtr &channel, const std::string &bytes, Time now)
+{
+    if (!channel->isEstablished())
+        receivedHello(channel, bytes, now);
+    else if (channel->kind() == PeerChannelKind::Acceptor)
+        receivedRequest(channel, bytes, now);
+    else
+        receivedAnswer(channel, bytes, now);
+}
+
+/// Returns false, and makes the channel fail, if the message cannot be read.
+bool RelayLinks::decodeOrReject(PeerChannel &channel, const std::function<void()> &decode)
+{
+    try {
+        decode();
+        return true;
+    } catch (const std::runtime_error &error) {
+        channel.reject();
+        if (receiver_.invalid)
+            receiver_.invalid(error.what());
+        return false;
+    }
+}
+
+void RelayLinks::receivedHello(const PeerChannelPtr &channel, const std::string &bytes, Time now)
+{
+    const bool isAcceptor = channel->kind() == PeerChannelKind::Acceptor;
+    EntryId entry;
+    PeerMessageHandlers handlers;
+    handlers.hello = [&](const PeerHello &hello) {
+        // Another process may have the address by now.
+        const bool isExpected = isAcceptor || hello.run.entry == channel->peer();
+        if (isExpected && hello.protocol == ProtocolVersion)
+            entry = hello.run.entry;
+    };
+    const auto decode = [&] {
+        decodePeerMessage(bytes, handlers);
+        if (entry.isEmpty())
+            throw std::runtime_error("no hello of the expected process and protocol");
+    };
+    if (!decodeOrReject(*channel, decode))
+        return;
+    channel->establish(entry, now);
+    if (isAcceptor) {
+        sendHello(*channel);
+        return;
+    }
+    const auto found = findLink(channel);
+    if (found == links_.end())
+        return;
+    found->second.openedAt = now;
+    found->second.receivedAt = now;
+    sendPending(found->second, now);
+}
+
+void RelayLinks::receivedRequest(const PeerChannelPtr &channel, const std::string &bytes, Time now)
+{
+    std::uint64_t correlation = 0;
+    RelayRequest request;
+    RelayMessageHandlers handlers;
+    handlers.request = [&](std::uint64_t number, const RelayRequest &message) {
+        correlation = number;
+        request = message;
+    };
+    if (!decodeOrReject(*channel, [&] { decodeRelayMessage(bytes, handlers); }))
+        return;
+    const auto respond = [correlation, weak = std::weak_ptr<PeerChannel>(channel),
+                          alive = std::weak_ptr<int>(alive_)](const RelayAnswer &answer) {
+        const PeerChannelPtr sender = weak.lock();
+        if (!alive.expired() && sender)
+            sender->write(encodeRelayAnswer(correlation, answer));
+    };
+    if (!receiver_.request || !receiver_.request(request, respond, now))
+        channel->reject(); // the receiver has logged it
+}
+
+void RelayLinks::receivedAnswer(const PeerChannelPtr &channel, const std::string &bytes, Time now)
+{
+    std::uint64_t correlation = 0;
+    RelayAnswer answer;
+    RelayMessageHandlers handlers;
+    handlers.answer = [&](std::uint64_t number, const RelayAnswer &message) {
+        correlation = number;
+        answer = message;
+    };
+    if (!decodeOrReject(*channel, [&] { decodeRelayMessage(bytes, handlers); }))
+        return;
+    const auto found = findLink(channel);
+    if (found == links_.end())
+        return;
+    found->second.receivedAt = now;
+    if (found->second.pending.count(correlation) > 0) // otherwise it is late
+        finish(found->second, correlation, {RelayDelivery::Answered, answer, {}},
+               Address(found->first), now);
+}
+
+} // namespace
+
+std::unique_ptr<RelayPort> makeRelayLinks(EventLoop &loop, const RelayLinkSettings &settings)
+{
+    return std::make_unique<RelayLinks>(loop, settings);
+}
+
+} // namespace monsoonledge
--- a/src/fleet/forwarding.cpp
+++ b/src/fleet/forwarding.cpp
@@ -19,6 +19,14 @@
     return request;
 }
 
+/// The one of two states of a job that it reaches later.
+JobState laterState(JobState a, JobState b)
+{
+    if (isFinal(a) || isFinal(b))
+        return isFinal(a) ? a : b;
+    return a == JobState::Active ? a : b;
+}
+
 } // namespace
 
 void FleetNode::makeHandover()
@@ -166,15 +174,19 @@
     handover_->forward(
             relayRequest(RelayRequest::Kind::State, id), true, deadline,
             [this, id, done = std::move(done)](const RelayAnswer &answer, Time eventTime) {
-                if (answer.kind == RelayAnswer::Kind::State) {
-                    done(JobAnswer::Accepted, answer.state, eventTime);
-                    return;
-                }
                 if (answer.kind == RelayAnswer::Kind::NoSuchJob) {
                     done(JobAnswer::NotFound, JobState::Pending, eventTime);
                     return;
                 }
                 const std::optional<JobState> known = jobView_.state(id);
+                if (answer.kind == RelayAnswer::Kind::State) {
+                    // The other process shows its last known state if it cannot read the record.
+                    const JobState state = laterState(answer.state, known.value_or(answer.state));
+                    if (known && !coordinator_)
+                        jobView_.setState(id, state);
+                    done(JobAnswer::Accepted, state, eventTime);
+                    return;
+                }
                 done(known ? JobAnswer::Accepted : JobAnswer::Unknown,
                      known.value_or(JobState::Pending), eventTime);
             },
--- a/src/fleet/handover.cpp
+++ b/src/fleet/handover.cpp
@@ -21,6 +21,7 @@
 constexpr Duration ReadRetryDelay = seconds(2);
 constexpr Duration ReadInterval = seconds(18); // 20 s with half of the spread
 constexpr Duration ReadSpread = seconds(4);
+constexpr Duration MaxAnswerTime = seconds(1); // limit for what a sender may ask for
 constexpr int MaxAnswering = 256; // requests of other processes at the same time
 
 /// Reads a value of the form "ADDRESS DOMAIN". Returns nothing if it is malformed.
@@ -256,7 +257,7 @@
             --answering_;
         respond({kind, state});
     };
-    const Time deadline = now + request.timeLeft;
+    const Time deadline = now + std::min<Duration>(request.timeLeft, MaxAnswerTime);
     if (spec)
         hooks_.submit(
                 *spec, deadline,
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -44,6 +44,26 @@
     CHECK(settings.maxWorkerLease == seconds(6));
 }
 
+// Guards against a process that does not start because of a range in another form.
+TEST_CASE("the relay address is the own address with the first internal port")
+{
+    const auto relayAddress = [](const std::string &lines) {
+        return loadPlatformSettings(writeSettingsFile(ValidSettings + lines)).relayAddress.str();
+    };
+    const std::string none = Address().str();
+    const std::string address = "10.1.0.13:9500";
+    CHECK(relayAddress("") == none);
+    CHECK(relayAddress("Ip: \"10.1.0.13\"\n") == none);
+    CHECK(relayAddress("InternalPortRange: \"9500-9509\"\n") == none);
+    CHECK(relayAddress("Ip: \"10.1.0.13\"\nInternalPortRange: \"9500-9509\"\n") == address);
+    CHECK(relayAddress("Ip: \"10.1.0.13\"\nInternalPortRange: [9500, 9509]\n") == address);
+    CHECK(relayAddress("Ip: \"10.1.0.13\"\nInternalPortRange:\n  Low: 9500\n  High: 9509\n")
+          == address);
+    CHECK(relayAddress("Ip: \"10.1.0.13\"\nInternalPortRange: none\n") == none);
+    CHECK(relayAddress("Ip: \"10.1.0.13\"\nInternalPortRange: 99999\n") == none);
+    CHECK(relayAddress("Ip: \"10.1.0.13\"\nInternalPortRange: []\n") == none);
+}
+
 TEST_CASE("all invalid settings are reported together, each with its line")
 {
     const std::string path = writeSettingsFile("NodeName: \"n\"\nZone: \"a\"\n"
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -81,6 +81,23 @@
     CHECK(world.state(0, "none") == std::nullopt);
 }
 
+// Guards against a state that goes back, when the process that was asked cannot read the record.
+TEST_CASE("a state is never older than the one that this host has shown before")
+{
+    RelayWorld world;
+    while (world.coordinator() != 1) { // the others read states from the store
+        world.start(world.coordinator());
+        REQUIRE(world.wait([&] { return world.coordinator() >= 0; }, seconds(10)));
+        world.clock.advance(PeersKnown);
+    }
+    REQUIRE(world.submit(1, FleetWorld::job("a", 1, "ms=60000")) == JobAnswer::Accepted);
+    REQUIRE(world.wait([&] { return world.state(0, "a") == JobState::Active; }));
+    world.reject(0);
+    world.storeOf(2).refusing = true; // its watch has shown it the job, but no progress
+    CHECK(world.state(0, "a") == JobState::Active);
+    CHECK(world.relayOf(2).requestsReceived == 1);
+}
+
 // Guards against refusals in the first seconds, while watches still count as contact to the store.
 TEST_CASE("a submission that the store has just refused is handed over")
 {
@@ -282,6 +299,7 @@
     world.relayOf(1).silent = true;
     world.relayOf(2).silent = true;
     std::vector<std::shared_ptr<std::optional<JobAnswer>>> answers;
+    answers.reserve(70);
     for (int i = 0; i < 70; ++i)
         answers.push_back(world.begin(0, FleetWorld::job("a" + std::to_string(i))));
     const long refused = std::count_if(answers.begin(), answers.end(),
@@ -383,6 +401,63 @@
     CHECK(world.logged("relay-began") == 1);
 }
 
+// Guards against REFUSED and TWICE under any order of faults: a job that runs although all its
+// submissions were refused, and a job that was accepted and is not there.
+TEST_CASE("random failures of stores and links never make an answer untrue")
+{
+    constexpr int processCount = 5;
+    constexpr int jobCount = 30;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        RelayWorld world(processCount);
+        Random random(seed);
+        std::vector<std::vector<std::shared_ptr<std::optional<JobAnswer>>>> answers(jobCount);
+        for (std::size_t i = 0; i < jobCount; ++i) {
+            const int host = static_cast<int>(random.below(processCount));
+            FakeKeyValuePort &store = world.storeOf(host);
+            FakeRelayPort &relay = world.relayOf(host);
+            store.refusing = random.below(3) == 0;
+            store.silent = random.below(4) == 0;
+            store.losesAnswers = random.below(6) == 0;
+            relay.silent = random.below(6) == 0;
+            relay.losesAnswers = random.below(5) == 0;
+            relay.garblesRequests = random.below(12) == 0;
+            relay.answerDelay = random.below(5) == 0 ? milliseconds(500) : Duration::zero();
+            FakeTimers &timers = *world.process(host).timers;
+            if (timers.isSuspended())
+                timers.resume();
+            else if (random.below(8) == 0)
+                timers.suspend();
+            const JobSpec job = FleetWorld::job("j" + std::to_string(i), 1);
+            for (std::uint64_t call = 0; call <= random.below(3); ++call) {
+                const int through = static_cast<int>(random.below(processCount));
+                answers[i].push_back(world.begin(through, job));
+            }
+            world.clock.advance(milliseconds(static_cast<std::int64_t>(random.below(700))));
+        }
+        world.clock.advance(seconds(4));
+        for (int i = 0; i < processCount; ++i) {
+            FakeKeyValuePort &store = world.storeOf(i);
+            store.refusing = store.silent = store.losesAnswers = false;
+            world.process(i).timers->resume();
+        }
+        world.clock.advance(seconds(30));
+        for (std::size_t i = 0; i < jobCount; ++i) {
+            const std::string id = "j" + std::to_string(i);
+            CAPTURE(id);
+            const auto is = [](JobAnswer expected) {
+                return [expected](const auto &answer) { return *answer == expected; };
+            };
+            const auto &calls = answers[i];
+            if (std::any_of(calls.begin(), calls.end(), is(JobAnswer::Accepted)))
+                CHECK(world.isStored(id));
+            if (std::all_of(calls.begin(), calls.end(), is(JobAnswer::NotAccepted)))
+                CHECK_FALSE(world.isStored(id));
+        }
+        CHECK(world.runners.findings == std::vector<std::string>());
+    }
+}
+
 // Guards against forwarding in deployments that have no relay ports.
 TEST_CASE("without a relay address nothing is published or forwarded")
 {
@@ -399,6 +474,7 @@
 TEST_CASE("the order of the peers differs by process and begins with the own failure domain")
 {
     std::vector<RelayPeer> all;
+    all.reserve(20);
     for (int i = 0; i < 20; ++i)
         all.push_back({"p" + std::to_string(i), FleetWorld::relayAddress(i),
                        DomainId("z" + std::to_string(i % 2))});
