--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -2,6 +2,7 @@
 // environment choose others, and more rounds.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "adapters/adapters.h"
+#include "adapters/relaycodec_p.h"
 #include "jobs/jobs.h"
 #include "platform/platform.h"
 
@@ -183,3 +184,30 @@
         });
     }
 }
+
+TEST_CASE("no forwarded request or answer ends the process")
+{
+    const auto decode = [](const std::string &bytes) {
+        RelayMessageHandlers handlers;
+        handlers.request = [](std::uint64_t, const RelayRequest &request) {
+            CHECK(request.kind <= RelayRequest::Kind::Probe);
+            decodeSpec(request.spec);
+        };
+        handlers.answer = [](std::uint64_t, const RelayAnswer &answer) {
+            CHECK(answer.kind <= RelayAnswer::Kind::NotReachable);
+            CHECK(answer.state <= JobState::Cancelled);
+        };
+        try {
+            decodeRelayMessage(bytes, handlers);
+        } catch (const std::runtime_error &) { // the link is closed
+        }
+    };
+    JobSpec spec;
+    spec.id = JobId("0123456789abcdef");
+    spec.queue = QueueId("renewal");
+    spec.steps.resize(2);
+    fuzz(encodeRelayRequest(
+                 7, {RelayRequest::Kind::Submit, spec.id, encodeSpec(spec), milliseconds(400)}),
+         decode);
+    fuzz(encodeRelayAnswer(7, {RelayAnswer::Kind::State, JobState::Active}), decode);
+}
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -206,6 +206,31 @@
     CHECK(world.cancel(0, "a") == JobAnswer::Accepted);
 }
 
+// Guards against 504 and 503 for calls that may be repeated at another process.
+TEST_CASE("a cancellation or state query whose answer was lost is repeated at another process")
+{
+    RelayWorld world;
+    REQUIRE(world.submit(1, FleetWorld::job("a", 1, "ms=60000")) == JobAnswer::Accepted);
+    world.reject(0);
+    world.relayOf(2).losesAnswers = true;
+    SUBCASE("cancellation")
+    {
+        CHECK(world.cancel(0, "a") == JobAnswer::Accepted);
+        CHECK(world.store.items().count("jobs/in/cancel/a") == 1);
+    }
+    SUBCASE("state")
+    {
+        CHECK(world.state(0, "a").has_value());
+    }
+    SUBCASE("both answers are lost")
+    {
+        world.relayOf(1).losesAnswers = true;
+        CHECK(world.cancel(0, "a") == JobAnswer::Unknown);
+        CHECK(world.cancel(0, "none") == JobAnswer::Unknown);
+    }
+    CHECK(world.relayOf(2).requestsReceived == 1);
+}
+
 // Guards against REFUSED: a 503 for a job that a process stored, or may still store.
 TEST_CASE("a submission whose answer was lost is never reported as refused")
 {
