--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -10,7 +10,8 @@
 constexpr Duration PeerTimeout = milliseconds(400);
 constexpr Duration PeerPause = seconds(2); // in which a peer that failed is skipped
 constexpr Duration MinTimeLeft = milliseconds(20); // no attempt is made with less
-constexpr Duration ProofLifetime = seconds(2); // of an answer that shows that a peer reaches the store
+constexpr Duration ProofLifetime =
+        seconds(2); // of an answer that shows that a peer reaches the store
 constexpr int MaxAttempts = 2; // peers for each request
 constexpr int MaxInFlight = 64; // requests
 
--- a/src/fleet/relay.h
+++ b/src/fleet/relay.h
@@ -104,7 +104,9 @@
 {
 public:
     /// `self` is the name of this process, which is left out of its own peers.
-    RelayPeers(std::string self, DomainId domain) : self_(std::move(self)), domain_(std::move(domain)) { }
+    RelayPeers(std::string self, DomainId domain)
+        : self_(std::move(self)), domain_(std::move(domain))
+    { }
 
     /// Replaces all peers. Failures of those that stay are kept.
     void replace(std::vector<RelayPeer> peers);
--- a/tests/unit/relaylinks_test.cpp
+++ b/tests/unit/relaylinks_test.cpp
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <filesystem>
+
 using namespace monsoonledge;
 
 namespace {
@@ -95,6 +97,13 @@
     }
 };
 
+/// Number of open files and sockets of this process.
+long openFiles()
+{
+    const std::filesystem::directory_iterator files("/proc/self/fd");
+    return std::distance(begin(files), end(files));
+}
+
 /// A process on a plain socket, which can violate the protocol at any point.
 struct RawPeer
 {
@@ -219,7 +228,19 @@
     CHECK(send(a, b.peer(), submission("x")).delivery == RelayDelivery::Answered);
 }
 
-// Guards against links that stay open for ever, and against a request lost to an idle link.
+// Guards against links that stay open for ever.
+TEST_CASE_FIXTURE(Fixture, "a link is closed when it has been idle, not while it is used")
+{
+    const long before = openFiles();
+    for (int i = 0; i < 6; ++i) {
+        CHECK(send(a, b.peer(), submission("x")).delivery == RelayDelivery::Answered);
+        CHECK(openFiles() == before + 2); // both ends are in this process
+        runFor(IdleTimeout / 2);
+    }
+    CHECK(runUntil([&] { return openFiles() == before; }, IdleTimeout));
+}
+
+// Guards against a request lost to an idle link.
 TEST_CASE_FIXTURE(Fixture, "an idle link is closed and opened again on demand")
 {
     for (int i = 0; i < 3; ++i) {
