--- a/tests/fakes/fakekeyvalue.h
+++ b/tests/fakes/fakekeyvalue.h
@@ -230,6 +230,7 @@
     std::string silentPrefix; // watches and loads of this prefix get no answer; empty: none
     bool losesAnswers = false; // of changes, which are made
     Duration lostAreLate{}; // the changes whose answers are lost are made so much later
+    int entryReads = 0; // ranges over the relay addresses
     std::uint64_t bytesPerSecond = 0; // of the host's link from the store; 0: not limited
 
     void get(const std::string &key, KeyValueCallback done) override
@@ -239,6 +240,7 @@
     void range(const std::string &prefix, const std::string &afterKey,
                KeyValueCallback done) override
     {
+        entryReads += prefix == "entry/" ? 1 : 0;
         if (failPrefix(prefix, done))
             return;
         call([this, prefix, afterKey] { return store_.range(prefix, afterKey); }, done, false);
