--- a/tests/unit/invariant_evidence_test.cpp
+++ b/tests/unit/invariant_evidence_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int MaxStarts = 5; // of a crashing task
+constexpr int LostDomains = 4; // one after each start of a sound task
 constexpr int Disturbances = 7; // of the starts of each sound task
 
 using Return = FakeRunners::Return;
@@ -178,7 +179,6 @@
 // Guards against LOST: losses of a failure domain that the task has nothing to do with add up.
 TEST_CASE("a sound job completes although its failure domain is lost after start after start")
 {
-    constexpr int LostDomains = 4;
     FleetWorld world(2, 18);
     world.useBirthTimes();
     world.runners.keepsIdAfterCrash = true;
