--- /dev/null
+++ b/src/fleet/admit.cpp
@@ -0,0 +1,71 @@
+// Admission under shortage, as an entry process applies it to submissions.
+#include "fleet/fleet.h"
+
+#include "fleet/keys_p.h"
+
+namespace monsoonledge {
+
+/// Refuses the job, unless an earlier attempt whose answer was lost has stored it. If the store
+/// does not say so, the job is admitted.
+void FleetNode::refuseUnlessStored(const JobSpec &job, Time deadline,
+                                   std::function<void(JobAnswer, Time)> done)
+{
+    ports_.store.get(keys::spec(job.id), [this, job, deadline, done = std::move(done),
+                                          alive = std::weak_ptr<int>(alive_)](
+                                                 const KeyValueResult &result, Time now) {
+        if (alive.expired())
+            return;
+        if (result.status == KeyValueStatus::Ok) {
+            learnSpec(job.id, result.items.front());
+            done(JobAnswer::Accepted, now);
+            return;
+        }
+        if (result.status != KeyValueStatus::NotFound) {
+            store(job, deadline, done, now);
+            return;
+        }
+        // Meanwhile the client may have repeated the job and been admitted, or the report changed.
+        const AdmissionReport *report = admissionReport_ ? &*admissionReport_ : nullptr;
+        const AdmissionDecision decision = admission_.decide(job, report, reportAge(now), now);
+        if (decision.isAdmitted) {
+            store(job, deadline, done, now);
+            return;
+        }
+        admission_.recordRefusal(job, decision, now);
+        log(LogLevel::Info, "job-not-admitted",
+            "the job is refused for lack of capacity; nothing was written",
+            {{"job", job.id.str()},
+             {"queue", job.queue.str()},
+             {"reason", admissionReasonName(decision.reason)},
+             {"freeMilliCores", std::to_string(decision.free)},
+             {"totalMilliCores", std::to_string(decision.total)},
+             {"delayMs", std::to_string(wholeMilliseconds(decision.delay))},
+             {"reportAgeMs", std::to_string(wholeMilliseconds(reportAge(now)))},
+             {"retryAfterS", std::to_string(decision.retryAfter / seconds(1))}});
+        done(JobAnswer::Overloaded, now);
+    });
+}
+
+/// The highest possible age of the report for admission.
+Duration FleetNode::reportAge(Time now) const
+{
+    return now - admissionReportSince_;
+}
+
+/// Takes the report for admission from a record of the backlog. One that was loaded instead of
+/// watched may be of any age, so it is not used. The age of a watched one counts from when the
+/// watch was sent: its answer may have waited in the socket while this process was paused.
+void FleetNode::takeAdmissionReport(const std::string &bytes, bool isWatched, Time now)
+{
+    admissionReport_.reset();
+    if (bytes.empty() || !isWatched)
+        return;
+    admissionReport_ = decodeAdmissionReport(bytes);
+    admissionReportSince_ = now - coordinatorWatch_->lastAnswer().took;
+    if (!admissionReport_)
+        log(LogLevel::Error, "record-unreadable",
+            "the report for admission is malformed; all jobs are admitted until the next one",
+            {{"key", keys::Backlog}});
+}
+
+} // namespace monsoonledge
--- a/src/fleet/clients.cpp
+++ b/src/fleet/clients.cpp
@@ -17,7 +17,26 @@
         done(JobAnswer::NotAccepted, now);
         return;
     }
-    const auto onCreateDone = [this, id = spec.id, queue = spec.queue,
+    JobSpec job = spec;
+    if (const QueueSpec *queue = config_.find(spec.queue))
+        job.terms = *queue;
+    if (settings_.admitsUnderShortage) {
+        const AdmissionReport *report = admissionReport_ ? &*admissionReport_ : nullptr;
+        const AdmissionDecision decision = admission_.decide(job, report, reportAge(now), now);
+        if (!decision.isAdmitted) {
+            refuseUnlessStored(job, deadline, std::move(done));
+            return;
+        }
+    }
+    store(job, deadline, std::move(done), now);
+}
+
+void FleetNode::store(const JobSpec &job, Time deadline, std::function<void(JobAnswer, Time)> done,
+                      Time now)
+{
+    if (settings_.admitsUnderShortage)
+        admission_.recordAttempt(job.id, now);
+    const auto onCreateDone = [this, id = job.id, queue = job.queue,
                                done = std::move(done)](CreateOutcome outcome, Time eventTime) {
         switch (outcome) {
         case CreateOutcome::Created:
@@ -33,10 +52,7 @@
             return;
         }
     };
-    JobSpec stored = spec;
-    if (const QueueSpec *queue = config_.find(spec.queue))
-        stored.terms = *queue;
-    writer_.create(keys::spec(spec.id), encodeSpec(stored), deadline, onCreateDone, now);
+    writer_.create(keys::spec(job.id), encodeSpec(job), deadline, onCreateDone, now);
 }
 
 /// Notes that the job exists, also if its specification cannot be decoded.
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -455,6 +455,11 @@
         if (jobs > 0)
             report.jobs[queue] = jobs;
     }
+    if (settings_.admitsUnderShortage && scheduler_) {
+        const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Planning);
+        forecast_.update(scheduler_->capacitySnapshot(now));
+        report.admission = encodeAdmissionReport(forecast_.report());
+    }
     jobView_.forgetSubmissions(jobInputWatch_->revision());
     Transaction transaction;
     transaction.conditions.push_back({keys::Coordinator, recordRevision_});
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -31,6 +31,7 @@
 //   [8] Entry process
 #pragma once
 
+#include "overload/overload.h"
 #include "scheduling/scheduling.h"
 
 #include <functional>
@@ -207,6 +208,8 @@
     Duration planDelay = milliseconds(10); // to handle events that arrive together in one pass
     Duration finishedJobRetention = seconds(125); // then the records of an ended job are removed
     int maxWritesInFlight = 4; // limit for the coordinator's writes of progress records
+    bool admitsUnderShortage = false; // true: jobs are refused by the report for admission
+    AdmissionSettings admission;
     SchedulingSettings scheduling;
 };
 
@@ -438,6 +441,8 @@
     bool reachesMostWorkers(Time now) const;
     /// Null until the records of jobs and workers have been loaded.
     const Scheduler *scheduler() const { return scheduler_.get(); }
+    /// What was last published for admission.
+    const CapacityForecast &forecast() const { return forecast_; }
 
 private:
     /// State of the stored record that a worker is unreachable and its leases are not renewed.
@@ -542,6 +547,7 @@
     Time writeNotBefore_{};
     Time lastCleanup_{};
     Time nextBacklogAt_{};
+    CapacityForecast forecast_;
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
@@ -551,6 +557,7 @@
 enum class JobAnswer {
     Accepted, // stored
     NotAccepted, // not stored, and will not be; the client can repeat the request later
+    Overloaded, // the same, for lack of capacity; retryAfter() says when to repeat it
     Unknown, // may be stored
     NotFound, // only for cancel() and state(): no such job
 };
@@ -585,6 +592,9 @@
 
     void submit(const JobSpec &spec, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
+    /// When the client of a job that was answered with Overloaded should repeat it.
+    Duration retryAfter(const JobId &id) const { return admission_.retryAfter(id); }
+    const AdmissionPolicy &admission() const { return admission_; }
     void cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
     /// `state` is valid only if the answer is Accepted.
@@ -597,15 +607,21 @@
 private:
     void onConfigItems(const std::vector<KeyValue> &items);
     void applyConfig(const QueueConfig &config);
-    void onCoordinatorItems(const std::vector<KeyValue> &items, Time now);
+    void onCoordinatorItems(const std::vector<KeyValue> &items, bool isWatched, Time now);
     void scheduleStoreCheck();
     void readState(const JobId &id, JobState known, StateCallback done);
     /// True if this process is the coordinator and has loaded the progress of all jobs.
     bool knowsAllProgress() const { return coordinator_ && coordinator_->scheduler(); }
     void learnSpec(const JobId &id, const KeyValue &item);
     void watchJobs();
-    void onBacklogItem(const KeyValue &item);
-    void onCoordinatorItem(const KeyValue &item, Time now);
+    void store(const JobSpec &job, Time deadline, std::function<void(JobAnswer, Time)> done,
+               Time now);
+    void refuseUnlessStored(const JobSpec &job, Time deadline,
+                            std::function<void(JobAnswer, Time)> done);
+    Duration reportAge(Time now) const;
+    void takeAdmissionReport(const std::string &bytes, bool isWatched, Time now);
+    void onBacklogItem(const KeyValue &item, bool isWatched, Time now);
+    void onCoordinatorItem(const KeyValue &item, bool isWatched, Time now);
     void challengeIfStronger(Time now);
     void onChallenge(double cores);
     void scheduleCandidacy();
@@ -624,6 +640,9 @@
     StoreRevision configRevision_; // of the item that was decoded last
     JobView jobView_;
     BacklogReport backlogReport_; // the coordinator's last one; revision 0: none was received yet
+    AdmissionPolicy admission_;
+    std::optional<AdmissionReport> admissionReport_; // the last one that can be read
+    Time admissionReportSince_{}; // it was not written before this time
     OnceWriter writer_;
     std::unique_ptr<PrefixWatch> configWatch_;
     std::unique_ptr<PrefixWatch> coordinatorWatch_;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -21,8 +21,8 @@
 
 FleetNode::FleetNode(const FleetSettings &settings, const FleetPorts &ports, std::uint64_t seed,
                      Time now)
-    : settings_(settings), ports_(ports), random_(seed), writer_(ports), lastStoreContact_(now),
-      storeContactSince_(now)
+    : settings_(settings), ports_(ports), random_(seed), admission_(settings.admission),
+      writer_(ports), lastStoreContact_(now), storeContactSince_(now)
 {
     configWatch_ = std::make_unique<PrefixWatch>(
             ports_, settings_.configPrefix, settings_.configWatchWait, Duration::zero(),
@@ -34,12 +34,12 @@
             ports_, keys::Coordinator, settings_.watchWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
                                    isRecordPresent_ = false;
-                                   onCoordinatorItems(items, eventTime);
+                                   onCoordinatorItems(items, false, eventTime);
                                    if (!jobsWatch_ && !coordinator_)
                                        watchJobs();
                                },
                                [this](const std::vector<KeyValue> &items, Time eventTime) {
-                                   onCoordinatorItems(items, eventTime);
+                                   onCoordinatorItems(items, true, eventTime);
                                }});
 }
 
@@ -139,20 +139,20 @@
 
 // Election
 
-void FleetNode::onCoordinatorItems(const std::vector<KeyValue> &items, Time now)
+void FleetNode::onCoordinatorItems(const std::vector<KeyValue> &items, bool isWatched, Time now)
 {
     for (const KeyValue &item : items)
-        onCoordinatorItem(item, now);
+        onCoordinatorItem(item, isWatched, now);
     if (!isRecordPresent_)
         scheduleCandidacy();
 }
 
-void FleetNode::onCoordinatorItem(const KeyValue &item, Time now)
+void FleetNode::onCoordinatorItem(const KeyValue &item, bool isWatched, Time now)
 {
     if (item.key == keys::Challenge && !item.deleted)
         onChallenge(std::strtod(item.value.c_str(), nullptr));
     if (item.key == keys::Backlog && !item.deleted)
-        onBacklogItem(item);
+        onBacklogItem(item, isWatched, now);
     if (item.key != keys::Coordinator)
         return;
     isRecordPresent_ = !item.deleted;
@@ -160,7 +160,7 @@
     coordinatorCores_ = std::strtod(item.value.c_str(), nullptr); // the name follows after a space
 }
 
-void FleetNode::onBacklogItem(const KeyValue &item)
+void FleetNode::onBacklogItem(const KeyValue &item, bool isWatched, Time now)
 {
     const std::optional<BacklogReport> report = decodeBacklog(item.value);
     if (!report) {
@@ -170,6 +170,7 @@
     }
     backlogReport_ = *report;
     jobView_.forgetSubmissions({report->revision});
+    takeAdmissionReport(report->admission, isWatched, now);
 }
 
 /// Asks the coordinator to resign if this host has many more cores. After outages a weak host may
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -185,6 +185,8 @@
 {
     std::uint64_t revision = 0; // of the store: jobs submitted up to it are counted
     std::map<QueueId, int> jobs; // by queue; queues without a backlog are left out
+    // Input for admission, encoded by src/overload; empty: none, as in records of earlier code.
+    std::string admission;
 };
 
 // [5] Records
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -288,7 +288,11 @@
     Json jobs = Json::array();
     for (const auto &[queue, count] : report.jobs)
         jobs.push_back({queue.str(), count});
-    return toBytes(Json::array({BacklogFormat, report.revision, jobs}));
+    Json record = Json::array({BacklogFormat, report.revision, jobs});
+    // Code that does not know this item reads the first three only.
+    if (!report.admission.empty())
+        record.push_back(Json::binary({report.admission.begin(), report.admission.end()}));
+    return toBytes(record);
 }
 
 std::optional<BacklogReport> decodeBacklog(const std::string &bytes)
@@ -301,6 +305,10 @@
         report.revision = json.at(1).get<std::uint64_t>();
         for (const Json &row : json.at(2))
             report.jobs[QueueId(row.at(0).get<std::string>())] = row.at(1).get<int>();
+        if (json.size() > 3 && json.at(3).is_binary()) {
+            const auto &section = json.at(3).get_binary();
+            report.admission.assign(section.begin(), section.end());
+        }
         return report;
     } catch (const std::exception &) { // the caller logs the key of the record
         return std::nullopt;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -141,6 +141,8 @@
     job.estimatedCoreSeconds = estimatedCoreSeconds(spec);
     if (spec.occurrences == 0)
         addOccurrence(job, now);
+    if (!progress)
+        countSubmitted(job);
     if (progress) {
         job.state = progress->state;
         while (job.tasks.size() < progress->tasks.size() && job.tasksPerOccurrence > 0)
@@ -300,6 +302,7 @@
         acquit(task); // its worker has survived it
     if (outcome == RunOutcome::Done && !step.longRunning) {
         updateDurationFactor(task, now);
+        countDone(task);
         release(task);
         task.runState = RunState::None;
         task.progress.phase = TaskPhase::Done;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -459,6 +459,7 @@
 // [6] Scheduler
 
 struct UnplacedRequest;
+struct CapacitySnapshot;
 
 class Scheduler
 {
@@ -539,6 +540,8 @@
     const std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> &jobs() const { return jobs_; }
     const std::map<WorkerId, std::unique_ptr<ScheduledWorker>> &workers() const { return workers_; }
     bool hasChanges() const { return !changes_.empty(); }
+    /// What the forecast of capacity needs to know (snapshot.cpp).
+    CapacitySnapshot capacitySnapshot(Time now);
 
 private:
     ScheduledTask *findTask(const TaskRef &ref) const;
@@ -676,6 +679,10 @@
     void logAssigned(const ScheduledJob &job, const std::vector<const ScheduledTask *> &tasks,
                      Time now) const;
     void preemptFor(const ScheduledTask &task, Time now);
+    void countSubmitted(const ScheduledJob &job);
+    void countDone(const ScheduledTask &task);
+    void addWaiting(ScheduledJob &job, std::size_t queue, CapacitySnapshot &snapshot,
+                    Time now) const;
 
     SchedulingSettings settings_;
     Time formerLeaseExpiry_;
@@ -698,6 +705,14 @@
     std::vector<StopOrder> stops_;
     std::vector<PaceOrder> paces_;
     struct PlanCache;
+    /// Totals since this object was created, as CapacitySnapshot has them.
+    struct WorkTotals
+    {
+        std::map<ServiceId, std::int64_t> endedCpu;
+        std::map<ServiceId, double> bestEffortDone;
+        std::map<QueueId, double> submitted;
+    };
+    WorkTotals workTotals_;
     std::unique_ptr<PlanCache> planCache_; // kept from one planning pass to the next
 };
 
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -84,6 +84,7 @@
         settings.configKey = "op/config";
         settings.configPrefix = "op/";
         settings.workerPrefix = "servers/";
+        settings.admitsUnderShortage = admitsUnderShortage;
         const FleetPorts ports{*process.store,
                                *process.workers,
                                *process.timers,
@@ -189,6 +190,7 @@
     Random random;
     std::vector<Process> processes;
     std::vector<std::string> log;
+    bool admitsUnderShortage = false; // taken at the start of a process
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
     // Of the workers' entries; taken at the start of a process.
     std::function<std::optional<WorkerEntry>(const std::string &, const std::string &)>
--- /dev/null
+++ b/tests/unit/overload_fleet_test.cpp
@@ -0,0 +1,178 @@
+// Admission under shortage in whole deployments: what an entry process answers, and what happens
+// when the report, the store or the coordinator is gone.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "fakes/fleetworld.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+using namespace monsoonledge;
+
+namespace {
+
+/// A deployment of one worker with far more work than it can do, and a report that says so.
+struct Overloaded
+{
+    Overloaded() : world(2, 1)
+    {
+        world.admitsUnderShortage = true;
+        world.start(0);
+        world.start(1);
+        REQUIRE(world.wait([&] { return world.coordinator() >= 0; }));
+        entry = 1 - world.coordinator();
+        world.clock.advance(seconds(3));
+        // Within one report, so that none of them is refused.
+        for (int i = 0; i < 4; ++i)
+            REQUIRE(world.submit(entry, job("load" + std::to_string(i), 320))
+                    == JobAnswer::Accepted);
+        world.clock.advance(milliseconds(2500));
+    }
+
+    // 16 of its tasks fit on the worker.
+    JobSpec job(const std::string &id, int tasks = 32) const
+    {
+        JobSpec spec = FleetWorld::job(id, tasks, "ms=2000");
+        spec.submitted = world.wall();
+        return spec;
+    }
+
+    bool isStored(const std::string &id)
+    {
+        return world.store.items().count("jobs/in/spec/" + id) > 0;
+    }
+    bool hasLogged(const std::string &event) const
+    {
+        return std::find(world.log.begin(), world.log.end(), event) != world.log.end();
+    }
+
+    FleetWorld world;
+    int entry = 0; // a process that is not the coordinator
+};
+
+} // namespace
+
+TEST_CASE("a job without a chance is refused with a delay, is not stored and never runs")
+{
+    Overloaded overloaded;
+    FleetWorld &world = overloaded.world;
+    REQUIRE(world.submit(overloaded.entry, overloaded.job("more")) == JobAnswer::Overloaded);
+    CHECK(world.node(overloaded.entry).retryAfter(JobId("more")) >= seconds(1));
+    CHECK(overloaded.hasLogged("job-not-admitted"));
+    CHECK_FALSE(overloaded.isStored("more"));
+    world.clock.advance(seconds(10));
+    CHECK_FALSE(overloaded.isStored("more"));
+}
+
+TEST_CASE(
+        "a job that an earlier attempt has stored is accepted, and admitted if that cannot be read")
+{
+    Overloaded overloaded;
+    FleetWorld &world = overloaded.world;
+    // Stored a moment ago, through a process whose answer was lost.
+    world.store.put("jobs/in/spec/earlier", encodeSpec(overloaded.job("earlier")));
+    CHECK(world.submit(overloaded.entry, overloaded.job("earlier")) == JobAnswer::Accepted);
+    REQUIRE(world.submit(overloaded.entry, overloaded.job("refused")) == JobAnswer::Overloaded);
+    // The store does not answer: as without admission control.
+    world.process(overloaded.entry).store->silent = true;
+    CHECK(world.submit(overloaded.entry, overloaded.job("unread")) != JobAnswer::Overloaded);
+}
+
+TEST_CASE("without a coordinator the report becomes too old, and all jobs are admitted")
+{
+    Overloaded overloaded;
+    FleetWorld &world = overloaded.world;
+    REQUIRE(world.submit(overloaded.entry, overloaded.job("refused")) == JobAnswer::Overloaded);
+    world.node(overloaded.entry).drain(); // so that it does not become the coordinator
+    world.kill(world.coordinator());
+    world.clock.advance(milliseconds(3500));
+    CHECK(world.submit(overloaded.entry, overloaded.job("admitted")) == JobAnswer::Accepted);
+}
+
+TEST_CASE("a process that was suspended does not decide by the report from before")
+{
+    Overloaded overloaded;
+    FleetWorld &world = overloaded.world;
+    REQUIRE(world.submit(overloaded.entry, overloaded.job("refused")) == JobAnswer::Overloaded);
+    FleetWorld::Process &process = world.process(overloaded.entry);
+    process.timers->suspend();
+    world.clock.advance(seconds(8));
+    std::optional<JobAnswer> answer;
+    process.node->submit(
+            overloaded.job("resumed"), world.clock.now() + seconds(3),
+            [&](JobAnswer value, Time) { answer = value; }, world.clock.now());
+    process.timers->resume();
+    world.wait([&] { return answer.has_value(); });
+    CHECK(answer != JobAnswer::Overloaded);
+}
+
+TEST_CASE("unless switched on, nothing is reported or refused")
+{
+    FleetWorld world(1, 1);
+    REQUIRE(world.wait([&] { return world.coordinator() >= 0; }));
+    world.clock.advance(seconds(3));
+    for (int i = 0; i < 60; ++i)
+        REQUIRE(world.submit(0, FleetWorld::job("load" + std::to_string(i), 32, "ms=2000"))
+                == JobAnswer::Accepted);
+    world.clock.advance(milliseconds(1500));
+    const auto report = decodeBacklog(world.store.items().at("coordinator/backlog").value);
+    REQUIRE(report);
+    CHECK(report->admission.empty());
+}
+
+TEST_CASE("a malformed report for admission is logged, the backlog in its record is kept")
+{
+    Overloaded overloaded;
+    FleetWorld &world = overloaded.world;
+    BacklogReport report;
+    report.revision = 1;
+    report.jobs[QueueId("renewal")] = 7;
+    report.admission = "\x83no report";
+    world.store.put("coordinator/backlog", encodeBacklog(report));
+    REQUIRE(world.wait([&] { return overloaded.hasLogged("record-unreadable"); }, seconds(1)));
+    CHECK(world.node(overloaded.entry).backlog(QueueId("renewal")) >= 7);
+    CHECK(world.submit(overloaded.entry, overloaded.job("admitted")) == JobAnswer::Accepted);
+}
+
+TEST_CASE("code before the report for admission reads records with it, and the other way round")
+{
+    BacklogReport report;
+    report.revision = 12;
+    report.jobs[QueueId("renewal")] = 3;
+    const std::string former = encodeBacklog(report);
+    const std::optional<BacklogReport> ofFormer = decodeBacklog(former);
+    REQUIRE(ofFormer);
+    CHECK(ofFormer->jobs.at(QueueId("renewal")) == 3);
+    CHECK(ofFormer->admission.empty());
+    report.admission = std::string("\x00\xff section", 10);
+    const std::string present = encodeBacklog(report);
+    CHECK(decodeBacklog(present)->admission == report.admission);
+    // The former decoder: an array whose first three items it takes by position.
+    checkCbor(present);
+    const nlohmann::json json = nlohmann::json::from_cbor(present);
+    CHECK(json.at(0).get<int>() == 1);
+    CHECK(json.at(1).get<std::uint64_t>() == 12);
+    CHECK(json.at(2).at(0).at(1).get<int>() == 3);
+}
+
+TEST_CASE("the snapshot counts running, waiting and interrupted work by queue")
+{
+    Overloaded overloaded;
+    FleetWorld &world = overloaded.world;
+    const Coordinator *coordinator = world.node(world.coordinator()).coordinator();
+    REQUIRE(coordinator);
+    REQUIRE(coordinator->forecast().rooms().size() == 1);
+    const DomainRoom &room = coordinator->forecast().rooms().front();
+    CHECK(room.total == 16000);
+    CHECK(room.free == 0);
+    const ServiceLoad *load = coordinator->forecast().report().find(ServiceId("desk"));
+    REQUIRE(load);
+    REQUIRE(load->priorities.size() == 1);
+    // 4 jobs of 320 tasks of 2 core-seconds, 16 of them running at a time.
+    CHECK(load->priorities.front().waitingCoreSeconds > 2300);
+    CHECK(load->priorities.front().waitingCoreSeconds <= 2560);
+    REQUIRE_FALSE(load->shapes.empty());
+    CHECK(load->shapes.back().memory == 64000);
+}
