--- a/bench/bench.h
+++ b/bench/bench.h
@@ -43,6 +43,7 @@
 
 void runFlood(const YAML::Node &model, Report &report);
 void runRouting(const YAML::Node &model, Report &report);
+void runOverload(const YAML::Node &model, Report &report);
 void runCost(Report &report);
 
 } // namespace monsoonledge::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -85,6 +85,7 @@
     Report report(YAML::LoadFile(argv[2]));
     runFlood(model, report);
     runRouting(model, report);
+    runOverload(model, report);
     runCost(report);
     return report.finish(argv[3]) ? 0 : 1;
 }
