--- a/src/overload/forecast.cpp
+++ b/src/overload/forecast.cpp
@@ -250,10 +250,10 @@
     ForecastError &error = errors_[totals.service];
     const auto compare = [&](Duration age, double Prediction::*value,
                              std::optional<double> &result) {
-        constexpr Duration Tolerance = milliseconds(300);
+        constexpr Duration tolerance = milliseconds(300);
         for (const Prediction &prediction : history.predictions) {
             const Duration actualAge = snapshot.asOf - prediction.madeAt;
-            if (actualAge >= age - Tolerance && actualAge <= age + Tolerance && totals.total > 0)
+            if (actualAge >= age - tolerance && actualAge <= age + tolerance && totals.total > 0)
                 result = (prediction.*value - actual) / totals.total;
         }
     };
