--- a/tests/fakes/overloadmodel.h
+++ b/tests/fakes/overloadmodel.h
@@ -533,7 +533,8 @@
 /// The loads that docs/overload-and-evacuation.md names, section 5.
 inline std::vector<OverloadLoad> namedLoads()
 {
-    const auto burst = [](std::vector<std::size_t> kinds, double factor, int from, int until) {
+    const auto burst = [](const std::vector<std::size_t> &kinds, double factor, int from,
+                          int until) {
         return [=](std::size_t kind, int second) {
             const bool isBurst = second >= from && second < until
                                  && std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
