--- a/src/fleet/clients.cpp
+++ b/src/fleet/clients.cpp
@@ -17,7 +17,24 @@
         done(JobAnswer::NotAccepted, now);
         return;
     }
-    const auto onCreateDone = [this, id = spec.id, queue = spec.queue,
+    const JobSpec job = withTerms(spec);
+    if (settings_.admitsUnderShortage) {
+        const AdmissionReport *report = admissionReport_ ? &*admissionReport_ : nullptr;
+        const AdmissionDecision decision = admission_.decide(job, report, reportAge(now), now);
+        if (!decision.isAdmitted) {
+            refuseUnlessStored(job, deadline, std::move(done));
+            return;
+        }
+    }
+    store(job, deadline, std::move(done), now);
+}
+
+void FleetNode::store(const JobSpec &job, Time deadline, std::function<void(JobAnswer, Time)> done,
+                      Time now)
+{
+    if (settings_.admitsUnderShortage)
+        admission_.recordAttempt(job.id, now);
+    const auto onCreateDone = [this, id = job.id, queue = job.queue,
                                done = std::move(done)](CreateOutcome outcome, Time eventTime) {
         switch (outcome) {
         case CreateOutcome::Created:
@@ -33,7 +50,7 @@
             return;
         }
     };
-    writer_.create(keys::spec(spec.id), encodeSpec(withTerms(spec)), deadline, onCreateDone, now);
+    writer_.create(keys::spec(job.id), encodeSpec(job), deadline, onCreateDone, now);
 }
 
 /// The job with the terms of its queue, if the configuration in force has the queue.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -32,6 +32,7 @@
 //   [8] Entry process
 #pragma once
 
+#include "overload/overload.h"
 #include "scheduling/scheduling.h"
 
 #include <functional>
@@ -225,6 +226,8 @@
     // For records that nobody waits for. Writing more of them together costs fewer calls to the
     // store, but a worker's next ended run is reported only after the record of the last one.
     Duration maxRecordDelay = milliseconds(30);
+    bool admitsUnderShortage = false; // true: jobs are refused by the report for admission
+    AdmissionSettings admission;
     SchedulingSettings scheduling;
 };
 
@@ -468,6 +471,8 @@
     bool reachesMostWorkers(Time now) const;
     /// Null until the records of jobs and workers have been loaded.
     const Scheduler *scheduler() const { return scheduler_.get(); }
+    /// What was last published for admission.
+    const CapacityForecast &forecast() const { return forecast_; }
 
 private:
     /// State of the stored record that a worker is unreachable and its leases are not renewed.
@@ -576,6 +581,7 @@
     bool isDeferredWriteScheduled_ = false;
     Time lastCleanup_{};
     Time nextBacklogAt_{};
+    CapacityForecast forecast_;
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
@@ -585,6 +591,7 @@
 enum class JobAnswer {
     Accepted, // stored
     NotAccepted, // not stored, and will not be; the client can repeat the request later
+    Overloaded, // the same, for lack of capacity; retryAfter() says when to repeat it
     Unknown, // may be stored
     NotFound, // only for cancel() and state(): no such job
 };
@@ -621,6 +628,9 @@
 
     void submit(const JobSpec &spec, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
+    /// When the client of a job that was answered with Overloaded should repeat it.
+    Duration retryAfter(const JobId &id) const { return admission_.retryAfter(id); }
+    const AdmissionPolicy &admission() const { return admission_; }
     void cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
     /// `state` is valid only if the answer is Accepted.
@@ -655,15 +665,21 @@
     bool followsEvacuations() const;
     void onEvacuationItems(const std::vector<KeyValue> &items, bool isCompleteLoad, Time now);
     bool knowsClosedDomains(Time now) const;
-    void onCoordinatorItems(const std::vector<KeyValue> &items, Time now);
+    void onCoordinatorItems(const std::vector<KeyValue> &items, bool isWatched, Time now);
     void scheduleStoreCheck();
     void readState(const JobId &id, JobState known, StateCallback done);
     /// True if this process is the coordinator and has loaded the progress of all jobs.
     bool knowsAllProgress() const { return coordinator_ && coordinator_->scheduler(); }
     void learnSpec(const JobId &id, const KeyValue &item);
     void watchJobs();
-    void onBacklogItem(const KeyValue &item);
-    void onCoordinatorItem(const KeyValue &item, Time now);
+    void store(const JobSpec &job, Time deadline, std::function<void(JobAnswer, Time)> done,
+               Time now);
+    void refuseUnlessStored(const JobSpec &job, Time deadline,
+                            std::function<void(JobAnswer, Time)> done);
+    Duration reportAge(Time now) const;
+    void takeAdmissionReport(const std::string &bytes, bool isWatched, Time now);
+    void onBacklogItem(const KeyValue &item, bool isWatched, Time now);
+    void onCoordinatorItem(const KeyValue &item, bool isWatched, Time now);
     void challengeIfStronger(Time now);
     void onChallenge(double cores);
     void scheduleCandidacy();
@@ -683,6 +699,9 @@
     ClosedDomains closedDomains_;
     JobView jobView_;
     BacklogReport backlogReport_; // the coordinator's last one; revision 0: none was received yet
+    AdmissionPolicy admission_;
+    std::optional<AdmissionReport> admissionReport_; // the last one that can be read
+    Time admissionReportSince_{}; // it was not written before this time
     OnceWriter writer_;
     std::unique_ptr<PrefixWatch> configWatch_;
     std::unique_ptr<PrefixWatch> coordinatorWatch_;
--- a/src/fleet/forwarding.cpp
+++ b/src/fleet/forwarding.cpp
@@ -73,7 +73,8 @@
     submitHere(
             spec, std::max(now, deadline - ForwardingReserve),
             [this, spec, deadline, done = std::move(done)](JobAnswer outcome, Time eventTime) {
-                if (outcome == JobAnswer::Accepted)
+                // The store would give another process the same shortage to decide by.
+                if (outcome == JobAnswer::Accepted || outcome == JobAnswer::Overloaded)
                     done(outcome, eventTime);
                 else
                     forwardSubmission(spec, outcome == JobAnswer::Unknown, deadline, done,
--- a/src/fleet/handover.cpp
+++ b/src/fleet/handover.cpp
@@ -47,6 +47,7 @@
     case JobAnswer::Accepted:
         return RelayAnswer::Kind::Stored;
     case JobAnswer::NotAccepted:
+    case JobAnswer::Overloaded:
         return RelayAnswer::Kind::NotStored;
     default:
         return RelayAnswer::Kind::Unknown;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -487,6 +487,7 @@
 
 struct UnplacedRequest;
 struct CrashVerdict;
+struct CapacitySnapshot;
 
 class Scheduler
 {
@@ -582,6 +583,8 @@
     /// True if a start order or a client waits for a record that takeChanges() returns. The others
     /// may be written a little later, together with further changes.
     bool hasUrgentChanges() const { return urgentChanges_ > 0; }
+    /// What the forecast of capacity needs to know (snapshot.cpp).
+    CapacitySnapshot capacitySnapshot(Time now);
 
 private:
     ScheduledTask *findTask(const TaskRef &ref) const;
@@ -753,6 +756,10 @@
     void logAssigned(const ScheduledJob &job, const std::vector<const ScheduledTask *> &tasks,
                      Time now) const;
     void preemptFor(const ScheduledTask &task, Time now);
+    void countSubmitted(const ScheduledJob &job);
+    void countDone(const ScheduledTask &task);
+    void addWaiting(ScheduledJob &job, std::size_t queue, CapacitySnapshot &snapshot,
+                    Time now) const;
 
     SchedulingSettings settings_;
     Time formerLeaseExpiry_;
@@ -790,6 +797,14 @@
     std::vector<StopOrder> stops_;
     std::vector<PaceOrder> paces_;
     struct PlanCache;
+    /// Totals since this object was created, as CapacitySnapshot has them.
+    struct WorkTotals
+    {
+        std::map<ServiceId, std::int64_t> endedCpu;
+        std::map<ServiceId, double> bestEffortDone;
+        std::map<QueueId, double> submitted;
+    };
+    WorkTotals workTotals_;
     std::unique_ptr<PlanCache> planCache_; // kept from one planning pass to the next
 };
 
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -117,6 +117,7 @@
         settings.evacuationPrefix = "op/evacuate/";
         settings.evacuationLimit = evacuationLimit;
         settings.scheduling.warmupOverage = warmupOverage;
+        settings.admitsUnderShortage = admitsUnderShortage;
         const FleetPorts ports{*process.store,
                                *process.workers,
                                *process.timers,
@@ -241,6 +242,7 @@
     std::vector<std::string> log;
     Duration evacuationLimit{}; // 0: closed domains are ignored; taken at the start of a process
     double warmupOverage = 0; // as in SchedulingSettings; taken at the start of a process
+    bool admitsUnderShortage = false; // taken at the start of a process
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
     Duration orderDuration{}; // of workers; taken at the start of a process
     double lostAnswerShare = 0; // of answers to orders; taken at the start of a process
