--- a/scripts/platformbed.py
+++ b/scripts/platformbed.py
@@ -320,7 +320,7 @@
             "Limits:", "  CpuShare: 1", "Bounds:", "  GracePeriodS: 6", "  MaxHoldMs: 6000",
             "  status_s: 120", "platform:", f'  Address: "{store.address}"', *relay, ""]))
         self.command = [str(program), "platform", "serve"]
-        self.environment = {"MONSOONLEDGE_SETTINGS": str(settings)}
+        self.environment = {"MONSOONLEDGE_SETTINGS": str(settings), "MONSOONLEDGE_RELAY": "on"}
         self.start()
 
     def start(self):
--- /dev/null
+++ b/src/scheduling/joborder.cpp
@@ -0,0 +1,61 @@
+#include "scheduling/joborder_p.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace monsoonledge {
+
+namespace {
+
+// Share of its work that a job counts with when it has no time left to wait.
+constexpr double MinWorkShare = 0.1;
+
+JobClass classOf(const WaitingJob &job, const JobOrderSettings &settings, Time doneBy)
+{
+    if (job.isLongRunning) {
+        if (!job.isInterrupted)
+            return JobClass::NewLongRunning;
+        return job.longestWait < settings.maxRestartDelay ? JobClass::OnTime
+                                                          : JobClass::OverdueRestart;
+    }
+    if (doneBy > job.cost.worthlessAfter)
+        return JobClass::Worthless;
+    return doneBy > job.cost.objective ? JobClass::Late : JobClass::OnTime;
+}
+
+/// The time that the job can still wait, as a share of the time that it is allowed in all.
+double slackShare(const WaitingJob &job, Time doneBy)
+{
+    const double allowed = toMilliseconds(job.cost.objective - job.submittedAt);
+    const double slack = toMilliseconds(job.cost.objective - doneBy);
+    return allowed <= 0 ? 0 : std::clamp(slack / allowed, 0.0, 1.0);
+}
+
+} // namespace
+
+bool operator<(const JobRank &a, const JobRank &b)
+{
+    return std::tie(a.jobClass, a.priority, a.work, a.objective)
+           < std::tie(b.jobClass, b.priority, b.work, b.objective);
+}
+
+JobRank rankOf(const WaitingJob &job, const JobOrderSettings &settings, Time now)
+{
+    const Time doneBy = now
+                        + std::chrono::duration_cast<Duration>(job.cost.remainingPath
+                                                               * settings.remainingTimeFactor);
+    JobRank rank;
+    rank.jobClass = classOf(job, settings, doneBy);
+    rank.priority = job.cost.priority;
+    rank.objective = job.cost.objective;
+    if (!settings.prefersShortJobs || rank.jobClass != JobClass::OnTime)
+        return rank;
+    if (job.isLongRunning) // it returns no capacity
+        rank.work = std::numeric_limits<double>::infinity();
+    else
+        rank.work = job.cost.remainingCoreSeconds * std::max(slackShare(job, doneBy), MinWorkShare);
+    return rank;
+}
+
+} // namespace monsoonledge
--- /dev/null
+++ b/src/scheduling/order.cpp
@@ -0,0 +1,83 @@
+// The order in which jobs with waiting tasks get capacity in a planning pass.
+//
+// Load that it answers: more work than fits. Jobs that can still meet their objective come first,
+// by the priority of their queue, and among those of one priority the ones that need little
+// capacity; late jobs get what is left, and jobs whose result has lost its value come last. In
+// order of arrival or of objectives alone, an overload makes nearly every job late.
+#include "scheduling/joborder_p.h"
+#include "scheduling/planpass_p.h"
+
+#include <algorithm>
+
+namespace monsoonledge {
+
+/// What delaying the job costs its caller.
+DelayCost Scheduler::delayCostOf(ScheduledJob &job, Time now) const
+{
+    DelayCost cost;
+    cost.priority = job.queue.priority;
+    cost.objective = objectiveOf(job);
+    cost.worthlessAfter = job.submittedAt
+                          + std::chrono::duration_cast<Duration>((cost.objective - job.submittedAt)
+                                                                 * settings_.maxLatenessFactor);
+    cost.remainingPath = remainingCriticalPath(job);
+    cost.remainingCoreSeconds = remainingCoreSeconds(job);
+    cost.asOf = now;
+    cost.source = EstimateSource::Reported;
+    return cost;
+}
+
+/// Processor time of the tasks that are not done, by the client's estimates.
+double Scheduler::remainingCoreSeconds(const ScheduledJob &job)
+{
+    const std::size_t steps = job.spec.steps.size();
+    double coreSeconds = 0;
+    for (std::size_t i = 0; i < job.doneTaskCounts.size(); ++i) {
+        const StepSpec &step = job.spec.steps[i % steps];
+        const double taskSeconds = toMilliseconds(step.estimate) / 1000;
+        const int left = step.count - job.doneTaskCounts[i];
+        coreSeconds += left * taskSeconds * static_cast<double>(step.cpu.value) / 1000;
+    }
+    return coreSeconds;
+}
+
+/// How long the job's task that began to wait first has waited.
+Duration Scheduler::longestWait(const ScheduledJob &job, Time now)
+{
+    Duration longest{};
+    for (const ScheduledTask &task : job.tasks) {
+        if (task.progress.phase == TaskPhase::Waiting)
+            longest = std::max(longest, now - task.waitingSince);
+    }
+    return longest;
+}
+
+std::vector<ScheduledJob *> Scheduler::orderJobs(Time now)
+{
+    JobOrderSettings order;
+    order.remainingTimeFactor = settings_.remainingTimeFactor;
+    order.maxRestartDelay = settings_.maxRestartDelay;
+    order.prefersShortJobs = settings_.prefersShortJobs;
+    std::vector<std::pair<JobRank, ScheduledJob *>> ranked;
+    for (ScheduledJob *job : activeJobs_) {
+        if (job->waitingTasks == 0)
+            continue;
+        WaitingJob waiting;
+        waiting.cost = delayCostOf(*job, now);
+        waiting.submittedAt = job->submittedAt;
+        waiting.isLongRunning = job->hasLongRunningStep;
+        waiting.isInterrupted = job->hasLongRunningStep && job->state != JobState::Pending;
+        if (waiting.isInterrupted)
+            waiting.longestWait = longestWait(*job, now);
+        ranked.emplace_back(rankOf(waiting, order, now), job);
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<ScheduledJob *> jobs;
+    jobs.reserve(ranked.size());
+    for (const auto &[rank, job] : ranked)
+        jobs.push_back(job);
+    return jobs;
+}
+
+} // namespace monsoonledge
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -1,9 +1,7 @@
 // The order of jobs and the placement of their tasks on workers.
 //
 // The decisions here are made for these load patterns:
-// - More work than fits: jobs that can still meet their objective come first, by the priority of
-//   their queue and then by their objective; late jobs get the capacity that is left; jobs whose
-//   result has lost its value come last. Without this order, an overload makes every job late.
+// - More work than fits: order.cpp sorts the jobs.
 // - Many best-effort tasks at once: one starts only on a worker with enough idle processors for it.
 //   More would slow down all best-effort tasks of the worker and finish none of them earlier.
 // - Best-effort tasks beside serving tasks: interference.cpp paces them. Serving tasks of the same
@@ -17,7 +15,6 @@
 
 #include <algorithm>
 #include <array>
-#include <tuple>
 
 namespace monsoonledge {
 
@@ -38,24 +35,6 @@
            != task.failedOn.end();
 }
 
-/// Urgency classes of jobs, in the order in which they are served.
-enum class Urgency { LongRunningRestart, OnTime, LongRunningNew, Late, Worthless };
-
-/// `doneBy` is the time at which the job is expected to be done if all its tasks start without
-/// delay. `maxLatenessFactor` is the number of allowed durations after which its result has no
-/// value.
-Urgency urgencyOf(const ScheduledJob &job, Time objective, Time doneBy, double maxLatenessFactor)
-{
-    if (job.hasLongRunningStep)
-        return job.state == JobState::Pending ? Urgency::LongRunningNew
-                                              : Urgency::LongRunningRestart;
-    const Duration allowed = objective - job.submittedAt;
-    const auto usefulDuration = std::chrono::duration_cast<Duration>(allowed * maxLatenessFactor);
-    if (doneBy > job.submittedAt + usefulDuration)
-        return Urgency::Worthless;
-    return doneBy > objective ? Urgency::Late : Urgency::OnTime;
-}
-
 } // namespace
 
 bool hasLabel(const WorkerEntry &worker, const std::string &label)
@@ -134,29 +113,6 @@
     }
 }
 
-std::vector<ScheduledJob *> Scheduler::orderJobs(Time now)
-{
-    using Key = std::tuple<Urgency, int, Time>;
-    std::vector<std::pair<Key, ScheduledJob *>> keyed;
-    for (ScheduledJob *job : activeJobs_) {
-        if (job->waitingTasks == 0)
-            continue;
-        const Time objective = objectiveOf(*job);
-        const Time doneBy = now
-                            + std::chrono::duration_cast<Duration>(remainingCriticalPath(*job)
-                                                                   * settings_.remainingTimeFactor);
-        const Urgency urgency = urgencyOf(*job, objective, doneBy, settings_.maxLatenessFactor);
-        keyed.emplace_back(Key{urgency, job->queue.priority, objective}, job);
-    }
-    std::sort(keyed.begin(), keyed.end(),
-              [](const auto &a, const auto &b) { return a.first < b.first; });
-    std::vector<ScheduledJob *> jobs;
-    jobs.reserve(keyed.size());
-    for (const auto &[key, job] : keyed)
-        jobs.push_back(job);
-    return jobs;
-}
-
 void Scheduler::plan(Time now)
 {
     if (now >= nextWorkerCheckAt_) {
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -237,6 +237,10 @@
     double remainingTimeFactor = 0.85;
     // Multiple of the allowed latency after which the result of a job is worthless.
     double maxLatenessFactor = 3;
+    // Among the jobs of one priority that can be on time, those that need little capacity come
+    // first, and interrupted long-running tasks let them pass for a while.
+    bool prefersShortJobs = true;
+    Duration maxRestartDelay = milliseconds(1000);
     // Waiting time of a long-running task before it preempts other tasks.
     Duration preemptAfter = milliseconds(700);
 };
@@ -729,6 +733,9 @@
     void logMove(const ScheduledTask &task);
     void updateEvacuations(Time now);
     bool acceptsTasks(const ScheduledWorker &worker, Time now) const;
+    DelayCost delayCostOf(ScheduledJob &job, Time now) const;
+    static double remainingCoreSeconds(const ScheduledJob &job);
+    static Duration longestWait(const ScheduledJob &job, Time now);
     std::vector<ScheduledJob *> orderJobs(Time now);
     struct Candidate;
     void assignJob(ScheduledJob &job, Time now);
