--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -238,9 +238,10 @@
     // Multiple of the allowed latency after which the result of a job is worthless.
     double maxLatenessFactor = 3;
     // Among the jobs of one priority that can be on time, those that need little capacity come
-    // first, and interrupted long-running tasks let them pass for a while.
+    // first.
     bool prefersShortJobs = true;
-    Duration maxRestartDelay = milliseconds(1000);
+    // How long an interrupted long-running task lets such jobs pass; at most preemptAfter.
+    Duration maxRestartDelay{};
     // Waiting time of a long-running task before it preempts other tasks.
     Duration preemptAfter = milliseconds(700);
 };
--- a/src/scheduling/snapshot.cpp
+++ b/src/scheduling/snapshot.cpp
@@ -65,8 +65,12 @@
     snapshot.endedCpu = workTotals_.endedCpu;
     snapshot.bestEffortDone = workTotals_.bestEffortDone;
     std::unordered_map<QueueId, std::size_t> indexes;
-    for (const QueueSpec &queue : config_.queues)
-        queueIndex(snapshot, indexes, queue);
+    // A configuration may have thousands of queues, most of them without jobs. The forecast compares
+    // each queue of the snapshot with each other one.
+    for (const QueueSpec &queue : config_.queues) {
+        if (workTotals_.submitted.count(queue.id) > 0)
+            queueIndex(snapshot, indexes, queue);
+    }
     snapshot.workers.reserve(workers_.size());
     for (const auto &[id, worker] : workers_) {
         if (!worker->listed)
@@ -93,7 +97,9 @@
     for (QueueUse &queue : snapshot.queues) {
         const auto factor = durationFactors_.find(queue.id);
         queue.durationFactor = factor == durationFactors_.end() ? 1 : factor->second;
-        queue.submittedCoreSeconds = workTotals_.submitted[queue.id];
+        const auto submitted = workTotals_.submitted.find(queue.id);
+        if (submitted != workTotals_.submitted.end())
+            queue.submittedCoreSeconds = submitted->second;
     }
     return snapshot;
 }
