--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -19,6 +19,7 @@
 //   jobs/progress/ID       progress of a job; written by the coordinator
 //   unreached/ID           the coordinator does not renew the leases of this worker, so a
 //                          successor has to wait for a single lease to expire
+//   entry/NAME             relay address and failure domain of an entry process
 //
 // Sections:
 //   [1] Store
@@ -31,10 +32,12 @@
 //   [8] Entry process
 #pragma once
 
+#include "overload/overload.h"
 #include "scheduling/scheduling.h"
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -42,6 +45,9 @@
 
 namespace monsoonledge {
 
+class Handover;
+class RelayPort;
+
 // [1] Store
 
 /// Revision of the whole store. Each change increases it.
@@ -177,6 +183,11 @@
     std::string configKey; // key of the configuration in the store
     std::string configPrefix; // prefix of the keys that the operator writes
     std::string workerPrefix; // prefix of the workers' registry entries
+    // Prefix, under configPrefix, of the keys by which the operator closes failure domains; empty:
+    // such keys are ignored.
+    std::string evacuationPrefix;
+    // After which nothing may start in a domain whose closing is stored; 0: such keys are ignored.
+    Duration evacuationLimit{};
     double hostCores = 1; // hosts with more cores become candidates for coordinator sooner
     Duration coordinatorLeaseTtl = seconds(2); // time to live of the coordinator record's lease
     // A process whose host has at least this many times the cores of the coordinator's host
@@ -207,10 +218,16 @@
     Duration configWatchWait = milliseconds(600);
     Duration planDelay = milliseconds(10); // to handle events that arrive together in one pass
     Duration finishedJobRetention = seconds(125); // then the records of an ended job are removed
+    // Where this process answers requests of others (relay.h). Port 0: none are answered or
+    // forwarded.
+    Address relayAddress;
+    DomainId domain; // failure domain of this process
     int maxWritesInFlight = 4; // limit for the coordinator's writes of progress records
     // For records that nobody waits for. Writing more of them together costs fewer calls to the
     // store, but a worker's next ended run is reported only after the record of the last one.
     Duration maxRecordDelay = milliseconds(30);
+    bool admitsUnderShortage = false; // true: jobs are refused by the report for admission
+    AdmissionSettings admission;
     SchedulingSettings scheduling;
 };
 
@@ -221,6 +238,8 @@
     std::function<std::optional<QueueConfig>(const std::string &value)> config;
     std::function<std::optional<WorkerEntry>(const std::string &key, const std::string &value)>
             worker;
+    // Never fails: a request that cannot be read is marked as such.
+    std::function<EvacuationRequest(const std::string &key, const std::string &value)> evacuation;
 };
 
 struct FleetPorts
@@ -232,6 +251,7 @@
     std::function<WallMilliseconds()> wallNow; // time of day on this host; it may jump
     LogHook log;
     WorkMeter *workMeter = nullptr; // null: the time of the work is not measured
+    RelayPort *relay = nullptr; // null: no request is forwarded to other processes
 };
 
 // [4] Watching a key prefix
@@ -275,6 +295,8 @@
     StoreRevision revision() const { return revision_; }
     /// Time of the store's last successful answer.
     Time lastStoreContact() const { return lastStoreContact_; }
+    /// All changes that were stored before this time have been delivered to the owner.
+    Time confirmedAt() const { return confirmedAt_; }
     /// The answer that is being delivered or was delivered last.
     const Answer &lastAnswer() const { return lastAnswer_; }
     /// Calls that were not answered successfully since this object was created.
@@ -305,6 +327,8 @@
     std::string lastLoadedKey_; // the next page starts after it
     Time lastStoreContact_{};
     Time callSentAt_{}; // of the call in flight
+    Time loadSentAt_{}; // of the first page of the last load
+    Time confirmedAt_{};
     Answer lastAnswer_;
     std::uint64_t failedCalls_ = 0;
     std::uint64_t failuresInARow_ = 0;
@@ -426,6 +450,9 @@
     {
         std::function<void()> deposed; // another process is the coordinator or may become it
         std::function<QueueConfig()> config;
+        std::function<std::set<DomainId>()> closedDomains;
+        // False while a closed domain could be unknown here, so that no task may be started.
+        std::function<bool(Time now)> knowsClosedDomains;
     };
 
     /// `recordRevision`: revision of the coordinator record, which is also the fencing token.
@@ -439,10 +466,13 @@
     /// The coordinator's lease was renewed by a call sent at `sentAt`.
     void onStoreContact(Time sentAt);
     void onConfigChanged();
+    void onClosedDomainsChanged(Time now);
     /// False if most of the registered workers cannot be reached from this process.
     bool reachesMostWorkers(Time now) const;
     /// Null until the records of jobs and workers have been loaded.
     const Scheduler *scheduler() const { return scheduler_.get(); }
+    /// What was last published for admission.
+    const CapacityForecast &forecast() const { return forecast_; }
 
 private:
     /// State of the stored record that a worker is unreachable and its leases are not renewed.
@@ -479,6 +509,7 @@
     void addJobFromSpec(const KeyValue &item, const std::optional<JobProgress> &progress, Time now);
     void setAside(const JobId &id);
     void updateSchedulerWorkers(Time now);
+    void updateStartsPaused(Time now);
 
     void schedulePass();
     void scheduleTick();
@@ -550,6 +581,7 @@
     bool isDeferredWriteScheduled_ = false;
     Time lastCleanup_{};
     Time nextBacklogAt_{};
+    CapacityForecast forecast_;
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
@@ -559,6 +591,7 @@
 enum class JobAnswer {
     Accepted, // stored
     NotAccepted, // not stored, and will not be; the client can repeat the request later
+    Overloaded, // the same, for lack of capacity; retryAfter() says when to repeat it
     Unknown, // may be stored
     NotFound, // only for cancel() and state(): no such job
 };
@@ -590,30 +623,63 @@
     bool isConfigCurrent(Time now) const;
     /// The watch that delivers the configuration.
     const PrefixWatch &configWatch() const { return *configWatch_; }
+    /// The failure domains that the operator has closed. Always empty if evacuations are off.
+    const std::set<DomainId> &closedDomains() const { return closedDomains_.domains(); }
 
     void submit(const JobSpec &spec, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
+    /// When the client of a job that was answered with Overloaded should repeat it.
+    Duration retryAfter(const JobId &id) const { return admission_.retryAfter(id); }
+    const AdmissionPolicy &admission() const { return admission_; }
     void cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
     /// `state` is valid only if the answer is Accepted.
     using StateCallback = std::function<void(JobAnswer, JobState state, Time now)>;
-    void state(const JobId &id, StateCallback done, Time now);
+    void state(const JobId &id, StateCallback done, Time now, Time deadline = Time::max());
     /// Number of accepted jobs of the queue of which no task has been started. Jobs that started
     /// since the coordinator's last report are still counted.
     int backlog(const QueueId &queue) const;
+    /// Requests that this process has forwarded to others, by outcome.
+    std::map<std::string, std::uint64_t> forwardedRequests() const;
+    /// Requests that other processes have forwarded to this one.
+    std::uint64_t answeredRequests() const;
 
 private:
+    // Calls of clients as this process serves them itself, from the store and its own view.
+    void submitHere(const JobSpec &spec, Time deadline, std::function<void(JobAnswer, Time)> done,
+                    Time now);
+    void cancelHere(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
+                    Time now);
+    void stateHere(const JobId &id, StateCallback done, Time now);
+    void forwardSubmission(const JobSpec &spec, bool maybeStored, Time deadline,
+                           std::function<void(JobAnswer, Time)> done, Time now);
+    void forwardCancellation(const JobId &id, Time deadline,
+                             std::function<void(JobAnswer, Time)> done, Time now);
+    void forwardStateQuery(const JobId &id, Time deadline, StateCallback done, Time now);
+    bool hasRelayPeers() const;
+    void makeHandover();
+    JobSpec withTerms(const JobSpec &spec) const;
+    Time lastStoreContact() const;
     void onConfigItems(const std::vector<KeyValue> &items);
     void applyConfig(const QueueConfig &config);
-    void onCoordinatorItems(const std::vector<KeyValue> &items, Time now);
+    bool followsEvacuations() const;
+    void onEvacuationItems(const std::vector<KeyValue> &items, bool isCompleteLoad, Time now);
+    bool knowsClosedDomains(Time now) const;
+    void onCoordinatorItems(const std::vector<KeyValue> &items, bool isWatched, Time now);
     void scheduleStoreCheck();
     void readState(const JobId &id, JobState known, StateCallback done);
     /// True if this process is the coordinator and has loaded the progress of all jobs.
     bool knowsAllProgress() const { return coordinator_ && coordinator_->scheduler(); }
     void learnSpec(const JobId &id, const KeyValue &item);
     void watchJobs();
-    void onBacklogItem(const KeyValue &item);
-    void onCoordinatorItem(const KeyValue &item, Time now);
+    void store(const JobSpec &job, Time deadline, std::function<void(JobAnswer, Time)> done,
+               Time now);
+    void refuseUnlessStored(const JobSpec &job, Time deadline,
+                            std::function<void(JobAnswer, Time)> done);
+    Duration reportAge(Time now) const;
+    void takeAdmissionReport(const std::string &bytes, bool isWatched, Time now);
+    void onBacklogItem(const KeyValue &item, bool isWatched, Time now);
+    void onCoordinatorItem(const KeyValue &item, bool isWatched, Time now);
     void challengeIfStronger(Time now);
     void onChallenge(double cores);
     void scheduleCandidacy();
@@ -630,13 +696,18 @@
     Random random_;
     QueueConfig config_;
     StoreRevision configRevision_; // of the item that was decoded last
+    ClosedDomains closedDomains_;
     JobView jobView_;
     BacklogReport backlogReport_; // the coordinator's last one; revision 0: none was received yet
+    AdmissionPolicy admission_;
+    std::optional<AdmissionReport> admissionReport_; // the last one that can be read
+    Time admissionReportSince_{}; // it was not written before this time
     OnceWriter writer_;
     std::unique_ptr<PrefixWatch> configWatch_;
     std::unique_ptr<PrefixWatch> coordinatorWatch_;
     std::unique_ptr<PrefixWatch> jobsWatch_;
     std::unique_ptr<Coordinator> coordinator_;
+    std::unique_ptr<Handover> handover_; // null: no request is forwarded
     LeaseId lease_;
     bool isStoreReachable_ = true; // result of the last check whether the store is reachable
     bool isRecordPresent_ = false; // the coordinator record exists, so some process is coordinator
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleet.h"
 
+#include "fleet/handover_p.h"
 #include "fleet/keys_p.h"
 
 #include <algorithm>
@@ -21,26 +22,33 @@
 
 FleetNode::FleetNode(const FleetSettings &settings, const FleetPorts &ports, std::uint64_t seed,
                      Time now)
-    : settings_(settings), ports_(ports), random_(seed), writer_(ports), lastStoreContact_(now),
+    : settings_(settings), ports_(ports), random_(seed), closedDomains_(ports.log),
+      admission_(settings.admission), writer_(ports), lastStoreContact_(now),
       storeContactSince_(now)
 {
     configWatch_ = std::make_unique<PrefixWatch>(
             ports_, settings_.configPrefix, settings_.configWatchWait, Duration::zero(),
-            PrefixWatch::Hooks{
-                    [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); },
-                    [this](const std::vector<KeyValue> &items, Time) { onConfigItems(items); }},
+            PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
+                                   onEvacuationItems(items, true, eventTime);
+                                   onConfigItems(items);
+                               },
+                               [this](const std::vector<KeyValue> &items, Time eventTime) {
+                                   onEvacuationItems(items, false, eventTime);
+                                   onConfigItems(items);
+                               }},
             PrefixWatch::Delivery::LatestState);
     coordinatorWatch_ = std::make_unique<PrefixWatch>(
             ports_, keys::Coordinator, settings_.watchWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
                                    isRecordPresent_ = false;
-                                   onCoordinatorItems(items, eventTime);
+                                   onCoordinatorItems(items, false, eventTime);
                                    if (!jobsWatch_ && !coordinator_)
                                        watchJobs();
                                },
                                [this](const std::vector<KeyValue> &items, Time eventTime) {
-                                   onCoordinatorItems(items, eventTime);
+                                   onCoordinatorItems(items, true, eventTime);
                                }});
+    makeHandover();
 }
 
 FleetNode::~FleetNode() = default;
@@ -56,6 +64,8 @@
     configWatch_->start();
     coordinatorWatch_->start(); // the watch of the jobs follows when its keys are loaded
     scheduleStoreCheck();
+    if (handover_)
+        handover_->start();
 }
 
 /// Checks repeatedly whether the store is reachable, logs each change, and challenges a weaker
@@ -139,20 +149,20 @@
 
 // Election
 
-void FleetNode::onCoordinatorItems(const std::vector<KeyValue> &items, Time now)
+void FleetNode::onCoordinatorItems(const std::vector<KeyValue> &items, bool isWatched, Time now)
 {
     for (const KeyValue &item : items)
-        onCoordinatorItem(item, now);
+        onCoordinatorItem(item, isWatched, now);
     if (!isRecordPresent_)
         scheduleCandidacy();
 }
 
-void FleetNode::onCoordinatorItem(const KeyValue &item, Time now)
+void FleetNode::onCoordinatorItem(const KeyValue &item, bool isWatched, Time now)
 {
     if (item.key == keys::Challenge && !item.deleted)
         onChallenge(std::strtod(item.value.c_str(), nullptr));
     if (item.key == keys::Backlog && !item.deleted)
-        onBacklogItem(item);
+        onBacklogItem(item, isWatched, now);
     if (item.key != keys::Coordinator)
         return;
     isRecordPresent_ = !item.deleted;
@@ -160,7 +170,7 @@
     coordinatorCores_ = std::strtod(item.value.c_str(), nullptr); // the name follows after a space
 }
 
-void FleetNode::onBacklogItem(const KeyValue &item)
+void FleetNode::onBacklogItem(const KeyValue &item, bool isWatched, Time now)
 {
     const std::optional<BacklogReport> report = decodeBacklog(item.value);
     if (!report) {
@@ -170,6 +180,7 @@
     }
     backlogReport_ = *report;
     jobView_.forgetSubmissions({report->revision});
+    takeAdmissionReport(report->admission, isWatched, now);
 }
 
 /// Asks the coordinator to resign if this host has many more cores. After outages a weak host may
@@ -177,7 +188,8 @@
 void FleetNode::challengeIfStronger(Time now)
 {
     const bool isStronger = settings_.hostCores >= settings_.challengeFactor * coordinatorCores_;
-    if (!isRecordPresent_ || coordinator_ || isDraining_ || !isStronger || !isReady(now))
+    if (!isRecordPresent_ || coordinator_ || isDraining_ || !isStronger || !isReady(now)
+        || !reachesStore(now))
         return;
     if (now - std::max(recordReceivedAt_, storeContactSince_) < settings_.challengeAfter
         || (challengedAt_ && now - *challengedAt_ < settings_.challengeInterval))
@@ -289,7 +301,10 @@
     jobsWatch_.reset(); // the coordinator updates the view of the jobs from now on
     coordinator_ = std::make_unique<Coordinator>(
             settings_, ports_, jobView_, recordRevision,
-            Coordinator::Hooks{[this] { stepDown(); }, [this] { return config_; }}, sentAt, now);
+            Coordinator::Hooks{[this] { stepDown(); }, [this] { return config_; },
+                               [this] { return closedDomains_.domains(); },
+                               [this](Time when) { return knowsClosedDomains(when); }},
+            sentAt, now);
     lastStoreContact_ = now;
     scheduleLeaseRenewal();
 }
@@ -346,6 +361,8 @@
     if (isDraining_)
         return;
     isDraining_ = true;
+    if (handover_)
+        handover_->drain();
     if (!coordinator_)
         return;
     const LeaseId lease = lease_;
@@ -356,13 +373,18 @@
 
 // Contact to the store
 
-bool FleetNode::reachesStore(Time now) const
+Time FleetNode::lastStoreContact() const
 {
     Time last = std::max({lastStoreContact_, configWatch_->lastStoreContact(),
                           coordinatorWatch_->lastStoreContact()});
     if (jobsWatch_)
         last = std::max(last, jobsWatch_->lastStoreContact());
-    return now - last < StoreContactTimeout;
+    return last;
+}
+
+bool FleetNode::reachesStore(Time now) const
+{
+    return now - lastStoreContact() < StoreContactTimeout;
 }
 
 bool FleetNode::isConfigCurrent(Time now) const
@@ -372,7 +394,8 @@
 
 bool FleetNode::isReady(Time now) const
 {
-    return config_.version > 0 && !isDraining_ && reachesStore(now);
+    return config_.version > 0 && !isDraining_
+           && (reachesStore(now) || (handover_ && handover_->canForward(now)));
 }
 
 } // namespace monsoonledge
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -9,6 +9,8 @@
 
 constexpr Duration RetryDelay = milliseconds(150); // doubled with each failure, up to the maximum
 constexpr Duration MaxRetryDelay = milliseconds(600);
+// The store ends an answer to a watch at about 1 MB, with later changes left for the next one.
+constexpr std::size_t MaxCompleteAnswerBytes = 256 * 1024;
 
 /// The delay after this many failed calls in a row, at least one. A store that refuses calls at
 /// once would otherwise get several of them a second from every process.
@@ -59,6 +61,7 @@
     loadedItems_.clear();
     lastLoadedKey_.clear();
     revision_ = {};
+    loadSentAt_ = now;
     loadPage(now);
 }
 
@@ -156,6 +159,7 @@
     const bool isBehind = isLoaded_ && newest > newestItem_;
     newestItem_ = std::max(newestItem_, newest);
     isLoaded_ = true;
+    confirmedAt_ = loadSentAt_;
     if (hooks_.changed)
         scheduleWatch(isBehind, Duration::zero());
     hooks_.loaded(items, now); // may destroy this object
@@ -192,6 +196,8 @@
     onCallAnswered(result, now);
     revision_ = std::max(revision_, result.storeRevision);
     newestItem_ = std::max(newestItem_, highestRevision(result.items));
+    if (lastAnswer_.bytes < MaxCompleteAnswerBytes)
+        confirmedAt_ = callSentAt_;
     scheduleWatch(hasRepeatedKey(result.items), result.items.empty() ? Duration::zero() : pause_);
     if (!result.items.empty())
         hooks_.changed(result.items, now); // may destroy this object
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fakes/fakekeyvalue.h"
+#include "fakes/fakerelay.h"
 #include "fakes/fakerunners.h"
 
 #include <algorithm>
@@ -21,11 +22,14 @@
         std::unique_ptr<FakeTimers> timers;
         std::unique_ptr<FakeKeyValuePort> store;
         std::unique_ptr<FakeRunPort> workers;
+        std::unique_ptr<FakeRelayPort> relay; // null: the process forwards no requests
         std::unique_ptr<FleetNode> node;
     };
 
-    explicit FleetWorld(int processCount, int workerCount = 4, std::uint64_t seed = 1)
-        : store(clock), runners(clock), random(seed)
+    /// `hasRelays`: the processes forward requests that the store does not take from their hosts.
+    explicit FleetWorld(int processCount, int workerCount = 4, std::uint64_t seed = 1,
+                        bool hasRelays = false)
+        : store(clock), runners(clock), random(seed), hasRelays_(hasRelays)
     {
         putConfig(1);
         // The registry has removed an entry without heartbeats by then.
@@ -110,17 +114,29 @@
         settings.configKey = "op/config";
         settings.configPrefix = "op/";
         settings.workerPrefix = "servers/";
+        settings.evacuationPrefix = "op/evacuate/";
+        settings.evacuationLimit = evacuationLimit;
+        settings.scheduling.warmupOverage = warmupOverage;
+        settings.admitsUnderShortage = admitsUnderShortage;
         const FleetPorts ports{*process.store,
                                *process.workers,
                                *process.timers,
-                               FleetDecoders{decodeConfig, workerDecoder},
+                               FleetDecoders{decodeConfig, workerDecoder, decodeClosing},
                                [this] { return wall(); },
                                [this](const LogEvent &event) {
                                    log.push_back(event.event);
                                    if (onLog)
                                        onLog(event);
                                }};
-        process.node = std::make_unique<FleetNode>(settings, ports, random.next(), clock.now());
+        FleetPorts allPorts = ports;
+        if (hasRelays_) {
+            settings.relayAddress = relayAddress(index);
+            settings.domain = DomainId("z" + std::to_string(index % 2));
+            process.relay = std::make_unique<FakeRelayPort>(relayNet, settings.relayAddress,
+                                                            *process.timers);
+            allPorts.relay = process.relay.get();
+        }
+        process.node = std::make_unique<FleetNode>(settings, allPorts, random.next(), clock.now());
         process.node->start();
     }
 
@@ -129,6 +145,8 @@
         Process &process = processes.at(static_cast<std::size_t>(index));
         if (process.timers)
             process.timers->kill();
+        if (process.relay)
+            process.relay->disconnect();
         // Ports and timers stay: calls that are under way still refer to them.
         if (process.node) {
             process.node.reset();
@@ -137,6 +155,8 @@
         }
     }
 
+    static Address relayAddress(int index) { return {"10.1.0." + std::to_string(index + 1), 4000}; }
+
     int coordinator() const
     {
         for (std::size_t i = 0; i < processes.size(); ++i) {
@@ -216,9 +236,13 @@
     FakeClock clock;
     FakeKeyValueStore store;
     FakeRunners runners;
+    FakeRelayNet relayNet;
     Random random;
     std::vector<Process> processes;
     std::vector<std::string> log;
+    Duration evacuationLimit{}; // 0: closed domains are ignored; taken at the start of a process
+    double warmupOverage = 0; // as in SchedulingSettings; taken at the start of a process
+    bool admitsUnderShortage = false; // taken at the start of a process
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
     Duration orderDuration{}; // of workers; taken at the start of a process
     double lostAnswerShare = 0; // of answers to orders; taken at the start of a process
@@ -228,6 +252,15 @@
             workerDecoder = decodeWorker;
 
 private:
+    static EvacuationRequest decodeClosing(const std::string &key, const std::string &value)
+    {
+        EvacuationRequest request;
+        request.key = key;
+        request.domain = DomainId(key.substr(std::string("op/evacuate/").size()));
+        request.isReadable = value == "{}" && !request.domain.isEmpty();
+        return request;
+    }
+
     static std::optional<QueueConfig> decodeConfig(const std::string &value)
     {
         QueueConfig config;
@@ -246,6 +279,7 @@
         return config;
     }
 
+    bool hasRelays_;
     std::vector<Process> graveyard_;
 };
 
