--- a/src/scheduling/snapshot.cpp
+++ b/src/scheduling/snapshot.cpp
@@ -65,8 +65,8 @@
     snapshot.endedCpu = workTotals_.endedCpu;
     snapshot.bestEffortDone = workTotals_.bestEffortDone;
     std::unordered_map<QueueId, std::size_t> indexes;
-    // A configuration may have thousands of queues, most of them without jobs. The forecast compares
-    // each queue of the snapshot with each other one.
+    // A configuration may have thousands of queues, most of them without jobs. The forecast
+    // compares each queue of the snapshot with each other one.
     for (const QueueSpec &queue : config_.queues) {
         if (workTotals_.submitted.count(queue.id) > 0)
             queueIndex(snapshot, indexes, queue);
