Mend what a review of the whole change found

The largest workers for each label were compared with maxima that belong to no single worker, so that a job could be refused as never runnable. An admitted attempt was forgotten too early, so that its repetition could be refused. Late evidence cancelled the whole retry delay of a suspect; a start that a silent worker never received got points beside other suspects; two incarnations of one worker counted as two lost workers. A forwarded submission that is refused for lack of capacity no longer counts against the process that refused it. A report for admission with a large backlog could not be decoded.

--- a/src/adapters/relaycodec.cpp
+++ b/src/adapters/relaycodec.cpp
@@ -36,7 +36,7 @@
 template<typename Archive, typename M> void answerFields(Archive &a, M &m)
 {
     a.number("correlation", m.correlation, 0, MaxU64);
-    a.enumeration("kind", m.answer.kind, RelayAnswer::Kind::NotReachable);
+    a.enumeration("kind", m.answer.kind, RelayAnswer::Kind::Overloaded);
     a.enumeration("state", m.answer.state, JobState::Cancelled);
 }
 
--- a/src/fleet/forwarding.cpp
+++ b/src/fleet/forwarding.cpp
@@ -97,6 +97,10 @@
                     done(JobAnswer::Accepted, eventTime);
                     return;
                 }
+                if (answer.kind == RelayAnswer::Kind::Overloaded) {
+                    done(JobAnswer::Overloaded, eventTime);
+                    return;
+                }
                 done(answer.kind == RelayAnswer::Kind::NotStored ? JobAnswer::NotAccepted
                                                                  : JobAnswer::Unknown,
                      eventTime);
--- a/src/fleet/handover.cpp
+++ b/src/fleet/handover.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr Duration CheckInterval = milliseconds(500);
-// A process that the store serves hears from it at least each 0.7 s. After this time it probes the
+// A process that the store serves hears from it at least each 1.2 s, the longest wait of its
+// watches. After this time it probes the
 // others, so that it knows before 2.6 s, when it would report not ready, whether it can forward.
 constexpr Duration MaxContactAge = milliseconds(1500);
 constexpr Duration ProbeTimeout = milliseconds(900); // two attempts
@@ -47,8 +48,9 @@
     case JobAnswer::Accepted:
         return RelayAnswer::Kind::Stored;
     case JobAnswer::NotAccepted:
-    case JobAnswer::Overloaded:
         return RelayAnswer::Kind::NotStored;
+    case JobAnswer::Overloaded:
+        return RelayAnswer::Kind::Overloaded;
     default:
         return RelayAnswer::Kind::Unknown;
     }
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -21,6 +21,8 @@
     switch (answer) {
     case RelayAnswer::Kind::Stored:
         return request == RelayRequest::Kind::Submit || request == RelayRequest::Kind::Cancel;
+    case RelayAnswer::Kind::Overloaded:
+        return request == RelayRequest::Kind::Submit;
     case RelayAnswer::Kind::NoSuchJob:
         return request == RelayRequest::Kind::Cancel || request == RelayRequest::Kind::State;
     case RelayAnswer::Kind::State:
@@ -51,6 +53,8 @@
         return "state";
     case RelayAnswer::Kind::NotReachable:
         return "not_reachable";
+    case RelayAnswer::Kind::Overloaded:
+        return "overloaded";
     default:
         return "unknown";
     }
@@ -179,7 +183,10 @@
     if (isAnswered && isDefinite(pending->request.kind, kind)) {
         peers_.onSucceeded(peer.name);
         lastReachedAt_ = now;
-        finish(*pending, result.answer, now);
+        RelayAnswer answer = result.answer;
+        if (kind == RelayAnswer::Kind::Overloaded && pending->maybeStored)
+            answer.kind = RelayAnswer::Kind::Unknown; // an earlier attempt may have stored it
+        finish(*pending, answer, now);
         return;
     }
     // A lost answer, and an answer that does not fit the request, leave the outcome open. So does a
--- a/src/fleet/relay.h
+++ b/src/fleet/relay.h
@@ -1,7 +1,8 @@
 // Forwarding of clients' requests to another entry process while the store rejects this host.
 //
-// A request is forwarded at most once: the process that receives it answers it from the store, or
-// answers that it does not reach the store either. The sender then tries one other process.
+// A request is never forwarded twice in a row: the process that receives it answers it from the
+// store, or answers that it does not reach the store either. The sender may then send it to one
+// other process.
 //
 // Sections:
 //   [1] Messages and port
@@ -55,6 +56,7 @@
         State, // `state` is the job's state
         Reachable, // answers a probe
         NotReachable, // the receiver does not reach the store and has not tried it
+        Overloaded, // of a submission: not stored, and never will be, for lack of capacity
     };
     Kind kind = Kind::Unknown;
     JobState state = JobState::Pending;
--- a/src/overload/decision.cpp
+++ b/src/overload/decision.cpp
@@ -231,7 +231,8 @@
     return place >= (hasWaited ? (1 + admitShare) / 2 : admitShare);
 }
 
-/// The wait in whole seconds, at least 1, spread over up to twice its length by the job's id.
+/// The wait in whole seconds, at least 1, spread by the job's id up to one second more than twice
+/// its length: short waits need the most room to keep callers apart.
 Duration AdmissionPolicy::spreadRetryAfter(const JobId &job, Duration wait) const
 {
     const double longest = toMilliseconds(settings_.maxRetryAfter) / 1000;
@@ -239,7 +240,9 @@
             std::clamp(std::ceil(toMilliseconds(wait) / 1000), 1.0, std::max(longest / 2, 1.0));
     const auto spread = static_cast<std::uint64_t>(shortest) + 2;
     const std::uint64_t extra = stableHash(job.str()) % spread;
-    return seconds(static_cast<std::int64_t>(shortest) + static_cast<std::int64_t>(extra));
+    const Duration spreadWait =
+            seconds(static_cast<std::int64_t>(shortest) + static_cast<std::int64_t>(extra));
+    return std::min(spreadWait, settings_.maxRetryAfter);
 }
 
 AdmissionPolicy::Remembered &AdmissionPolicy::remember(const JobId &job, Time now)
@@ -247,12 +250,19 @@
     while (!rememberedOrder_.empty()
            && (remembered_.size() >= settings_.maxRemembered
                || now - rememberedOrder_.front().first > settings_.memory)) {
-        remembered_.erase(rememberedOrder_.front().second);
+        const JobId oldest = rememberedOrder_.front().second;
         rememberedOrder_.pop_front();
+        const Time lastUsedAt = remembered_.at(oldest).lastUsedAt;
+        const bool isInUse = now - lastUsedAt <= settings_.memory;
+        if (isInUse && remembered_.size() < settings_.maxRemembered)
+            rememberedOrder_.emplace_back(lastUsedAt, oldest);
+        else
+            remembered_.erase(oldest);
     }
     const auto inserted = remembered_.try_emplace(job);
     if (inserted.second)
         rememberedOrder_.emplace_back(now, job);
+    inserted.first->second.lastUsedAt = now;
     return inserted.first->second;
 }
 
--- a/src/overload/forecast.cpp
+++ b/src/overload/forecast.cpp
@@ -1,8 +1,8 @@
 // The forecast of capacity and of delays.
 //
 // Delays follow a fluid model: the processors that long-running tasks leave work off what waits. A
-// simulation of all tasks would be more exact, but the estimates of durations are off by a factor
-// of 1.5 to 1.9, and the coordinator has a few milliseconds a second for it.
+// simulation of all tasks would cost the coordinator much more time and be hardly more exact, since
+// it rests on the clients' estimates of durations.
 #include "overload/overload.h"
 
 #include <algorithm>
@@ -12,6 +12,9 @@
 
 namespace {
 
+constexpr std::size_t IntervalsIn1s = seconds(1) / RoomInterval;
+constexpr std::size_t IntervalsIn3s = seconds(3) / RoomInterval;
+
 constexpr Duration DefaultDuration = milliseconds(500); // of a task without an estimate
 constexpr Duration MaxCountedDuration = seconds(30);
 constexpr std::size_t RoomIntervals = 10;
@@ -173,8 +176,8 @@
         totals.free += static_cast<double>(room.free);
         wanted += static_cast<double>(room.wantedByInterrupted);
         for (std::size_t i = 0; i < room.freeing.size(); ++i) {
-            totals.freeing1s += i < 2 ? static_cast<double>(room.freeing[i]) : 0;
-            totals.freeing3s += i < 6 ? static_cast<double>(room.freeing[i]) : 0;
+            totals.freeing1s += i < IntervalsIn1s ? static_cast<double>(room.freeing[i]) : 0;
+            totals.freeing3s += i < IntervalsIn3s ? static_cast<double>(room.freeing[i]) : 0;
         }
     }
     totals.free -= wanted;
@@ -251,6 +254,7 @@
     const auto compare = [&](Duration age, double Prediction::*value,
                              std::optional<double> &result) {
         constexpr Duration tolerance = milliseconds(300);
+        result.reset();
         for (const Prediction &prediction : history.predictions) {
             const Duration actualAge = snapshot.asOf - prediction.madeAt;
             if (actualAge >= age - tolerance && actualAge <= age + tolerance && totals.total > 0)
@@ -327,7 +331,7 @@
     }
 }
 
-/// For each label, at least all workers that no other one exceeds in every respect.
+/// For each label, the workers that no other one equals or exceeds in every respect.
 std::vector<WorkerShape> CapacityForecast::shapesOf(const CapacitySnapshot &snapshot,
                                                     const ServiceId &service,
                                                     ServiceHistory &history) const
@@ -342,8 +346,6 @@
             history.shapes[{label, shape.cpu, shape.memory, shape.accelerators}] = snapshot.asOf;
     }
     std::vector<WorkerShape> shapes;
-    std::int64_t mostMemory = 0;
-    int mostAccelerators = 0;
     // From the end: by label, the largest number of processors first.
     for (auto it = history.shapes.end(); it != history.shapes.begin();) {
         --it;
@@ -352,12 +354,14 @@
             continue;
         }
         const auto &[label, cpu, memory, accelerators] = it->first;
-        const bool isFirst = shapes.empty() || shapes.back().label != label;
-        if (!isFirst && memory <= mostMemory && accelerators <= mostAccelerators)
-            continue;
-        mostMemory = isFirst ? memory : std::max(mostMemory, memory);
-        mostAccelerators = isFirst ? accelerators : std::max(mostAccelerators, accelerators);
-        shapes.push_back({cpu, memory, accelerators, label});
+        const WorkerShape shape{cpu, memory, accelerators, label};
+        const bool isCovered =
+                std::any_of(shapes.begin(), shapes.end(), [&shape](const WorkerShape &larger) {
+                    return larger.label == shape.label && larger.memory >= shape.memory
+                           && larger.accelerators >= shape.accelerators;
+                });
+        if (!isCovered)
+            shapes.push_back(shape);
     }
     return shapes.size() > MaxShapes ? std::vector<WorkerShape>() : shapes;
 }
--- a/src/overload/overload.h
+++ b/src/overload/overload.h
@@ -302,6 +302,7 @@
         Time mayReturnAt{};
         Duration retryAfter{};
         std::optional<Time> attemptedAt; // to store it
+        Time lastUsedAt{}; // last refusal or attempt
     };
 
     bool isExcess(const JobId &job, double admitShare, bool hasWaited, Time now) const;
--- a/src/overload/record.cpp
+++ b/src/overload/record.cpp
@@ -50,8 +50,11 @@
     Json shapes = Json::array();
     for (const WorkerShape &shape : service.shapes)
         shapes.push_back(Json::array({shape.label, shape.cpu, shape.memory, shape.accelerators}));
-    return Json::array({service.service.str(), service.total, service.free, service.bestEffortFree,
-                        priorities, shapes});
+    const auto limited = [](std::int64_t value) {
+        return std::clamp<std::int64_t>(value, -MaxTotal, MaxTotal);
+    };
+    return Json::array({service.service.str(), limited(service.total), limited(service.free),
+                        limited(service.bestEffortFree), priorities, shapes});
 }
 
 ServiceLoad decodeService(const Json &json)
--- a/src/scheduling/crashevidence.cpp
+++ b/src/scheduling/crashevidence.cpp
@@ -10,12 +10,13 @@
 constexpr std::uint64_t ClockToleranceMs = 500;
 // A smaller incarnation is a counter or a time in another unit: 2001 in Unix time.
 constexpr std::uint64_t MinBirthMs = 1000000000000;
-// A rack counts as lost if at least this many other workers, and this share of them, are.
+// A loss is explained by its rack or failure domain if at least this many other workers there, and
+// this share of them, were lost with it.
 constexpr int MinLostInRack = 2;
 constexpr int MinLostInDomain = 3;
-constexpr int MinLostQuotient = 4; // a quarter
+constexpr int LostShareDivisor = 4; // at least a quarter of the others
 
-bool hasBegunPossibly(const StartLoss &loss)
+bool mayHaveBegun(const StartLoss &loss)
 {
     return loss.isConfirmed || loss.wasReachable;
 }
@@ -47,7 +48,7 @@
     int points = 0;
     for (const StartLoss &loss : losses) {
         const bool isPending = loss.end == LossEnd::Unknown && loss.isOnlySuspect
-                               && !loss.isCorrelated && hasBegunPossibly(loss);
+                               && !loss.isCorrelated && mayHaveBegun(loss);
         if (isPending)
             points += loss.isConfirmed ? ProvenCrashPoints : LikelyCrashPoints;
     }
@@ -71,13 +72,12 @@
 
 bool isCorrelated(const LossSurroundings &rack, const LossSurroundings &domain)
 {
-    return (rack.lost >= MinLostInRack && rack.lost * MinLostQuotient >= rack.workers)
-           || (domain.lost >= MinLostInDomain && domain.lost * MinLostQuotient >= domain.workers);
+    return (rack.lost >= MinLostInRack && rack.lost * LostShareDivisor >= rack.workers)
+           || (domain.lost >= MinLostInDomain && domain.lost * LostShareDivisor >= domain.workers);
 }
 
 CrashVerdict assessLoss(const StartLoss &loss, const StartLoss *earlier, std::size_t earlierCount)
 {
-    const bool isExplained = loss.isCorrelated;
     switch (loss.end) {
     case LossEnd::Unknown:
         return {CrashCertainty::None, "unreachable"};
@@ -87,18 +87,18 @@
     case LossEnd::Later:
         if (!loss.isOnlySuspect)
             return {CrashCertainty::None, "several-suspects"};
-        if (isExplained)
+        if (loss.isCorrelated)
             return {CrashCertainty::None, "lost-with-its-place"};
-        return hasBegunPossibly(loss) ? assessSilent(loss, earlier, earlierCount)
-                                      : CrashVerdict{CrashCertainty::None, "start-not-received"};
+        return mayHaveBegun(loss) ? assessSilent(loss, earlier, earlierCount)
+                                  : CrashVerdict{CrashCertainty::None, "start-not-received"};
     case LossEnd::RightAfter:
         break;
     }
+    if (!mayHaveBegun(loss))
+        return {CrashCertainty::None, "start-not-received"};
     if (!loss.isOnlySuspect)
         return {CrashCertainty::Possible, "several-suspects"};
-    if (!hasBegunPossibly(loss))
-        return {CrashCertainty::None, "start-not-received"};
-    if (isExplained)
+    if (loss.isCorrelated)
         return {CrashCertainty::Possible, "lost-with-its-place"};
     return loss.isConfirmed ? CrashVerdict{CrashCertainty::Proven, "ended-after-confirmed-start"}
                             : CrashVerdict{CrashCertainty::Likely, "ended-after-unanswered-start"};
--- a/src/scheduling/joborder.cpp
+++ b/src/scheduling/joborder.cpp
@@ -40,11 +40,14 @@
            < std::tie(b.jobClass, b.priority, b.work, b.objective);
 }
 
+Time expectedEnd(const DelayCost &cost, double remainingTimeFactor, Time now)
+{
+    return now + std::chrono::duration_cast<Duration>(cost.remainingPath * remainingTimeFactor);
+}
+
 JobRank rankOf(const WaitingJob &job, const JobOrderSettings &settings, Time now)
 {
-    const Time doneBy = now
-                        + std::chrono::duration_cast<Duration>(job.cost.remainingPath
-                                                               * settings.remainingTimeFactor);
+    const Time doneBy = expectedEnd(job.cost, settings.remainingTimeFactor, now);
     JobRank rank;
     rank.jobClass = classOf(job, settings, doneBy);
     rank.priority = job.cost.priority;
--- a/src/scheduling/joborder_p.h
+++ b/src/scheduling/joborder_p.h
@@ -1,8 +1,8 @@
 // The order in which waiting jobs get capacity, by what a delay costs their callers. The functions
 // take plain values and keep no state.
 //
-// Load that they answer: more work than fits, from bursts or lost capacity. In order of arrival or
-// of objectives alone, each job then starts a little too late, and few are done in time.
+// They matter when there is more work than fits, after bursts or lost capacity. In order of arrival
+// or of objectives alone, each job then starts a little too late, and few are done in time.
 #pragma once
 
 #include "capacity/capacity.h"
@@ -53,6 +53,10 @@
     friend bool operator<(const JobRank &a, const JobRank &b);
 };
 
+/// The time at which the job is expected to be done if all its tasks start without a delay.
+/// `remainingTimeFactor`: see JobOrderSettings.
+Time expectedEnd(const DelayCost &cost, double remainingTimeFactor, Time now);
+
 /// The rank of a job. Among jobs that can be on time, the work of a job counts less the closer it
 /// is to being late, so that wide jobs are not passed over until it is too late for them.
 JobRank rankOf(const WaitingJob &job, const JobOrderSettings &settings, Time now);
--- a/src/scheduling/losses.cpp
+++ b/src/scheduling/losses.cpp
@@ -121,6 +121,8 @@
     }
     LossSurroundings rack;
     LossSurroundings zone;
+    std::set<WorkerId> lostInRack;
+    std::set<WorkerId> lostInZone;
     for (const auto &[id, other] : workers_) {
         const bool isOther = other.get() != &worker;
         rack.workers += isOther && placeOf(other->entry) == place ? 1 : 0;
@@ -131,9 +133,13 @@
             || workersOfGang.count(silence.worker) > 0 || silence.since < since - SameMoment
             || silence.since > since + SameMoment)
             continue;
-        rack.lost += silence.place == place ? 1 : 0;
-        zone.lost += silence.domain == domain ? 1 : 0;
+        if (silence.place == place)
+            lostInRack.insert(silence.worker);
+        if (silence.domain == domain)
+            lostInZone.insert(silence.worker);
     }
+    rack.lost = static_cast<int>(lostInRack.size());
+    zone.lost = static_cast<int>(lostInZone.size());
     return isCorrelated(rack, zone);
 }
 
@@ -351,7 +357,8 @@
         return;
     markChanged(*task.job);
     if (task.progress.phase == TaskPhase::Waiting)
-        task.earliestStart = std::min(task.earliestStart, now); // its delay was for evidence
+        task.earliestStart = // without the part of the delay that waited for this evidence
+                std::min(task.earliestStart, task.waitingSince + delayAfterLoss(task));
     giveUpDeadly({&task}, now);
 }
 
--- a/src/scheduling/order.cpp
+++ b/src/scheduling/order.cpp
@@ -1,9 +1,5 @@
 // The order in which jobs with waiting tasks get capacity in a planning pass.
-//
-// Load that it answers: more work than fits. Jobs that can still meet their objective come first,
-// by the priority of their queue, and among those of one priority the ones that need little
-// capacity; late jobs get what is left, and jobs whose result has lost its value come last. In
-// order of arrival or of objectives alone, an overload makes nearly every job late.
+// The rank of a job is explained in joborder_p.h.
 #include "scheduling/joborder_p.h"
 #include "scheduling/planpass_p.h"
 
@@ -34,9 +30,7 @@
     double coreSeconds = 0;
     for (std::size_t i = 0; i < job.doneTaskCounts.size(); ++i) {
         const StepSpec &step = job.spec.steps[i % steps];
-        const double taskSeconds = toMilliseconds(step.estimate) / 1000;
-        const int left = step.count - job.doneTaskCounts[i];
-        coreSeconds += left * taskSeconds * static_cast<double>(step.cpu.value) / 1000;
+        coreSeconds += (step.count - job.doneTaskCounts[i]) * coreSecondsOf(step);
     }
     return coreSeconds;
 }
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -79,6 +79,8 @@
 bool startTogether(const ScheduledTask &a, const ScheduledTask &b);
 /// Failure domain and labels of a worker, one of which names its rack.
 std::string placeOf(const WorkerEntry &worker);
+/// Processor time of one task, in core-seconds, by the client's estimate (countedDuration()).
+double coreSecondsOf(const StepSpec &step);
 bool hasLabel(const WorkerEntry &worker, const std::string &label);
 /// The number of tasks on the worker that belong to the same step and occurrence of the job.
 int countTasksOfStep(const ScheduledWorker &worker, const TaskRef &ref);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -240,7 +240,8 @@
     // Among the jobs of one priority that can be on time, those that need little capacity come
     // first.
     bool prefersShortJobs = true;
-    // How long an interrupted long-running task lets such jobs pass; at most preemptAfter.
+    // How long short jobs of the same priority start before an interrupted long-running task. Must
+    // not exceed preemptAfter.
     Duration maxRestartDelay{};
     // Waiting time of a long-running task before it preempts other tasks.
     Duration preemptAfter = milliseconds(700);
--- a/src/scheduling/snapshot.cpp
+++ b/src/scheduling/snapshot.cpp
@@ -1,19 +1,20 @@
 // Describes the scheduler's state for the forecast of capacity. The cost is one pass over the steps
 // of the active jobs and over the runs of all workers; waiting tasks are counted by step.
+#include "scheduling/joborder_p.h"
 #include "scheduling/planpass_p.h"
 
 #include "overload/overload.h"
 
 namespace monsoonledge {
 
-namespace {
-
 double coreSecondsOf(const StepSpec &step)
 {
     return toMilliseconds(countedDuration(step.estimate)) / 1000
            * static_cast<double>(step.cpu.value) / 1000;
 }
 
+namespace {
+
 /// Index of the job's queue in the snapshot. Queues that the configuration no longer has are added.
 std::size_t queueIndex(CapacitySnapshot &snapshot,
                        std::unordered_map<QueueId, std::size_t> &indexes, const QueueSpec &queue)
@@ -40,7 +41,7 @@
 
 } // namespace
 
-/// Counts the work of a job that was accepted while this coordinator is in office.
+/// Counts the work of a job that was accepted since this coordinator was elected.
 void Scheduler::countSubmitted(const ScheduledJob &job)
 {
     double &total = workTotals_.submitted[job.spec.queue];
@@ -111,13 +112,9 @@
 {
     if (job.waitingTasks == 0)
         return;
-    const Time objective = objectiveOf(job);
-    const Time doneBy = now
-                        + std::chrono::duration_cast<Duration>(remainingCriticalPath(job)
-                                                               * settings_.remainingTimeFactor);
-    const auto useful = std::chrono::duration_cast<Duration>((objective - job.submittedAt)
-                                                             * settings_.maxLatenessFactor);
-    const bool isWorthless = doneBy > job.submittedAt + useful;
+    const DelayCost cost = delayCostOf(job, now);
+    const Time doneBy = expectedEnd(cost, settings_.remainingTimeFactor, now);
+    const bool isWorthless = doneBy > cost.worthlessAfter;
     const int steps = static_cast<int>(job.spec.steps.size());
     for (std::size_t i = 0; i < job.waitingTaskCounts.size(); ++i) {
         const int waiting = job.waitingTaskCounts[i];
@@ -137,7 +134,7 @@
         WaitingWork work;
         work.queue = queue;
         work.bestEffort = step.bestEffort;
-        work.isLate = doneBy > objective;
+        work.isLate = doneBy > cost.objective;
         const bool isStartable = isStepRunnable(job, occurrence, stepNumber);
         work.startableCpu = isStartable ? cpu : 0;
         (isStartable ? work.startableCoreSeconds : work.laterCoreSeconds) =
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -7,6 +7,7 @@
 #include "platform/platform.h"
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 
 using namespace monsoonledge;
@@ -52,6 +53,11 @@
     };
     const std::string none = Address().str();
     const std::string address = "10.1.0.13:9500";
+    const std::string complete = "Ip: \"10.1.0.13\"\nInternalPortRange: \"9500-9509\"\n";
+    unsetenv("MONSOONLEDGE_RELAY");
+    CHECK(relayAddress(complete) == none); // forwarding is not switched on
+    setenv("MONSOONLEDGE_RELAY", "on", 1);
+    CHECK(relayAddress(complete) == address);
     CHECK(relayAddress("") == none);
     CHECK(relayAddress("Ip: \"10.1.0.13\"\n") == none);
     CHECK(relayAddress("InternalPortRange: \"9500-9509\"\n") == none);
