--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -70,8 +70,7 @@
 TEST_CASE(
         "under the named loads, admission makes no fewer jobs on time and nothing idle is refused")
 {
-    // A loss of up to two in a hundred in a single load is within the spread between seeds.
-    constexpr double SpreadOfSeeds = 0.98;
+    constexpr double minShareOfOneLoad = 0.98; // a single load may lose a little, their sum not
     int with = 0;
     int without = 0;
     for (const OverloadLoad &load : namedLoads()) {
@@ -86,7 +85,7 @@
             loadWithout += all.onTime();
             CHECK(admitted.refusalsWhileFree == 0);
         }
-        CHECK(loadWith >= SpreadOfSeeds * loadWithout);
+        CHECK(loadWith >= minShareOfOneLoad * loadWithout);
         with += loadWith;
         without += loadWithout;
     }
@@ -97,9 +96,9 @@
 {
     const OverloadResult result =
             OverloadModel(loadNamed("atTheLimit"), JobOrder::Scheduler, true, 11).run();
-    for (const auto &[queue, switches] : result.switches) {
-        CAPTURE(queue);
-        CHECK(switches <= 12); // of 60 reports: no more than a switch in five seconds
+    for (const auto &item : result.switches) {
+        CAPTURE(item.first);
+        CHECK(item.second <= 12); // of 60 reports: no more than a switch in five seconds
     }
 }
 
@@ -122,7 +121,8 @@
     int refusalsOfAll = 0;
     for (const OverloadLoad &load : namedLoads()) {
         OverloadResult result = OverloadModel(load, JobOrder::Scheduler, true, 23).run();
-        for (auto &[queue, answers] : result.firstAnswers) {
+        for (auto &item : result.firstAnswers) {
+            auto &answers = item.second;
             std::sort(answers.begin(), answers.end());
             const std::size_t rest = answers.size() * 9 / 10;
             const auto refusedIn = [&](std::size_t from, std::size_t until) {
@@ -135,7 +135,7 @@
             const double ofRest = refusedIn(0, rest);
             const double ofLargest = refusedIn(rest, answers.size());
             CAPTURE(load.name);
-            CAPTURE(queue);
+            CAPTURE(item.first);
             // One refused job of a small tenth is not a rate.
             const double oneJob = 1.0 / static_cast<double>(answers.size() - rest);
             CHECK(ofLargest <= 2 * ofRest + oneJob);
