Coordinator: report no capacity for admission before its workers could answer

A new coordinator published its first report for admission 100 ms after it had loaded its state, before any worker had answered it. The report said that there is no capacity, so the entry processes refused jobs as worthless, with delays of minutes.

The report is now left out until each registered worker has answered, or has had the time to. A service without any worker that accepts tasks gives no estimate, so its jobs are admitted. The new test fails without the change.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -131,6 +131,7 @@
     settings_.scheduling.maxLeaseDuration = longestDurationOf(settings_.maxWorkerLease);
     scheduler_ =
             std::make_unique<Scheduler>(settings_.scheduling, formerLeaseExpiry, ports_.log, now);
+    schedulingSince_ = now;
     scheduler_->setConfig(hooks_.config());
     scheduler_->setWallClock(ports_.wallNow(), now);
     updateSchedulerWorkers(now);
@@ -472,6 +473,22 @@
     });
 }
 
+/// True once each registered worker has answered this coordinator or has had the time to. Before,
+/// workers that are not heard from yet would be missing from the capacity, and jobs be refused that
+/// there is capacity for.
+bool Coordinator::knowsCapacity(Time now) const
+{
+    if (!scheduler_)
+        return false;
+    if (now - schedulingSince_ >= settings_.scheduling.maxReportAge)
+        return true;
+    const auto &workers = scheduler_->workers();
+    return std::all_of(workers.begin(), workers.end(), [](const auto &entry) {
+        const ScheduledWorker &worker = *entry.second;
+        return !worker.listed || worker.hasEnded || worker.hasReported;
+    });
+}
+
 /// Writes the backlog for the other processes. If the call fails, the next report replaces it.
 void Coordinator::publishBacklog(Time now)
 {
@@ -484,7 +501,7 @@
         if (jobs > 0)
             report.jobs[queue] = jobs;
     }
-    if (settings_.admitsUnderShortage && scheduler_) {
+    if (settings_.admitsUnderShortage && knowsCapacity(now)) {
         const WorkMeter::Scope scope(ports_.workMeter, WorkKind::Planning);
         forecast_.update(scheduler_->capacitySnapshot(now));
         report.admission = encodeAdmissionReport(forecast_.report());
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -523,6 +523,7 @@
     void onWriteConflict(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
                          Time now);
     void removeFinishedJobs(Time now);
+    bool knowsCapacity(Time now) const;
     void publishBacklog(Time now);
     void sendOrders(Time now);
     void sendStart(const StartOrder &order, Time now);
@@ -556,6 +557,7 @@
     Time startedAt_;
     Time lastStoreContact_;
     std::unique_ptr<Scheduler> scheduler_;
+    Time schedulingSince_{}; // when the scheduler was created
     std::unique_ptr<PrefixWatch> jobsLoader_;
     std::unique_ptr<PrefixWatch> jobInputWatch_;
     std::unique_ptr<PrefixWatch> registryWatch_;
--- a/src/overload/decision.cpp
+++ b/src/overload/decision.cpp
@@ -125,7 +125,7 @@
     if (!report || reportAge > settings_.maxReportAge)
         return decision;
     const ServiceLoad *service = report->find(job.terms.service);
-    if (!service)
+    if (!service || service->total == 0) // nothing to estimate a delay from
         return decision;
     decision.free = service->free;
     decision.total = service->total;
--- a/src/overload/overload.h
+++ b/src/overload/overload.h
@@ -244,7 +244,7 @@
 };
 
 enum class AdmissionReason {
-    NoReport, // admitted: there is no recent report
+    NoReport, // admitted: there is no recent report, or no worker in it that accepts tasks
     NeverRefused, // admitted: a long-running or repeated job
     MaybeStored, // admitted: an earlier attempt may have stored it
     FreeCapacity, // admitted
--- a/tests/process/relay_test.py
+++ b/tests/process/relay_test.py
@@ -24,7 +24,8 @@
     while time.monotonic() - begin < 6:
         number += 1
         path = f"/renewal/{job_id(number)}"
-        assert rejected.call("POST", path, job(1)) == (200, {}), number
+        answer = rejected.call("POST", path, job(1))
+        assert answer == (200, {}), (number, answer)
         assert rejected.is_ready(), number
         time.sleep(0.1)
     bed.wait(lambda: bed.state(job_id(number), 1) == "completed", "a job of a rejected host")
--- a/tests/unit/overload_fleet_test.cpp
+++ b/tests/unit/overload_fleet_test.cpp
@@ -108,6 +108,23 @@
     CHECK(answer != JobAnswer::Overloaded);
 }
 
+// Guards against a successor that counts workers it has not heard from yet as lost capacity.
+TEST_CASE("a new coordinator reports no capacity before its workers had time to answer")
+{
+    FleetWorld world(1, 4);
+    world.admitsUnderShortage = true;
+    world.start(0);
+    world.runners.at("w1").reachable = false;
+    REQUIRE(world.wait([&] { return world.store.items().count("coordinator/backlog") > 0; }));
+    const auto report = [&world] {
+        return decodeBacklog(world.store.items().at("coordinator/backlog").value)->admission;
+    };
+    CHECK(report().empty());
+    CHECK(world.submit(0, FleetWorld::job("early", 32, "ms=2000")) == JobAnswer::Accepted);
+    // The silent worker counts as unreachable from then on.
+    CHECK(world.wait([&] { return !report().empty(); }));
+}
+
 TEST_CASE("unless switched on, nothing is reported or refused")
 {
     FleetWorld world(1, 1);
