Relay: go on repeating a write here while another process tries it

While the store is slow or loses answers for all hosts, no other process does better, so that more submissions ended with an unknown outcome than without forwarding.

Both attempts now run until the deadline, and the first certain answer counts.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -653,6 +653,8 @@
     void cancelHere(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                     Time now);
     void stateHere(const JobId &id, StateCallback done, Time now);
+    void repeatSubmission(const JobSpec &spec, Time deadline,
+                          std::function<void(JobAnswer, Time)> done, Time now);
     void forwardSubmission(const JobSpec &spec, bool maybeStored, Time deadline,
                            std::function<void(JobAnswer, Time)> done, Time now);
     void forwardCancellation(const JobId &id, Time deadline,
--- a/src/fleet/forwarding.cpp
+++ b/src/fleet/forwarding.cpp
@@ -19,6 +19,23 @@
     return request;
 }
 
+using AnswerCallback = std::function<void(JobAnswer, Time)>;
+
+/// A callback for two attempts at the same call. Passes on the first outcome that is certain, or
+/// Unknown when neither is.
+AnswerCallback firstCertain(AnswerCallback done)
+{
+    return [done = std::move(done), openAttempts = std::make_shared<int>(2)](JobAnswer outcome,
+                                                                             Time now) {
+        if (*openAttempts == 0)
+            return;
+        const bool isCertain = outcome == JobAnswer::Accepted || outcome == JobAnswer::NotFound;
+        *openAttempts = isCertain ? 0 : *openAttempts - 1;
+        if (*openAttempts == 0)
+            done(isCertain ? outcome : JobAnswer::Unknown, now);
+    };
+}
+
 /// The one of two states of a job that it reaches later.
 JobState laterState(JobState a, JobState b)
 {
@@ -76,13 +93,24 @@
                 // The store would give another process the same shortage to decide by.
                 if (outcome == JobAnswer::Accepted || outcome == JobAnswer::Overloaded)
                     done(outcome, eventTime);
+                else if (outcome == JobAnswer::Unknown)
+                    repeatSubmission(spec, deadline, done, eventTime);
                 else
-                    forwardSubmission(spec, outcome == JobAnswer::Unknown, deadline, done,
-                                      eventTime);
+                    forwardSubmission(spec, false, deadline, done, eventTime);
             },
             now);
 }
 
+/// Repeats a submission without an answer here and through another process: the store may reject
+/// this host, or be slow and lose answers for all.
+void FleetNode::repeatSubmission(const JobSpec &spec, Time deadline,
+                                 std::function<void(JobAnswer, Time)> done, Time now)
+{
+    const AnswerCallback onAnswer = firstCertain(std::move(done));
+    forwardSubmission(spec, true, deadline, onAnswer, now);
+    submitHere(spec, deadline, onAnswer, now);
+}
+
 void FleetNode::forwardSubmission(const JobSpec &spec, bool maybeStored, Time deadline,
                                   std::function<void(JobAnswer, Time)> done, Time now)
 {
@@ -122,10 +150,13 @@
     cancelHere(
             id, std::max(now, deadline - ForwardingReserve),
             [this, id, deadline, done = std::move(done)](JobAnswer outcome, Time eventTime) {
-                if (outcome == JobAnswer::Unknown)
-                    forwardCancellation(id, deadline, done, eventTime);
-                else
+                if (outcome != JobAnswer::Unknown) {
                     done(outcome, eventTime);
+                    return;
+                }
+                const AnswerCallback onAnswer = firstCertain(done);
+                forwardCancellation(id, deadline, onAnswer, eventTime);
+                cancelHere(id, deadline, onAnswer, eventTime);
             },
             now);
 }
