--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -14,6 +14,10 @@
         seconds(2); // of an answer that shows that a peer reaches the store
 constexpr int MaxAttempts = 2; // peers for each request
 constexpr int MaxInFlight = 64; // requests
+// Attempts in a row that reached no process with contact to the store. After them the store is
+// considered down for all hosts: requests are not forwarded, except for one in each interval.
+constexpr int MaxFailuresInARow = 6;
+constexpr Duration StoreDownRetryInterval = milliseconds(500);
 
 /// True if the answer is final for the caller.
 bool isDefinite(RelayRequest::Kind request, RelayAnswer::Kind answer)
@@ -137,8 +141,11 @@
 void Relay::forward(const RelayRequest &request, bool maybeStored, Time deadline, Done done,
                     Time now)
 {
-    if (inFlight_ >= MaxInFlight) {
-        count(request, "over_limit");
+    const bool isProbe = request.kind == RelayRequest::Kind::Probe;
+    const bool isStoreDown = !isProbe && failuresInARow_ >= MaxFailuresInARow
+                             && now - lastFailedAt_ < StoreDownRetryInterval;
+    if (inFlight_ >= MaxInFlight || isStoreDown) {
+        count(request, isStoreDown ? "store_down" : "over_limit");
         done({maybeStored ? RelayAnswer::Kind::Unknown : RelayAnswer::Kind::NotStored}, now);
         return;
     }
@@ -183,6 +190,7 @@
     if (isAnswered && isDefinite(pending->request.kind, kind)) {
         peers_.onSucceeded(peer.name);
         lastReachedAt_ = now;
+        failuresInARow_ = 0;
         RelayAnswer answer = result.answer;
         if (kind == RelayAnswer::Kind::Overloaded && pending->maybeStored)
             answer.kind = RelayAnswer::Kind::Unknown; // an earlier attempt may have stored it
@@ -196,6 +204,8 @@
     pending->maybeStored = pending->maybeStored || !isExcluded;
     // A caller with a short deadline does not show that the peer is slow.
     const bool isCutShort = result.delivery == RelayDelivery::Lost && timeout < PeerTimeout;
+    ++failuresInARow_;
+    lastFailedAt_ = now;
     if (!isCutShort)
         noteFailure(peer, isAnswered ? answerName(kind) : result.detail, now);
     attempt(pending, now);
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -133,6 +133,33 @@
     CHECK(*submission == JobAnswer::Accepted);
 }
 
+// Guards against unknown outcomes and load in an outage of the whole store: a request that is lost
+// on its way to a process that could not have stored it is answered 504, after which it may not be
+// repeated.
+TEST_CASE("while no process reaches the store, submissions are refused without asking others")
+{
+    constexpr int ProcessCount = 12;
+    RelayWorld world(ProcessCount);
+    const auto received = [&world] {
+        int count = 0;
+        for (int i = 0; i < ProcessCount; ++i)
+            count += world.relayOf(i).requestsReceived;
+        return count;
+    };
+    for (int i = 0; i < ProcessCount; ++i)
+        world.storeOf(i).refusing = true;
+    for (int i = 0; i < 3; ++i)
+        CHECK(world.submit(0, FleetWorld::job("a" + std::to_string(i))) == JobAnswer::NotAccepted);
+    const int before = received();
+    CHECK(before == 6);
+    CHECK(world.submit(0, FleetWorld::job("b")) == JobAnswer::NotAccepted);
+    CHECK(received() == before);
+    for (int i = 1; i < ProcessCount; ++i)
+        world.storeOf(i).refusing = false;
+    world.clock.advance(seconds(3));
+    CHECK(world.submit(0, FleetWorld::job("c")) == JobAnswer::Accepted);
+}
+
 // Guards against the loss of readiness at 2.6 s, and against readiness without a way to the store.
 TEST_CASE("a host is ready while it can hand over")
 {
