Age of an admission report: count from the first failed watch call

A report received after failed watch calls may have been stored at any time since the first of them, but its age was counted from the last call. After an outage of some seconds, jobs were refused by a report that could be older than 3 s. The new test refused 22 of 50 jobs before, none now.

--- a/src/fleet/admit.cpp
+++ b/src/fleet/admit.cpp
@@ -47,15 +47,16 @@
 }
 
 /// Takes the report for admission from a record of the backlog. One that was loaded instead of
-/// watched may be of any age, so it is not used. The age of a watched one counts from when the
-/// watch was sent: its answer may have waited in the socket while this process was paused.
-void FleetNode::takeAdmissionReport(const std::string &bytes, bool isWatched, Time now)
+/// watched may be of any age, so it is not used. The age of a watched one counts from the first
+/// call after the last answer: the report may have been stored during failed calls, and the answer
+/// may have waited in the socket while this process was paused.
+void FleetNode::takeAdmissionReport(const std::string &bytes, bool isWatched)
 {
     admissionReport_.reset();
     if (bytes.empty() || !isWatched)
         return;
     admissionReport_ = decodeAdmissionReport(bytes);
-    admissionReportSince_ = now - coordinatorWatch_->lastAnswer().took;
+    admissionReportSince_ = coordinatorWatch_->lastAnswer().askedSince;
     if (!admissionReport_)
         log(LogLevel::Error, "record-unreadable",
             "the report for admission is malformed; all jobs are admitted until the next one",
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -273,9 +273,10 @@
         // If unset, the keys are loaded once and not watched.
         std::function<void(const std::vector<KeyValue> &events, Time now)> changed;
     };
-    /// An answer of the store, for logs.
+    /// A successful answer of the store.
     struct Answer
     {
+        Time askedSince{}; // when the first call after the previous answer was sent
         Duration took{}; // since the call; of a watch, including the wait for an event
         std::size_t items = 0; // keys, or events of a watch
         std::size_t bytes = 0; // of their values
@@ -677,8 +678,8 @@
     void refuseUnlessStored(const JobSpec &job, const AdmissionDecision &decision, Time deadline,
                             std::function<void(JobAnswer, Time)> done);
     Duration reportAge(Time now) const;
-    void takeAdmissionReport(const std::string &bytes, bool isWatched, Time now);
-    void onBacklogItem(const KeyValue &item, bool isWatched, Time now);
+    void takeAdmissionReport(const std::string &bytes, bool isWatched);
+    void onBacklogItem(const KeyValue &item, bool isWatched);
     void onCoordinatorItem(const KeyValue &item, bool isWatched, Time now);
     void challengeIfStronger(Time now);
     void onChallenge(double cores);
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -162,7 +162,7 @@
     if (item.key == keys::Challenge && !item.deleted)
         onChallenge(std::strtod(item.value.c_str(), nullptr));
     if (item.key == keys::Backlog && !item.deleted)
-        onBacklogItem(item, isWatched, now);
+        onBacklogItem(item, isWatched);
     if (item.key != keys::Coordinator)
         return;
     isRecordPresent_ = !item.deleted;
@@ -170,7 +170,7 @@
     coordinatorCores_ = std::strtod(item.value.c_str(), nullptr); // the name follows after a space
 }
 
-void FleetNode::onBacklogItem(const KeyValue &item, bool isWatched, Time now)
+void FleetNode::onBacklogItem(const KeyValue &item, bool isWatched)
 {
     const std::optional<BacklogReport> report = decodeBacklog(item.value);
     if (!report) {
@@ -180,7 +180,7 @@
     }
     backlogReport_ = *report;
     jobView_.forgetSubmissions({report->revision});
-    takeAdmissionReport(report->admission, isWatched, now);
+    takeAdmissionReport(report->admission, isWatched);
 }
 
 /// Asks the coordinator to resign if this host has many more cores. After outages a weak host may
--- a/tests/unit/overload_fleet_test.cpp
+++ b/tests/unit/overload_fleet_test.cpp
@@ -152,6 +152,29 @@
     CHECK(std::count(answers.begin(), answers.end(), JobAnswer::Accepted) == 2);
 }
 
+// Guards against an age that begins at the watch call that was answered, although the report may
+// have been stored during the failed calls before it.
+TEST_CASE("a report that is received after failed watch calls may be as old as these")
+{
+    Reported reported;
+    FleetWorld &world = reported.world;
+    reported.publish();
+    world.clock.advance(milliseconds(20));
+    int number = 0;
+    while (world.submit(0, Reported::job(number)) != JobAnswer::Overloaded)
+        REQUIRE(++number < 50);
+    world.process(0).store->silentPrefix = "coordinator";
+    world.clock.advance(milliseconds(1100)); // the last watch is answered
+    reported.publish();
+    world.clock.advance(seconds(4));
+    world.process(0).store->silentPrefix.clear();
+    world.clock.advance(milliseconds(1600)); // the retry delay and the timeout of the last call
+    int refused = 0;
+    for (const int last = number + 50; number < last; ++number)
+        refused += world.submit(0, Reported::job(number + 1)) == JobAnswer::Accepted ? 0 : 1;
+    CHECK(refused == 0);
+}
+
 TEST_CASE("a job without a chance is refused with a delay, is not stored and never runs")
 {
     Overloaded overloaded;
