--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -374,7 +374,7 @@
         Time deadline;
         CreateCallback done;
         bool maybeWritten = false; // an earlier attempt was not answered
-        int attempts = 0;
+        std::uint64_t attempts = 0;
         Time notBefore{}; // of the next attempt
     };
     struct Batch
--- a/src/fleet/oncewriter.cpp
+++ b/src/fleet/oncewriter.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include "fleet/retrydelay_p.h"
+
 #include <algorithm>
 
 namespace monsoonledge {
@@ -13,7 +15,8 @@
 constexpr std::size_t MaxInFlight = 3; // transactions
 // A transaction has a condition and a put for each key.
 constexpr std::size_t MaxBatchSize = MaxTransactionEntries / 2;
-constexpr int MaxUnappliedAttempts = 2; // attempts without effect, after which the write has failed
+constexpr std::uint64_t MaxUnappliedAttempts =
+        2; // attempts without effect, after which the write has failed
 
 } // namespace
 
@@ -128,8 +131,7 @@
         item.done(CreateOutcome::NotApplied, now);
         return;
     }
-    const Duration delay =
-            std::min(RetryDelay * (1 << std::min(item.attempts - 1, 8)), MaxRetryDelay);
+    const Duration delay = retryDelayAfter(item.attempts, RetryDelay, MaxRetryDelay);
     // If other writes are unanswered too, the store is unreachable, and retrying would only keep
     // the caller waiting.
     if (now + delay >= item.deadline || (item.maybeWritten && isStalled(now))) {
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include "fleet/retrydelay_p.h"
+
 #include <algorithm>
 #include <unordered_set>
 
@@ -12,13 +14,6 @@
 // The store ends an answer to a watch at about 1 MB, with later changes left for the next one.
 constexpr std::size_t MaxCompleteAnswerBytes = 256 * 1024;
 
-/// The delay after this many failed calls in a row, at least one. A store that refuses calls at
-/// once would otherwise get several of them a second from every process.
-Duration retryDelayAfter(std::uint64_t failures)
-{
-    return std::min(RetryDelay * (1 << std::min<std::uint64_t>(failures - 1, 8)), MaxRetryDelay);
-}
-
 StoreRevision highestRevision(const std::vector<KeyValue> &items)
 {
     StoreRevision highest;
@@ -134,7 +129,8 @@
 {
     if (result.status != KeyValueStatus::Ok) {
         onCallFailed("load", result, now);
-        scheduleStep(retryDelayAfter(failuresInARow_), &PrefixWatch::loadPage);
+        scheduleStep(retryDelayAfter(failuresInARow_, RetryDelay, MaxRetryDelay),
+                     &PrefixWatch::loadPage);
         return;
     }
     onCallAnswered(result, now);
@@ -191,7 +187,7 @@
     }
     if (result.status != KeyValueStatus::Ok) {
         onCallFailed("watch", result, now);
-        scheduleWatch(true, retryDelayAfter(failuresInARow_));
+        scheduleWatch(true, retryDelayAfter(failuresInARow_, RetryDelay, MaxRetryDelay));
         return;
     }
     onCallAnswered(result, now);
