--- a/tests/unit/peerlinks_test.cpp
+++ b/tests/unit/peerlinks_test.cpp
@@ -1,15 +1,13 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "adapters/adapters.h"
 #include "adapters/peerchannel_p.h"
+#include "fakes/linkhelpers.h"
 
 #include <doctest/doctest.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 
 #include <algorithm>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace monsoonledge;
 
@@ -58,27 +56,8 @@
     }
 };
 
-struct Fixture
-{
-    EventLoop loop;
-
-    /// Runs the loop until the condition holds or `limit` has passed. Returns the condition.
-    bool runUntil(const std::function<bool()> &condition, Duration limit = seconds(5))
-    {
-        const Time end = loop.now() + limit;
-        while (!condition() && loop.now() < end)
-            runFor(milliseconds(2));
-        return condition();
-    }
-    void runFor(Duration duration)
-    {
-        loop.after(duration, [this](Time) { loop.stop(); });
-        loop.run();
-    }
-};
-
 /// Two processes whose link is up. "a", with the smaller entry id, is the one that connects.
-struct ConnectedPair : Fixture
+struct ConnectedPair : LoopFixture
 {
     EntryProcess a{loop, "a", 23101, 7};
     EntryProcess b{loop, "b", 23102, 9};
@@ -97,60 +76,9 @@
     return {1, {RequestId("r"), CallerId(), ServiceId("ledger"), results, true, {}, body}, false};
 }
 
-/// A peer on a plain socket, which can violate the protocol at any point.
-struct RawPeer
-{
-    const int descriptor;
-
-    explicit RawPeer(std::uint16_t port) : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const sockaddr_in address = loopback(port);
-        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address)
-                == 0);
-    }
-    ~RawPeer() { ::close(descriptor); }
-
-    static sockaddr_in loopback(std::uint16_t port)
-    {
-        return {AF_INET, htons(port), {htonl(INADDR_LOOPBACK)}, {}};
-    }
-    void write(const std::string &bytes)
-    {
-        // Errors are ignored: tests use isClosed() to check for a closed connection.
-        (void)::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    }
-    void handshake()
-    {
-        write("GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-              "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Version: 13\r\n\r\n");
-    }
-    /// Sends a frame with a mask of zeros. Opcodes: 1 is text, 2 is binary.
-    void frame(const std::string &payload, char opcode = 2)
-    {
-        const auto size = static_cast<unsigned>(payload.size());
-        std::string head{static_cast<char>(0x80 | opcode), static_cast<char>(0x80 | 126),
-                         static_cast<char>(size >> 8U), static_cast<char>(size & 255U)};
-        if (size < 126)
-            head = {static_cast<char>(0x80 | opcode), static_cast<char>(0x80 | size)};
-        write(head + std::string(4, '\0') + payload);
-    }
-    void hello(const char *name, std::uint64_t incarnation, int protocol = 1)
-    {
-        handshake();
-        frame(encodePeerMessage(PeerHello{
-                {EntryId(name), Incarnation{incarnation}}, DomainId("izabal"), protocol}));
-    }
-    bool isClosed()
-    {
-        char bytes[4096];
-        const ssize_t size = recv(descriptor, bytes, sizeof bytes, MSG_DONTWAIT);
-        return size == 0 || (size < 0 && errno == ECONNRESET);
-    }
-};
-
 /// A process "b" with a link to "a", which is a RawPeer. When "b" probes the address of "a", it
 /// finds a suspended process, which listens but does not run its event loop.
-struct RawPeerFixture : Fixture
+struct RawPeerFixture : LoopFixture
 {
     EventLoop stoppedLoop;
     EntryProcess suspended{stoppedLoop, "a", 23103};
@@ -247,7 +175,7 @@
     CHECK(!newer.hasEvent("up 8"));
 }
 
-TEST_CASE_FIXTURE(Fixture, "unexpected entries and other protocol versions get no link")
+TEST_CASE_FIXTURE(LoopFixture, "unexpected entries and other protocol versions get no link")
 {
     EntryProcess b(loop, "b", 23111);
     EntryProcess a(loop, "a", 23112);
@@ -324,7 +252,7 @@
     CHECK(b.events.size() == 3); // a suspended process is never reported as refused
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(LoopFixture,
                   "a connection attempt without a reply is reported as timed out, not refused")
 {
     const sockaddr_in address = RawPeer::loopback(23120);
@@ -347,7 +275,7 @@
         CHECK((lossFromConnectError(error) == LinkLoss::Refused) == (error == ECONNREFUSED));
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(LoopFixture,
                   "a refusal of a connect started before addPeer() is not reported after it")
 {
     EntryProcess a(loop, "a", 23122);
--- a/tests/unit/relaylinks_test.cpp
+++ b/tests/unit/relaylinks_test.cpp
@@ -2,14 +2,11 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "adapters/adapters.h"
 #include "adapters/relaycodec_p.h"
+#include "fakes/linkhelpers.h"
 
 #include <doctest/doctest.h>
 #include <event2/event.h>
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <filesystem>
 
 using namespace monsoonledge;
@@ -56,26 +53,12 @@
     RelayPeer peer() const { return {settings.self.entry.str(), settings.listen, settings.domain}; }
 };
 
-struct Fixture
+struct Fixture : LoopFixture
 {
-    EventLoop loop;
     EventLoop stoppedLoop; // its processes listen but do not run
     Entry a{loop, "a", 23201};
     Entry b{loop, "b", 23202};
 
-    bool runUntil(const std::function<bool()> &condition, Duration limit = seconds(5))
-    {
-        const Time end = loop.now() + limit;
-        while (!condition() && loop.now() < end)
-            runFor(milliseconds(2));
-        return condition();
-    }
-    void runFor(Duration duration)
-    {
-        loop.after(duration, [this](Time) { loop.stop(); });
-        loop.run();
-    }
-
     using ResultPtr = std::shared_ptr<std::optional<RelayResult>>;
     ResultPtr begin(Entry &from, const RelayPeer &to, const RelayRequest &request)
     {
@@ -104,41 +87,6 @@
     return std::distance(begin(files), end(files));
 }
 
-/// A process on a plain socket, which can violate the protocol at any point.
-struct RawPeer
-{
-    const int descriptor;
-
-    explicit RawPeer(std::uint16_t port) : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const sockaddr_in address{AF_INET, htons(port), {htonl(INADDR_LOOPBACK)}, {}};
-        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address)
-                == 0);
-        write("GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-              "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Version: 13\r\n\r\n");
-    }
-    ~RawPeer() { ::close(descriptor); }
-    void write(const std::string &bytes)
-    {
-        (void)::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    }
-    /// Sends a binary frame of less than 126 bytes with a mask of zeros.
-    void frame(const std::string &payload)
-    {
-        write({static_cast<char>(0x82), static_cast<char>(0x80 | payload.size()), 0, 0, 0, 0});
-        write(payload);
-    }
-    bool isClosed()
-    {
-        char bytes[4096];
-        while (true) {
-            const ssize_t size = recv(descriptor, bytes, sizeof bytes, MSG_DONTWAIT);
-            if (size <= 0)
-                return size == 0 || errno == ECONNRESET;
-        }
-    }
-};
-
 } // namespace
 
 TEST_CASE_FIXTURE(Fixture, "requests and answers pass in both directions, also large ones")
@@ -253,32 +201,31 @@
 // Guards against a process that ends, or serves others no longer, because of one message.
 TEST_CASE_FIXTURE(Fixture, "a message that cannot be read closes its link and costs nothing else")
 {
-    const std::string hello =
-            encodePeerMessage(PeerHello{{EntryId("r"), Incarnation{1}}, DomainId("z"), 1});
     RawPeer raw(23202);
     SUBCASE("before the hello")
     {
+        raw.handshake();
         raw.frame(encodeRelayRequest(1, {}));
     }
     SUBCASE("no CBOR")
     {
-        raw.frame(hello);
+        raw.hello("r", 1);
         raw.frame("garbled");
     }
     SUBCASE("a truncated request")
     {
-        raw.frame(hello);
+        raw.hello("r", 1);
         const std::string request = encodeRelayRequest(1, {});
         raw.frame(request.substr(0, request.size() - 1));
     }
     SUBCASE("an answer in place of a request")
     {
-        raw.frame(hello);
+        raw.hello("r", 1);
         raw.frame(encodeRelayAnswer(1, {}));
     }
     SUBCASE("deeply nested")
     {
-        raw.frame(hello);
+        raw.hello("r", 1);
         raw.frame(std::string(100, '\x81'));
     }
     CHECK(runUntil([&] { return raw.isClosed(); }));
