One listener for the links between processes

PeerLinks and RelayLinks each had the listener, the limit of accepted connections and the retry of accept(). PeerListener now owns the accepted channels until they carry a link or are lost.

--- a/src/adapters/peerlinks.cpp
+++ b/src/adapters/peerlinks.cpp
@@ -1,18 +1,11 @@
 // Links between entry processes. The connections themselves are in peerchannel.cpp.
 //
 // Sections:
-//   [1] Listener, connection attempts, link states
+//   [1] Connection attempts, link states
 //   [2] Hello exchange and messages
-#include "adapters/peerchannel_p.h"
-
-#include <event2/listener.h>
-#include <event2/util.h>
+#include "adapters/peerlistener_p.h"
 
 #include <cassert>
-#include <cerrno>
-#include <csignal>
-#include <cstring>
-#include <set>
 #include <stdexcept>
 
 namespace monsoonledge {
@@ -20,10 +13,9 @@
 namespace {
 
 constexpr int ProtocolVersion = 1;
-// Limit of accepted connections without a hello; each of them has a read buffer of 16 KiB.
-constexpr std::size_t MaxUnidentifiedChannels = 128;
+constexpr std::size_t MaxUnidentifiedChannels = 128; // accepted, without a hello
 
-// [1] Listener, connection attempts, link states
+// [1] Connection attempts, link states
 
 class PeerLinks : public PeerPort
 {
@@ -59,10 +51,6 @@
         std::optional<TimerId> retryTimer; // starts the next attempt
     };
 
-    static void onAccept(evconnlistener *listener, evutil_socket_t socket, sockaddr *from,
-                         int fromLength, void *self);
-    static void onAcceptError(evconnlistener *listener, void *self);
-    void listen();
     void scheduleAttempt(const EntryId &entry, Peer &peer, Duration delay);
     void startAttempt(const EntryId &entry);
     void cancelAttempt(Peer &peer);
@@ -70,79 +58,26 @@
     template<typename M> bool encodeAndSend(const EntryId &to, const M &message);
 
     PeerChannelContext context_;
-    evconnlistener *listener_ = nullptr;
-    std::optional<TimerId> acceptRetryTimer_;
+    PeerListener listener_; // owns the channels that wait for the hello
     std::map<EntryId, Peer> peers_;
-    std::set<PeerChannelPtr> unidentifiedChannels_; // accepted, waiting for the hello
     std::map<EntryId, Incarnation> latestIncarnations_; // kept by removePeer()
 };
 
 PeerLinks::PeerLinks(EventLoop &loop, PeerLinkSettings settings)
-    : context_(loop, std::move(settings))
+    : context_(loop, std::move(settings)),
+      listener_(context_, "peers", {MaxUnidentifiedChannels, context_.settings.reconnectDelay})
 {
     context_.opened = [this](PeerChannel &channel) { sendHello(channel); };
     context_.received = [this](const PeerChannelPtr &channel, const std::string &bytes, Time now) {
         received(channel, bytes, now);
     };
     context_.lost = [this](const PeerChannelPtr &channel, Time now) { lost(channel, now); };
-    // libevent writes without MSG_NOSIGNAL. With SIGPIPE ignored, a write to a closed connection
-    // returns an error.
-    std::signal(SIGPIPE, SIG_IGN);
-    listen();
 }
 
 PeerLinks::~PeerLinks()
 {
-    if (acceptRetryTimer_)
-        context_.loop.cancel(*acceptRetryTimer_);
-    evconnlistener_free(listener_);
     while (!peers_.empty())
         removePeer(peers_.begin()->first);
-    for (const PeerChannelPtr &channel : unidentifiedChannels_)
-        channel->close();
-}
-
-void PeerLinks::listen()
-{
-    SocketAddress address(context_.settings.listen);
-    errno = EINVAL;
-    if (address.length != 0)
-        listener_ = evconnlistener_new_bind(
-                context_.loop.base(), onAccept, this,
-                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, SOMAXCONN,
-                address.get(), static_cast<int>(address.length));
-    if (listener_ == nullptr)
-        throw std::runtime_error("cannot listen for peers on " + context_.settings.listen.str()
-                                 + ": " + std::strerror(errno));
-    evconnlistener_set_error_cb(listener_, onAcceptError);
-}
-
-void PeerLinks::onAcceptError(evconnlistener * /*listener*/, void *self)
-{
-    // Out of file descriptors: the event loop would spin, as the pending connection keeps the
-    // socket readable. The socket keeps listening, so that connections are not refused in the
-    // meantime.
-    auto *links = static_cast<PeerLinks *>(self);
-    evconnlistener_disable(links->listener_);
-    links->acceptRetryTimer_ =
-            links->context_.loop.after(links->context_.settings.reconnectDelay, [links](Time) {
-                links->acceptRetryTimer_.reset();
-                evconnlistener_enable(links->listener_);
-            });
-}
-
-void PeerLinks::onAccept(evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
-                         int /*fromLength*/, void *self)
-{
-    auto *links = static_cast<PeerLinks *>(self);
-    if (links->unidentifiedChannels_.size() >= MaxUnidentifiedChannels) {
-        evutil_closesocket(socket);
-        return;
-    }
-    const auto channel =
-            std::make_shared<PeerChannel>(links->context_, PeerChannelKind::Acceptor, EntryId());
-    links->unidentifiedChannels_.insert(channel);
-    channel->accept(socket);
 }
 
 void PeerLinks::addPeer(const EntryId &entry, const Address &address)
@@ -211,7 +146,7 @@
 {
     const LinkLoss loss = channel->loss();
     channel->close();
-    unidentifiedChannels_.erase(channel);
+    listener_.release(channel);
     const auto found = peers_.find(channel->peer());
     if (found == peers_.end())
         return;
@@ -251,7 +186,7 @@
         return;
     }
     latestIncarnations_[entry] = hello.run.incarnation;
-    unidentifiedChannels_.erase(channel);
+    listener_.release(channel);
     Peer &peer = found->second;
     const PeerChannelPtr replaced = std::move(peer.link);
     if (connector)
--- a/src/adapters/relaylinks.cpp
+++ b/src/adapters/relaylinks.cpp
@@ -3,18 +3,10 @@
 //
 // Sections:
 //   [1] Links that this process has opened
-//   [2] Links that other processes have opened
-//   [3] Hello exchange and messages
-#include "adapters/peerchannel_p.h"
+//   [2] Hello exchange and messages
+#include "adapters/peerlistener_p.h"
 #include "adapters/relaycodec_p.h"
 
-#include <event2/listener.h>
-#include <event2/util.h>
-
-#include <cerrno>
-#include <csignal>
-#include <cstring>
-#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -23,9 +15,7 @@
 namespace {
 
 constexpr int ProtocolVersion = 1;
-// Limit of accepted connections; each of them has a read buffer of 16 KiB. A deployment has at most
-// some 50 entry processes.
-constexpr std::size_t MaxAcceptedChannels = 128;
+constexpr std::size_t MaxAcceptedChannels = 128; // a deployment has some 50 entry processes
 constexpr Duration AcceptRetryDelay = milliseconds(200); // if there are no file descriptors
 
 const char *lossName(LinkLoss loss)
@@ -91,11 +81,6 @@
     void closeLink(const Address &address, const std::string &cause, Time now);
     std::map<Address, Link>::iterator findLink(const PeerChannelPtr &channel);
 
-    static void onAccept(evconnlistener *listener, evutil_socket_t socket, sockaddr *from,
-                         int fromLength, void *self);
-    static void onAcceptError(evconnlistener *listener, void *self);
-    void listen();
-
     void sendHello(PeerChannel &channel);
     void received(const PeerChannelPtr &channel, const std::string &bytes, Time now);
     void receivedHello(const PeerChannelPtr &channel, const std::string &bytes, Time now);
@@ -107,33 +92,25 @@
     RelayLinkSettings settings_;
     PeerChannelContext context_;
     RelayReceiver receiver_;
-    evconnlistener *listener_ = nullptr;
-    std::optional<TimerId> acceptRetryTimer_;
+    PeerListener listener_; // owns the links that others have opened
     std::map<Address, Link> links_; // opened by this process
-    std::set<PeerChannelPtr> accepted_; // opened by others
     std::uint64_t lastCorrelation_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
 RelayLinks::RelayLinks(EventLoop &loop, const RelayLinkSettings &settings)
-    : settings_(settings), context_(loop, channelSettings(settings))
+    : settings_(settings), context_(loop, channelSettings(settings)),
+      listener_(context_, "forwarded requests", {MaxAcceptedChannels, AcceptRetryDelay})
 {
     context_.opened = [this](PeerChannel &channel) { sendHello(channel); };
     context_.received = [this](const PeerChannelPtr &channel, const std::string &bytes, Time now) {
         received(channel, bytes, now);
     };
     context_.lost = [this](const PeerChannelPtr &channel, Time now) { lost(channel, now); };
-    // libevent writes without MSG_NOSIGNAL. With SIGPIPE ignored, a write to a closed connection
-    // returns an error.
-    std::signal(SIGPIPE, SIG_IGN);
-    listen();
 }
 
 RelayLinks::~RelayLinks()
 {
-    if (acceptRetryTimer_)
-        context_.loop.cancel(*acceptRetryTimer_);
-    evconnlistener_free(listener_);
     for (auto &[address, link] : links_) {
         if (link.idleTimer)
             context_.loop.cancel(*link.idleTimer);
@@ -141,8 +118,6 @@
             context_.loop.cancel(pending.timer);
         link.channel->close();
     }
-    for (const PeerChannelPtr &channel : accepted_)
-        channel->close();
 }
 
 // [1] Links that this process has opened
@@ -255,60 +230,17 @@
     return it;
 }
 
-// [2] Links that other processes have opened
-
-void RelayLinks::listen()
-{
-    SocketAddress address(settings_.listen);
-    errno = EINVAL;
-    if (address.length != 0)
-        listener_ = evconnlistener_new_bind(
-                context_.loop.base(), onAccept, this,
-                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, SOMAXCONN,
-                address.get(), static_cast<int>(address.length));
-    if (listener_ == nullptr)
-        throw std::runtime_error("cannot listen for forwarded requests on " + settings_.listen.str()
-                                 + ": " + std::strerror(errno));
-    evconnlistener_set_error_cb(listener_, onAcceptError);
-}
-
-void RelayLinks::onAccept(evconnlistener * /*listener*/, evutil_socket_t socket,
-                          sockaddr * /*from*/, int /*fromLength*/, void *self)
-{
-    auto *links = static_cast<RelayLinks *>(self);
-    if (links->accepted_.size() >= MaxAcceptedChannels) {
-        evutil_closesocket(socket);
-        return;
-    }
-    const auto channel =
-            std::make_shared<PeerChannel>(links->context_, PeerChannelKind::Acceptor, EntryId());
-    links->accepted_.insert(channel);
-    channel->accept(socket);
-}
-
-/// Out of file descriptors: the event loop would spin, as the pending connection keeps the socket
-/// readable.
-void RelayLinks::onAcceptError(evconnlistener * /*listener*/, void *self)
-{
-    auto *links = static_cast<RelayLinks *>(self);
-    evconnlistener_disable(links->listener_);
-    links->acceptRetryTimer_ = links->context_.loop.after(AcceptRetryDelay, [links](Time) {
-        links->acceptRetryTimer_.reset();
-        evconnlistener_enable(links->listener_);
-    });
-}
-
 void RelayLinks::lost(const PeerChannelPtr &channel, Time now)
 {
     const std::string cause = lossName(channel->loss());
     channel->close();
-    accepted_.erase(channel);
+    listener_.release(channel);
     const auto link = findLink(channel);
     if (link != links_.end())
         closeLink(Address(link->first), cause, now);
 }
 
-// [3] Hello exchange and messages
+// [2] Hello exchange and messages
 
 void RelayLinks::sendHello(PeerChannel &channel)
 {
