Decode forwarded requests and answers in one way

receivedRequest() and receivedAnswer() had the same handlers around the decoder. The codec now returns the message of the type that is expected. No change of behaviour.

The fuzz test allowed answers up to NotReachable, which is not the last kind since Overloaded was added; a mutation that gave Overloaded would have failed. It checks the last kind now. relaylinks_test and fuzz_test pass.

--- a/src/adapters/relaycodec_p.h
+++ b/src/adapters/relaycodec_p.h
@@ -4,21 +4,22 @@
 #include "fleet/relay.h"
 
 #include <cstdint>
-#include <functional>
 #include <string>
 
 namespace monsoonledge {
 
+template<typename M> struct RelayMessage
+{
+    std::uint64_t correlation = 0; // of the request, repeated in its answer
+    M body;
+};
+
 /// Throws std::invalid_argument if a field is over the limits that decoding checks.
 std::string encodeRelayRequest(std::uint64_t correlation, const RelayRequest &request);
 std::string encodeRelayAnswer(std::uint64_t correlation, const RelayAnswer &answer);
 
-struct RelayMessageHandlers
-{
-    std::function<void(std::uint64_t correlation, const RelayRequest &)> request;
-    std::function<void(std::uint64_t correlation, const RelayAnswer &)> answer;
-};
-/// Throws std::runtime_error if the bytes are not a valid message or if its handler is not set.
-void decodeRelayMessage(const std::string &bytes, const RelayMessageHandlers &handlers);
+/// Throw std::runtime_error if the bytes are not a valid message of this type.
+RelayMessage<RelayRequest> decodeRelayRequest(const std::string &bytes);
+RelayMessage<RelayAnswer> decodeRelayAnswer(const std::string &bytes);
 
 } // namespace monsoonledge
--- a/src/adapters/relaylinks.cpp
+++ b/src/adapters/relaylinks.cpp
@@ -86,7 +86,8 @@
     void receivedHello(const PeerChannelPtr &channel, const std::string &bytes, Time now);
     void receivedRequest(const PeerChannelPtr &channel, const std::string &bytes, Time now);
     void receivedAnswer(const PeerChannelPtr &channel, const std::string &bytes, Time now);
-    bool decodeOrReject(PeerChannel &channel, const std::function<void()> &decode);
+    template<typename Decode>
+    auto decodeOrReject(PeerChannel &channel, Decode decode) -> std::optional<decltype(decode())>;
     void lost(const PeerChannelPtr &channel, Time now);
 
     RelayLinkSettings settings_;
@@ -257,39 +258,42 @@
         receivedAnswer(channel, bytes, now);
 }
 
-/// Returns false, and makes the channel fail, if the message cannot be read.
-bool RelayLinks::decodeOrReject(PeerChannel &channel, const std::function<void()> &decode)
+/// Returns nothing, and makes the channel fail, if the message cannot be read.
+template<typename Decode>
+auto RelayLinks::decodeOrReject(PeerChannel &channel, Decode decode)
+        -> std::optional<decltype(decode())>
 {
     try {
-        decode();
-        return true;
+        return decode();
     } catch (const std::runtime_error &error) {
         channel.reject();
         if (receiver_.invalid)
             receiver_.invalid(error.what());
-        return false;
+        return std::nullopt;
     }
 }
 
 void RelayLinks::receivedHello(const PeerChannelPtr &channel, const std::string &bytes, Time now)
 {
     const bool isAcceptor = channel->kind() == PeerChannelKind::Acceptor;
-    EntryId entry;
-    PeerMessageHandlers handlers;
-    handlers.hello = [&](const PeerHello &hello) {
-        // Another process may have the address by now.
-        const bool isExpected = isAcceptor || hello.run.entry == channel->peer();
-        if (isExpected && hello.protocol == ProtocolVersion)
-            entry = hello.run.entry;
-    };
     const auto decode = [&] {
+        EntryId entry;
+        PeerMessageHandlers handlers;
+        handlers.hello = [&](const PeerHello &hello) {
+            // Another process may have the address by now.
+            const bool isExpected = isAcceptor || hello.run.entry == channel->peer();
+            if (isExpected && hello.protocol == ProtocolVersion)
+                entry = hello.run.entry;
+        };
         decodePeerMessage(bytes, handlers);
         if (entry.isEmpty())
             throw std::runtime_error("no hello of the expected process and protocol");
+        return entry;
     };
-    if (!decodeOrReject(*channel, decode))
+    const std::optional<EntryId> entry = decodeOrReject(*channel, decode);
+    if (!entry)
         return;
-    channel->establish(entry, now);
+    channel->establish(*entry, now);
     if (isAcceptor) {
         sendHello(*channel);
         return;
@@ -304,42 +308,29 @@
 
 void RelayLinks::receivedRequest(const PeerChannelPtr &channel, const std::string &bytes, Time now)
 {
-    std::uint64_t correlation = 0;
-    RelayRequest request;
-    RelayMessageHandlers handlers;
-    handlers.request = [&](std::uint64_t number, const RelayRequest &message) {
-        correlation = number;
-        request = message;
-    };
-    if (!decodeOrReject(*channel, [&] { decodeRelayMessage(bytes, handlers); }))
+    const auto request = decodeOrReject(*channel, [&] { return decodeRelayRequest(bytes); });
+    if (!request)
         return;
-    const auto respond = [correlation, weak = std::weak_ptr<PeerChannel>(channel),
+    const auto respond = [correlation = request->correlation,
+                          weak = std::weak_ptr<PeerChannel>(channel),
                           alive = std::weak_ptr<int>(alive_)](const RelayAnswer &answer) {
         const PeerChannelPtr sender = weak.lock();
         if (!alive.expired() && sender)
             sender->write(encodeRelayAnswer(correlation, answer));
     };
-    if (!receiver_.request || !receiver_.request(request, respond, now))
+    if (!receiver_.request || !receiver_.request(request->body, respond, now))
         channel->reject(); // the receiver has logged it
 }
 
 void RelayLinks::receivedAnswer(const PeerChannelPtr &channel, const std::string &bytes, Time now)
 {
-    std::uint64_t correlation = 0;
-    RelayAnswer answer;
-    RelayMessageHandlers handlers;
-    handlers.answer = [&](std::uint64_t number, const RelayAnswer &message) {
-        correlation = number;
-        answer = message;
-    };
-    if (!decodeOrReject(*channel, [&] { decodeRelayMessage(bytes, handlers); }))
-        return;
+    const auto answer = decodeOrReject(*channel, [&] { return decodeRelayAnswer(bytes); });
     const auto found = findLink(channel);
-    if (found == links_.end())
+    if (!answer || found == links_.end())
         return;
     found->second.receivedAt = now;
-    if (found->second.pending.count(correlation) > 0) // otherwise it is late
-        finish(found->second, correlation, {RelayDelivery::Answered, answer, {}},
+    if (found->second.pending.count(answer->correlation) > 0) // otherwise it is late
+        finish(found->second, answer->correlation, {RelayDelivery::Answered, answer->body, {}},
                Address(found->first), now);
 }
 
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -188,17 +188,16 @@
 TEST_CASE("no forwarded request or answer ends the process")
 {
     const auto decode = [](const std::string &bytes) {
-        RelayMessageHandlers handlers;
-        handlers.request = [](std::uint64_t, const RelayRequest &request) {
+        try {
+            const RelayRequest request = decodeRelayRequest(bytes).body;
             CHECK(request.kind <= RelayRequest::Kind::Probe);
             decodeSpec(request.spec);
-        };
-        handlers.answer = [](std::uint64_t, const RelayAnswer &answer) {
-            CHECK(answer.kind <= RelayAnswer::Kind::NotReachable);
-            CHECK(answer.state <= JobState::Cancelled);
-        };
+        } catch (const std::runtime_error &) { // the link is closed
+        }
         try {
-            decodeRelayMessage(bytes, handlers);
+            const RelayAnswer answer = decodeRelayAnswer(bytes).body;
+            CHECK(answer.kind <= RelayAnswer::Kind::Overloaded); // the last one
+            CHECK(answer.state <= JobState::Cancelled);
         } catch (const std::runtime_error &) { // the link is closed
         }
     };
