Relay links: a short deadline no longer closes the link

A request that timed out closed its link if nothing had arrived since it was sent, also after 20 ms, and all requests in flight on the link were lost. A link is now closed if nothing arrives for 400 ms after a request, or if it is not open 400 ms after the connect; a time-out ends only its own request.

A time-out while the link was still being opened was reported as 'no answer', closed the link for the requests that waited for it, and made the relay skip the peer for 2 s. It is now reported as 'the link is not open yet', and a request whose short deadline has passed does not count against its peer.

--- a/src/adapters/adapters.h
+++ b/src/adapters/adapters.h
@@ -289,12 +289,15 @@
     DomainId domain;
     Address listen; // where other entry processes connect
     Duration idleTimeout = seconds(10); // a link without requests for this long is closed
+    // A link that is not open, with the hellos exchanged, after this is closed.
     Duration connectTimeout = milliseconds(400);
+    // A link on which nothing arrives for this long after a request is closed.
+    Duration silenceTimeout = milliseconds(400);
 };
 
-/// Links to other entry processes for the requests of fleet/relay.h, opened on demand. A link on
-/// which nothing has arrived since a request that timed out is closed. Throws std::runtime_error,
-/// naming the address, if it cannot be bound. Ignores SIGPIPE in the whole process.
+/// Links to other entry processes for the requests of fleet/relay.h, opened on demand. Throws
+/// std::runtime_error, naming the address, if it cannot be bound. Ignores SIGPIPE in the whole
+/// process.
 std::unique_ptr<RelayPort> makeRelayLinks(EventLoop &loop, const RelayLinkSettings &settings);
 
 // [7] Logger
--- a/src/adapters/relaylinks.cpp
+++ b/src/adapters/relaylinks.cpp
@@ -62,22 +62,27 @@
         Time deadline;
         std::function<void(const RelayResult &, Time now)> done;
         TimerId timer = 0;
-        std::optional<Time> sentAt; // unset: the link is being opened
+        bool isSent = false;
     };
     struct Link
     {
         PeerChannelPtr channel;
         std::map<std::uint64_t, Pending> pending; // by correlation
-        std::optional<Time> openedAt; // unset: the peer's hello has not arrived
-        Time receivedAt{}; // last message
+        bool isOpen = false; // the peer's hello has arrived
         std::optional<TimerId> idleTimer; // set while nothing is pending
+        // Set while a hello, or a message after a request, is awaited.
+        std::optional<TimerId> silenceTimer;
     };
 
     Link &linkTo(const RelayPeer &peer);
-    void sendPending(Link &link, Time now);
+    void sendPending(Link &link, const Address &address, Time now);
     void onTimeout(const Address &address, std::uint64_t correlation, Time now);
     void finish(Link &link, std::uint64_t correlation, const RelayResult &result,
                 const Address &address, Time now);
+    void closeAfter(std::optional<TimerId> &timer, Duration delay, const Address &address,
+                    const char *cause);
+    void stop(std::optional<TimerId> &timer);
+    void stopTimers(Link &link);
     void closeLink(const Address &address, const std::string &cause, Time now);
     std::map<Address, Link>::iterator findLink(const PeerChannelPtr &channel);
 
@@ -113,10 +118,7 @@
 RelayLinks::~RelayLinks()
 {
     for (auto &[address, link] : links_) {
-        if (link.idleTimer)
-            context_.loop.cancel(*link.idleTimer);
-        for (const auto &[correlation, pending] : link.pending)
-            context_.loop.cancel(pending.timer);
+        stopTimers(link);
         link.channel->close();
     }
 }
@@ -131,6 +133,8 @@
         link.channel = std::make_shared<PeerChannel>(context_, PeerChannelKind::Connector,
                                                      EntryId(peer.name));
         link.channel->connect(peer.address);
+        closeAfter(link.silenceTimer, settings_.connectTimeout, peer.address,
+                   "the link was not opened in time");
     }
     return link;
 }
@@ -141,8 +145,7 @@
     const Time now = context_.loop.now();
     const std::uint64_t correlation = ++lastCorrelation_;
     Link &link = linkTo(peer);
-    if (link.idleTimer)
-        context_.loop.cancel(*std::exchange(link.idleTimer, std::nullopt));
+    stop(link.idleTimer);
     Pending &pending = link.pending[correlation];
     pending.request = request;
     pending.deadline = now + timeout;
@@ -151,21 +154,24 @@
             timeout, [this, address = peer.address, correlation](Time eventTime) {
                 onTimeout(address, correlation, eventTime);
             });
-    if (link.openedAt)
-        sendPending(link, now);
+    if (link.isOpen)
+        sendPending(link, peer.address, now);
 }
 
 /// Sends the requests that waited for the link. One that cannot be sent is reported at its timeout
 /// or when the link is lost, whichever comes first.
-void RelayLinks::sendPending(Link &link, Time now)
+void RelayLinks::sendPending(Link &link, const Address &address, Time now)
 {
     for (auto &[correlation, pending] : link.pending) {
-        if (pending.sentAt)
+        if (pending.isSent)
             continue;
         pending.request.timeLeft = pending.deadline - now;
         try {
-            if (link.channel->write(encodeRelayRequest(correlation, pending.request)))
-                pending.sentAt = now;
+            if (!link.channel->write(encodeRelayRequest(correlation, pending.request)))
+                continue;
+            pending.isSent = true;
+            if (!link.silenceTimer)
+                closeAfter(link.silenceTimer, settings_.silenceTimeout, address, "no answer");
         } catch (const std::invalid_argument &) {
             // The message exceeds a limit. The peer would close the link each time it is sent.
         }
@@ -178,14 +184,15 @@
     if (found == links_.end() || found->second.pending.count(correlation) == 0)
         return;
     Link &link = found->second;
-    const Pending &pending = link.pending.at(correlation);
-    const bool isSilent = !link.openedAt || (pending.sentAt && link.receivedAt < *pending.sentAt);
-    if (isSilent) {
-        closeLink(address, "no answer", now);
-        return;
+    RelayResult result;
+    result.delivery = RelayDelivery::NotSent;
+    result.detail = link.isOpen ? "the request could not be sent" : "the link is not open yet";
+    if (link.pending.at(correlation).isSent) {
+        result.delivery = RelayDelivery::Lost;
+        result.detail = "no answer";
     }
-    const RelayDelivery delivery = pending.sentAt ? RelayDelivery::Lost : RelayDelivery::NotSent;
-    finish(link, correlation, {delivery, {}, "no answer"}, address, now);
+    result.isTimedOut = true;
+    finish(link, correlation, result, address, now);
 }
 
 /// Reports the result of one request. May invalidate the link.
@@ -196,13 +203,32 @@
     link.pending.erase(correlation);
     context_.loop.cancel(pending.timer);
     if (link.pending.empty())
-        link.idleTimer =
-                context_.loop.after(settings_.idleTimeout, [this, address](Time eventTime) {
-                    closeLink(address, "idle", eventTime);
-                });
+        closeAfter(link.idleTimer, settings_.idleTimeout, address, "idle");
     pending.done(result, now);
 }
 
+/// Closes the link after the delay, unless the timer is stopped.
+void RelayLinks::closeAfter(std::optional<TimerId> &timer, Duration delay, const Address &address,
+                            const char *cause)
+{
+    timer = context_.loop.after(
+            delay, [this, address, cause](Time now) { closeLink(address, cause, now); });
+}
+
+void RelayLinks::stop(std::optional<TimerId> &timer)
+{
+    if (timer)
+        context_.loop.cancel(*std::exchange(timer, std::nullopt));
+}
+
+void RelayLinks::stopTimers(Link &link)
+{
+    stop(link.idleTimer);
+    stop(link.silenceTimer);
+    for (const auto &[correlation, pending] : link.pending)
+        context_.loop.cancel(pending.timer);
+}
+
 /// Closes the link and reports its requests as not answered or not sent.
 void RelayLinks::closeLink(const Address &address, const std::string &cause, Time now)
 {
@@ -211,14 +237,11 @@
         return;
     Link link = std::move(found->second);
     links_.erase(found);
-    if (link.idleTimer)
-        context_.loop.cancel(*link.idleTimer);
+    stopTimers(link);
     link.channel->close();
-    for (auto &[correlation, pending] : link.pending)
-        context_.loop.cancel(pending.timer);
     for (auto &[correlation, pending] : link.pending) {
         const RelayDelivery delivery =
-                pending.sentAt ? RelayDelivery::Lost : RelayDelivery::NotSent;
+                pending.isSent ? RelayDelivery::Lost : RelayDelivery::NotSent;
         pending.done({delivery, {}, cause}, now); // may open a new link
     }
 }
@@ -301,9 +324,9 @@
     const auto found = findLink(channel);
     if (found == links_.end())
         return;
-    found->second.openedAt = now;
-    found->second.receivedAt = now;
-    sendPending(found->second, now);
+    found->second.isOpen = true;
+    stop(found->second.silenceTimer);
+    sendPending(found->second, found->first, now);
 }
 
 void RelayLinks::receivedRequest(const PeerChannelPtr &channel, const std::string &bytes, Time now)
@@ -328,7 +351,7 @@
     const auto found = findLink(channel);
     if (!answer || found == links_.end())
         return;
-    found->second.receivedAt = now;
+    stop(found->second.silenceTimer);
     if (found->second.pending.count(answer->correlation) > 0) // otherwise it is late
         finish(found->second, answer->correlation, {RelayDelivery::Answered, answer->body, {}},
                Address(found->first), now);
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -195,7 +195,8 @@
             result.delivery == RelayDelivery::NotSent || (isAnswered && excludesStoring(kind));
     pending->maybeStored = pending->maybeStored || !isExcluded;
     // A caller with a short deadline does not show that the peer is slow.
-    const bool isCutShort = result.delivery == RelayDelivery::Lost && timeout < PeerTimeout;
+    const bool isCutShort =
+            timeout < PeerTimeout && (result.delivery == RelayDelivery::Lost || result.isTimedOut);
     if (!isCutShort)
         noteFailure(peer, isAnswered ? answerName(kind) : result.detail, now);
     attempt(pending, now);
--- a/src/fleet/relay.h
+++ b/src/fleet/relay.h
@@ -73,6 +73,7 @@
     RelayDelivery delivery = RelayDelivery::Lost;
     RelayAnswer answer; // set if Answered
     std::string detail; // cause of a failure, for logs
+    bool isTimedOut = false; // the timeout has passed; other failures may show earlier
 };
 
 using RelayRespond = std::function<void(const RelayAnswer &)>;
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -357,6 +357,39 @@
     CHECK(world.submit(0, FleetWorld::job("a")) == JobAnswer::Accepted);
 }
 
+// Guards against a peer that is skipped because a caller with a short deadline could not wait until
+// the link to it was open.
+TEST_CASE("a request whose short deadline has passed does not make its peer count as failed")
+{
+    struct Port : RelayPort
+    {
+        RelayResult result{RelayDelivery::NotSent, {}, "the link is not open yet", true};
+        int sent = 0;
+
+        void send(const RelayPeer &, const RelayRequest &, Duration,
+                  std::function<void(const RelayResult &, Time)> done) override
+        {
+            ++sent;
+            done(result, Time{});
+        }
+        void setReceiver(RelayReceiver) override { }
+    };
+    Port port;
+    RelayPeers peers("a", DomainId("z"));
+    peers.replace({{"b", {"10.1.0.2", 4000}, DomainId("z")}});
+    Relay relay(std::move(peers), port, [](const LogEvent &) {});
+    const auto forward = [&](Duration timeLeft) {
+        relay.forward(
+                {}, false, Time{} + timeLeft, [](const RelayAnswer &, Time) {}, Time{});
+    };
+    forward(milliseconds(50));
+    forward(milliseconds(50));
+    CHECK(port.sent == 2);
+    forward(seconds(1)); // the peer had all the time that a request gets
+    forward(seconds(1));
+    CHECK(port.sent == 3);
+}
+
 // Guards against a process that ends, or serves no others, because of one message.
 TEST_CASE("a request that cannot be read costs its link only")
 {
