relaylinks_test: see a link that is closed by a short deadline

libevent closes the socket in the next pass of its loop, so the case did not see that the former code closed the link; now it fails with that code.

--- a/tests/unit/relaylinks_test.cpp
+++ b/tests/unit/relaylinks_test.cpp
@@ -173,6 +173,7 @@
     for (int i = 0; i < 3; ++i) {
         const ResultPtr brief = begin(a, b.peer(), submission("x"), milliseconds(20));
         REQUIRE(runUntil([&] { return brief->has_value(); }));
+        runFor(milliseconds(4)); // a socket is closed in the next pass of the loop
         CHECK(openFiles() == before);
     }
     CHECK(runUntil([&] { return openFiles() < before; }, Timeout)); // it is not idle yet
