Order of jobs: remaining work only where the rank depends on it

orderJobs() summed the remaining processor time of every waiting job, but only jobs that can be on time are ranked by it. Under a shortage most waiting jobs are late. No change of the order; joborder_test and scheduler_test pass.

--- a/src/scheduling/joborder.cpp
+++ b/src/scheduling/joborder.cpp
@@ -45,6 +45,13 @@
     return now + std::chrono::duration_cast<Duration>(cost.remainingPath * remainingTimeFactor);
 }
 
+bool isRankedByWork(const WaitingJob &job, const JobOrderSettings &settings, Time now)
+{
+    const Time doneBy = expectedEnd(job.cost, settings.remainingTimeFactor, now);
+    return settings.prefersShortJobs && !job.isLongRunning
+           && classOf(job, settings, doneBy) == JobClass::OnTime;
+}
+
 JobRank rankOf(const WaitingJob &job, const JobOrderSettings &settings, Time now)
 {
     const Time doneBy = expectedEnd(job.cost, settings.remainingTimeFactor, now);
@@ -52,12 +59,10 @@
     rank.jobClass = classOf(job, settings, doneBy);
     rank.priority = job.cost.priority;
     rank.objective = job.cost.objective;
-    if (!settings.prefersShortJobs || rank.jobClass != JobClass::OnTime)
-        return rank;
-    if (job.isLongRunning) // it returns no capacity
-        rank.work = std::numeric_limits<double>::infinity();
-    else
+    if (isRankedByWork(job, settings, now))
         rank.work = job.cost.remainingCoreSeconds * std::max(slackShare(job, doneBy), MinWorkShare);
+    else if (settings.prefersShortJobs && rank.jobClass == JobClass::OnTime)
+        rank.work = std::numeric_limits<double>::infinity(); // long-running: returns no capacity
     return rank;
 }
 
--- a/src/scheduling/joborder_p.h
+++ b/src/scheduling/joborder_p.h
@@ -57,6 +57,9 @@
 /// `remainingTimeFactor`: see JobOrderSettings.
 Time expectedEnd(const DelayCost &cost, double remainingTimeFactor, Time now);
 
+/// True if the rank of the job depends on the processor time that remains.
+bool isRankedByWork(const WaitingJob &job, const JobOrderSettings &settings, Time now);
+
 /// The rank of a job. Among jobs that can be on time, the work of a job counts less the closer it
 /// is to being late, so that wide jobs are not passed over until it is too late for them.
 JobRank rankOf(const WaitingJob &job, const JobOrderSettings &settings, Time now);
--- a/src/scheduling/order.cpp
+++ b/src/scheduling/order.cpp
@@ -7,7 +7,8 @@
 
 namespace monsoonledge {
 
-/// What delaying the job costs its caller.
+/// What delaying the job costs its caller. The processor time that remains is left out: only the
+/// order of some jobs depends on it.
 DelayCost Scheduler::delayCostOf(ScheduledJob &job, Time now) const
 {
     DelayCost cost;
@@ -17,7 +18,6 @@
                           + std::chrono::duration_cast<Duration>((cost.objective - job.submittedAt)
                                                                  * settings_.maxLatenessFactor);
     cost.remainingPath = remainingCriticalPath(job);
-    cost.remainingCoreSeconds = remainingCoreSeconds(job);
     cost.asOf = now;
     cost.source = EstimateSource::Reported;
     return cost;
@@ -63,6 +63,8 @@
         waiting.isInterrupted = job->hasLongRunningStep && job->state != JobState::Pending;
         if (waiting.isInterrupted)
             waiting.longestWait = longestWait(*job, now);
+        if (isRankedByWork(waiting, order, now))
+            waiting.cost.remainingCoreSeconds = remainingCoreSeconds(*job);
         ranked.emplace_back(rankOf(waiting, order, now), job);
     }
     std::sort(ranked.begin(), ranked.end(),
