Metrics: escape the values of all labels

Names of queues and services were written as they are into the labels of the platform's metrics, so that a quote ended the label.

--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -2,6 +2,8 @@
 
 #include "metrics/burnring_p.h"
 
+#include <boost/locale/utf.hpp>
+
 #include <algorithm>
 #include <cstdio>
 
@@ -24,18 +26,23 @@
                       < Metrics::MaxCountBytesPerClass,
               "the documented bound is too small");
 
-/// Text of a label value. Control characters and bytes outside ASCII are replaced, because names
-/// are ASCII by the rules of the interface and the format requires valid UTF-8.
+/// Text of a label value. Control characters and bytes that are not UTF-8, which the format
+/// requires, are replaced.
 std::string escapeLabel(const std::string &text)
 {
+    using Utf8 = boost::locale::utf::utf_traits<char>;
     std::string result;
-    for (const char c : text) {
-        if (c == '\\' || c == '"')
-            result.append(1, '\\').append(1, c);
-        else if (c == '\n')
+    for (auto it = text.begin(); it != text.end();) {
+        const auto first = it;
+        const auto point = Utf8::decode(it, text.end());
+        if (point == '\\' || point == '"')
+            result.append(1, '\\').append(1, *first);
+        else if (point == '\n')
             result += "\\n";
+        else if (point < ' ' || point == 0x7f || !boost::locale::utf::is_valid_codepoint(point))
+            result += '?';
         else
-            result += c >= ' ' && c <= '~' ? c : '?';
+            result.append(first, it);
     }
     return result;
 }
@@ -83,11 +90,6 @@
     std::string name_;
 };
 
-std::string label(const char *name, const std::string &value)
-{
-    return std::string(name) + "=\"" + escapeLabel(value) + '"';
-}
-
 void writeHistogram(PrometheusWriter &out, const std::string &labels,
                     const LatencyHistogram &histogram)
 {
@@ -115,7 +117,7 @@
     out.gauge("endpoints_ejected", "Endpoints ejected for their errors.", gauges.endpointsEjected);
     out.family("batch_tasks", "gauge", "Batch tasks by state, as known to this process.");
     for (const auto &item : gauges.batchTasks)
-        out.sample(label("state", item.first), std::to_string(item.second));
+        out.sample(prometheusLabel("state", item.first), std::to_string(item.second));
 }
 
 BurnCauses judge(Outcome outcome, Duration latency, Duration target)
@@ -129,6 +131,11 @@
 
 } // namespace
 
+std::string prometheusLabel(const std::string &name, const std::string &value)
+{
+    return name + "=\"" + escapeLabel(value) + '"';
+}
+
 struct Metrics::ClassMetrics
 {
     explicit ClassMetrics(Time now) : burn(now) { }
@@ -195,15 +202,15 @@
         LatencyHistogram sum;
         for (const auto &caller : item.second->callers)
             sum.add(caller.second.latency);
-        writeHistogram(out, label("class", item.first.str()), sum);
+        writeHistogram(out, prometheusLabel("class", item.first.str()), sum);
     }
     out.family("requests_total", "counter", "Answered requests.");
     for (const auto &item : classes_) {
         for (const auto &caller : item.second->callers) {
-            const std::string labels =
-                    label("class", item.first.str()) + ',' + label("caller", caller.first);
+            const std::string labels = prometheusLabel("class", item.first.str()) + ','
+                                       + prometheusLabel("caller", caller.first);
             for (std::size_t i = 0; i < OutcomeNames.size(); ++i)
-                out.sample(labels + ',' + label("outcome", OutcomeNames[i]),
+                out.sample(labels + ',' + prometheusLabel("outcome", OutcomeNames[i]),
                            std::to_string(caller.second.outcomes[i]));
         }
     }
@@ -211,8 +218,8 @@
                "Latency of a caller's requests since the start, within 5 percent.");
     for (const auto &item : classes_) {
         for (const auto &caller : item.second->callers) {
-            const std::string labels =
-                    label("class", item.first.str()) + ',' + label("caller", caller.first);
+            const std::string labels = prometheusLabel("class", item.first.str()) + ','
+                                       + prometheusLabel("caller", caller.first);
             for (const double q : {0.5, 0.99})
                 out.sample(labels + ",quantile=\"" + formatNumber(q) + '"',
                            formatNumber(toSeconds(caller.second.latency.quantile(q))));
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -157,6 +157,9 @@
 
 // [4] Metrics of one entry process
 
+/// A label in the Prometheus text format, with its value escaped, such as `queue="a"`.
+std::string prometheusLabel(const std::string &name, const std::string &value);
+
 /// Callers of a class that are counted by name; the rest is counted as OtherCaller.
 constexpr std::size_t MaxCallersPerClass = 64;
 constexpr const char *OtherCaller = "other";
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -295,6 +295,7 @@
                || line.rfind("monsoonledge_", 0) == 0));
     }
     CHECK(text.find('\r') == std::string::npos);
+    CHECK(prometheusLabel("queue", "caf\xc3\xa9 \xc3") == "queue=\"caf\xc3\xa9 ?\"");
 }
 
 TEST_CASE("/metrics holds buckets, counts by outcome and the gauges of the process")
--- a/tests/unit/overload_fleet_test.cpp
+++ b/tests/unit/overload_fleet_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include "fakes/fleetworld.h"
+#include "platform/platform.h"
 
 #include <nlohmann/json.hpp>
 
@@ -78,11 +79,12 @@
         queue.admitShare = 0.5;
         return {{service}, {queue}};
     }
-    void publish()
+    /// `admission`: the encoded report; empty: all jobs are admitted.
+    void publish(const std::string &admission = encodeAdmissionReport(report()))
     {
         BacklogReport backlog;
         backlog.revision = 1;
-        backlog.admission = encodeAdmissionReport(report());
+        backlog.admission = admission;
         world.store.put("coordinator/backlog", encodeBacklog(backlog));
     }
     static JobSpec job(int number)
@@ -141,9 +143,7 @@
     };
     world.process(0).store->latency = milliseconds(100);
     submit();
-    BacklogReport backlog; // without a report for admission, so that all jobs are admitted
-    backlog.revision = 1;
-    world.store.put("coordinator/backlog", encodeBacklog(backlog));
+    reported.publish("");
     world.clock.advance(milliseconds(120));
     submit();
     CHECK(answers.empty());
@@ -175,6 +175,27 @@
     CHECK(refused == 0);
 }
 
+// Guards against queue names that end their label in /metrics.
+TEST_CASE("names of queues are escaped in the metrics")
+{
+    Reported reported;
+    FleetWorld &world = reported.world;
+    AdmissionReport report = Reported::report();
+    report.services.front().service = ServiceId(); // of jobs of an unknown queue
+    report.services.front().shapes.push_back({1, 1, 0, ""}); // too small for the job
+    reported.publish(encodeAdmissionReport(report));
+    world.clock.advance(milliseconds(20));
+    JobSpec job = Reported::job(1);
+    job.queue = QueueId("a\"} 1\nb\\");
+    REQUIRE(world.submit(0, job) == JobAnswer::Overloaded);
+    const platform::Frontend frontend(
+            world.node(0), [&] { return world.wall(); }, [](const LogEvent &) {});
+    const std::string metrics = platform::formatMetrics(world.node(0), frontend, world.clock.now());
+    CHECK(metrics.find(
+                  "jobs_refused_total{queue=\"a\\\"} 1\\nb\\\\\",reason=\"no-such-worker\"} 1\n")
+          != std::string::npos);
+}
+
 TEST_CASE("a job without a chance is refused with a delay, is not stored and never runs")
 {
     Overloaded overloaded;
