Evacuation tests: shared harness with workers in two failure domains

evacuation_test and evacuation_moves_test each spread the workers, closed domains and let time pass.

--- a/tests/unit/evacuation_moves_test.cpp
+++ b/tests/unit/evacuation_moves_test.cpp
@@ -3,34 +3,12 @@
 #include <doctest/doctest.h>
 
 #include "evacuation/evacuation.h"
-#include "fakes/schedulerharness.h"
+#include "fakes/evacuationharness.h"
 
 using namespace monsoonledge;
 
 namespace {
 
-/// Worker i is in the domain "z0" if i is even, otherwise in "z1".
-void spreadOverDomains(SchedulerHarness &harness)
-{
-    for (std::size_t i = 0; i < harness.entries.size(); ++i)
-        harness.entries[i].domain = DomainId(i % 2 == 0 ? "z0" : "z1");
-    harness.scheduler.setWorkers(harness.entries, harness.now);
-}
-
-void closeDomains(SchedulerHarness &harness, const std::set<std::string> &names)
-{
-    std::set<DomainId> domains;
-    for (const std::string &name : names)
-        domains.insert(DomainId(name));
-    harness.scheduler.setClosedDomains(domains, harness.now);
-}
-
-void passTime(SchedulerHarness &harness, Duration time)
-{
-    harness.now += time;
-    harness.reportWorkers();
-}
-
 MoveTarget target(std::int64_t cpu, std::int64_t total = 16000)
 {
     return {ServiceId("desk"), total, cpu, cpu, 64000, 0, {}};
@@ -185,7 +163,7 @@
 
 /// Lets runs that were started become ready, and moves runs for this long. Returns the most tasks
 /// that were stopped and not ready at any time.
-int moveFor(SchedulerHarness &harness, Duration time, Duration readyAfter = seconds(1))
+int moveFor(EvacuationHarness &harness, Duration time, Duration readyAfter = seconds(1))
 {
     int most = 0;
     std::map<std::pair<std::string, std::uint64_t>, Time> startedAt;
@@ -193,7 +171,7 @@
     for (const auto &[id, runs] : harness.running)
         total += runs.size();
     for (const Time end = harness.now + time; harness.now < end;) {
-        passTime(harness, milliseconds(100));
+        harness.passTime(milliseconds(100));
         for (const StartOrder &order : harness.planAndStart())
             startedAt[{formatTaskRef(order.task), order.run.value}] = harness.now;
         stopAll(harness);
@@ -228,13 +206,12 @@
 
 TEST_CASE("AVAIL: long-running runs are moved off a closed domain within MaxUnavailable")
 {
-    SchedulerHarness harness(4, 16000);
-    spreadOverDomains(harness);
-    closeDomains(harness, {"z1"}); // so that all of them start in the other domain
+    EvacuationHarness harness(4, 16000);
+    harness.closeDomains({"z1"}); // so that all of them start in the other domain
     harness.add("serving", {servingStep(10, 1000, 2)});
     REQUIRE(harness.planAndStart().size() == 10);
     reportPercent(harness, 100);
-    closeDomains(harness, {"z0"});
+    harness.closeDomains({"z0"});
     const int most = moveFor(harness, seconds(15));
     CHECK(most > 0);
     CHECK(most <= 2);
@@ -247,9 +224,8 @@
 
 TEST_CASE("AVAIL: tasks that are unavailable for another cause count")
 {
-    SchedulerHarness harness(4, 16000);
-    spreadOverDomains(harness);
-    closeDomains(harness, {"z1"});
+    EvacuationHarness harness(4, 16000);
+    harness.closeDomains({"z1"});
     harness.add("serving", {servingStep(4, 1000, 1)});
     const std::vector<StartOrder> starts = harness.planAndStart();
     REQUIRE(starts.size() == 4);
@@ -258,8 +234,8 @@
     {
         harness.running.begin()->second.front().percent = 40;
         // The one that is not ready itself may be moved: its step loses nothing by it.
-        closeDomains(harness, {"z0"});
-        passTime(harness, milliseconds(100));
+        harness.closeDomains({"z0"});
+        harness.passTime(milliseconds(100));
         harness.planAndStart();
         const std::vector<StopOrder> stops = stopAll(harness);
         CHECK(stops.size() <= 1);
@@ -269,9 +245,9 @@
     SUBCASE("one is lost with its worker")
     {
         harness.running.begin()->second.erase(harness.running.begin()->second.begin());
-        closeDomains(harness, {"z0", "z1"}); // it finds no worker
+        harness.closeDomains({"z0", "z1"}); // it finds no worker
         for (int i = 0; i < 20; ++i) {
-            passTime(harness, milliseconds(100));
+            harness.passTime(milliseconds(100));
             harness.planAndStart();
         }
         CHECK(harness.scheduler.takeStops().empty());
@@ -280,22 +256,21 @@
 
 TEST_CASE("without room in open domains runs stay in the closed one and go on")
 {
-    SchedulerHarness harness(2, 8000);
-    spreadOverDomains(harness);
-    closeDomains(harness, {"z1"});
+    EvacuationHarness harness(2, 8000);
+    harness.closeDomains({"z1"});
     harness.add("serving", {servingStep(8)});
     REQUIRE(harness.planAndStart().size() == 8);
     reportPercent(harness, 100);
     SUBCASE("all domains are closed")
     {
-        closeDomains(harness, {"z0", "z1"});
+        harness.closeDomains({"z0", "z1"});
         moveFor(harness, seconds(5));
         CHECK(runsIn(harness, "z0") == 8);
         CHECK(harness.scheduler.tasksToMove() == 8);
     }
     SUBCASE("the other domain has less room than they need")
     {
-        closeDomains(harness, {"z0"});
+        harness.closeDomains({"z0"});
         moveFor(harness, seconds(10));
         CHECK(runsIn(harness, "z0") + runsIn(harness, "z1") == 8);
         CHECK(runsIn(harness, "z1") == 7); // a tenth stays free
@@ -304,7 +279,7 @@
     {
         harness.silent.insert(harness.entries[1].id);
         harness.now += seconds(3);
-        closeDomains(harness, {"z0"});
+        harness.closeDomains({"z0"});
         moveFor(harness, seconds(5));
         CHECK(runsIn(harness, "z0") == 8);
     }
@@ -313,9 +288,8 @@
 
 TEST_CASE("short runs finish in the closed domain and checkpointing ones resume elsewhere")
 {
-    SchedulerHarness harness(2);
-    spreadOverDomains(harness);
-    closeDomains(harness, {"z1"});
+    EvacuationHarness harness(2);
+    harness.closeDomains({"z1"});
     StepSpec checkpointing = SchedulerHarness::step(1, 1000, seconds(30));
     checkpointing.checkpointing = true;
     StepSpec nearEnd = checkpointing;
@@ -324,8 +298,8 @@
     harness.add("resumes", {checkpointing});
     harness.add("near", {nearEnd});
     REQUIRE(harness.planAndStart().size() == 3);
-    passTime(harness, milliseconds(100));
-    closeDomains(harness, {"z0"});
+    harness.passTime(milliseconds(100));
+    harness.closeDomains({"z0"});
     harness.planAndStart();
     const std::vector<StopOrder> stops = stopAll(harness);
     REQUIRE(stops.size() == 1);
@@ -334,8 +308,7 @@
 
 TEST_CASE("a successor of the coordinator moves nothing before it knows the state of the step")
 {
-    SchedulerHarness harness(2);
-    spreadOverDomains(harness);
+    EvacuationHarness harness(2);
     JobSpec spec;
     spec.id = JobId("serving");
     spec.queue = QueueId("urgent");
@@ -353,9 +326,9 @@
             harness.running[WorkerId("w0")].push_back({{spec.id, 0, 0, i}, {1}, {}, 100, 0});
     }
     harness.scheduler.addJob(spec, progress, harness.now, harness.now);
-    closeDomains(harness, {"z0"});
+    harness.closeDomains({"z0"});
     for (int i = 0; i < 20; ++i) {
-        passTime(harness, milliseconds(100));
+        harness.passTime(milliseconds(100));
         harness.planAndStart();
     }
     CHECK(harness.scheduler.takeStops().empty());
@@ -363,14 +336,13 @@
 
 TEST_CASE("a run is not stopped that a limit of its step keeps from the open domain")
 {
-    SchedulerHarness harness(2);
-    spreadOverDomains(harness);
+    EvacuationHarness harness(2);
     StepSpec step = servingStep(2);
     step.antiAffinity = 1; // there is room in the open domain, but not for two of them
     harness.add("serving", {step});
     REQUIRE(harness.planAndStart().size() == 2);
     reportPercent(harness, 100);
-    closeDomains(harness, {"z0"});
+    harness.closeDomains({"z0"});
     moveFor(harness, seconds(3));
     CHECK(runsIn(harness, "z0") == 1);
     CHECK(runsIn(harness, "z1") == 1);
@@ -379,9 +351,8 @@
 
 TEST_CASE("an unknown domain is logged once")
 {
-    SchedulerHarness harness(2);
-    spreadOverDomains(harness);
-    closeDomains(harness, {"nowhere"});
+    EvacuationHarness harness(2);
+    harness.closeDomains({"nowhere"});
     moveFor(harness, seconds(1));
     CHECK(countEvents(harness, "evacuation-domain-unknown", "nowhere") == 1);
     CHECK(harness.scheduler.tasksToMove() == 0);
@@ -391,7 +362,7 @@
 
 TEST_CASE("DRAIN: a draining worker gets no start")
 {
-    SchedulerHarness harness(1);
+    EvacuationHarness harness(1);
     harness.add("a", {SchedulerHarness::step(1)});
     SUBCASE("it drains before the assignment")
     {
@@ -412,16 +383,15 @@
     }
     SUBCASE("it drains after its domain was opened again")
     {
-        spreadOverDomains(harness);
-        closeDomains(harness, {"z0"});
+        harness.closeDomains({"z0"});
         harness.entries[0].draining = true;
         harness.scheduler.setWorkers(harness.entries, harness.now);
-        closeDomains(harness, {});
+        harness.closeDomains({});
         CHECK(harness.planAndStart().empty());
     }
     // Nothing may be assigned there either, although the check before a start would catch it.
     harness.log.clear();
-    passTime(harness, seconds(1));
+    harness.passTime(seconds(1));
     CHECK(harness.planAndStart().empty());
     CHECK(std::none_of(harness.log.begin(), harness.log.end(),
                        [](const LogEvent &event) { return event.event == "tasks-assigned"; }));
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -3,7 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "evacuation/evacuation.h"
-#include "fakes/schedulerharness.h"
+#include "fakes/evacuationharness.h"
 #include "platform/platform.h"
 
 using namespace monsoonledge;
@@ -40,22 +40,6 @@
     }
 };
 
-/// Worker i is in the domain "z0" if i is even, otherwise in "z1".
-void spreadOverDomains(SchedulerHarness &harness)
-{
-    for (std::size_t i = 0; i < harness.entries.size(); ++i)
-        harness.entries[i].domain = DomainId(i % 2 == 0 ? "z0" : "z1");
-    harness.scheduler.setWorkers(harness.entries, harness.now);
-}
-
-void closeDomains(SchedulerHarness &harness, const std::set<std::string> &names)
-{
-    std::set<DomainId> domains;
-    for (const std::string &name : names)
-        domains.insert(DomainId(name));
-    harness.scheduler.setClosedDomains(domains, harness.now);
-}
-
 int startsIn(const SchedulerHarness &harness, const std::vector<StartOrder> &starts,
              const std::string &domain)
 {
@@ -69,12 +53,6 @@
             }));
 }
 
-void passTime(SchedulerHarness &harness, Duration time)
-{
-    harness.now += time;
-    harness.reportWorkers();
-}
-
 } // namespace
 
 // [1] Closed domains
@@ -166,29 +144,27 @@
 
 TEST_CASE("nothing is assigned in a closed domain, also when all domains are closed")
 {
-    SchedulerHarness harness(4, 4000);
-    spreadOverDomains(harness);
-    closeDomains(harness, {"z0"});
+    EvacuationHarness harness(4, 4000);
+    harness.closeDomains({"z0"});
     harness.add("a", {SchedulerHarness::step(12)});
     const std::vector<StartOrder> starts = harness.planAndStart();
     CHECK(starts.size() == 8); // all that fits in the other domain
     CHECK(startsIn(harness, starts, "z0") == 0);
-    closeDomains(harness, {"z0", "z1"});
+    harness.closeDomains({"z0", "z1"});
     harness.add("b", {SchedulerHarness::step(1)});
-    passTime(harness, milliseconds(300));
+    harness.passTime(milliseconds(300));
     CHECK(harness.planAndStart().empty());
-    closeDomains(harness, {});
+    harness.closeDomains({});
     CHECK(harness.planAndStart().size() == 5);
 }
 
 TEST_CASE("a task that waits for a closed domain is logged with that cause")
 {
-    SchedulerHarness harness(2);
-    spreadOverDomains(harness);
-    closeDomains(harness, {"z0", "z1"});
+    EvacuationHarness harness(2);
+    harness.closeDomains({"z0", "z1"});
     harness.add("a", {SchedulerHarness::step(1)});
     for (int i = 0; i < 30; ++i) {
-        passTime(harness, milliseconds(100));
+        harness.passTime(milliseconds(100));
         harness.planAndStart();
     }
     const bool isLogged =
@@ -202,8 +178,7 @@
 
 TEST_CASE("a run that is assigned but not recorded when its domain closes is not started")
 {
-    SchedulerHarness harness(2);
-    spreadOverDomains(harness);
+    EvacuationHarness harness(2);
     StepSpec step = SchedulerHarness::step(2, 9000);
     SUBCASE("single tasks") { }
     SUBCASE("a gang: no member may start alone")
@@ -213,7 +188,7 @@
     harness.add("a", {step});
     harness.scheduler.plan(harness.now);
     const std::vector<JobChange> changes = harness.scheduler.takeChanges(100);
-    closeDomains(harness, {"z0"});
+    harness.closeDomains({"z0"});
     for (const JobChange &change : changes)
         harness.scheduler.onSaved(change.job, change.version, harness.now);
     const std::vector<StartOrder> starts = harness.scheduler.takeStarts();
@@ -223,27 +198,25 @@
 
 TEST_CASE("a refused start is not retried in a domain that has been closed since")
 {
-    SchedulerHarness harness(2);
-    spreadOverDomains(harness);
+    EvacuationHarness harness(2);
     harness.add("a", {SchedulerHarness::step(2, 9000)});
     harness.scheduler.plan(harness.now);
     for (const JobChange &change : harness.scheduler.takeChanges(100))
         harness.scheduler.onSaved(change.job, change.version, harness.now);
     const std::vector<StartOrder> starts = harness.scheduler.takeStarts();
     REQUIRE(startsIn(harness, starts, "z0") == 1);
-    closeDomains(harness, {"z0"});
+    harness.closeDomains({"z0"});
     for (const StartOrder &order : starts)
         harness.scheduler.onStartAnswered(order, StartOutcome::Refused, harness.now);
     for (int i = 0; i < 20; ++i) {
-        passTime(harness, milliseconds(100));
+        harness.passTime(milliseconds(100));
         CHECK(startsIn(harness, harness.planAndStart(), "z0") == 0);
     }
 }
 
 TEST_CASE("no run in a closed domain is preempted for a task that may not start there")
 {
-    SchedulerHarness harness(1, 4000);
-    spreadOverDomains(harness);
+    EvacuationHarness harness(1, 4000);
     StepSpec serving = SchedulerHarness::step(1, 2000);
     serving.longRunning = true;
     harness.add("serving", {serving});
@@ -251,25 +224,24 @@
     REQUIRE(starts.size() == 1);
     harness.add("short", {SchedulerHarness::step(2)});
     REQUIRE(harness.planAndStart().size() == 2);
-    closeDomains(harness, {"z0"});
+    harness.closeDomains({"z0"});
     harness.entries[0].cpu.value = 3000; // with less room, the task could only return by preemption
     harness.scheduler.setWorkers(harness.entries, harness.now);
     harness.endRun(starts.front(), RunOutcome::LeaseExpired);
     for (int i = 0; i < 20; ++i) {
-        passTime(harness, milliseconds(100));
+        harness.passTime(milliseconds(100));
         CHECK(harness.planAndStart().empty());
         CHECK(harness.scheduler.takeStops().empty());
     }
-    closeDomains(harness, {});
-    passTime(harness, milliseconds(100));
+    harness.closeDomains({});
+    harness.passTime(milliseconds(100));
     harness.planAndStart();
     CHECK(harness.scheduler.takeStops().size() == 1); // it is what it would be without the closing
 }
 
 TEST_CASE("while starts are paused nothing is started, and runs that end are still processed")
 {
-    SchedulerHarness harness(2);
-    spreadOverDomains(harness);
+    EvacuationHarness harness(2);
     harness.add("a", {SchedulerHarness::step(1)});
     const std::vector<StartOrder> starts = harness.planAndStart();
     REQUIRE(starts.size() == 1);
@@ -279,7 +251,7 @@
     CHECK(harness.planAndStart().empty());
     CHECK(harness.log.empty()); // nothing is assigned either
     harness.endRun(starts.front(), RunOutcome::Done);
-    passTime(harness, milliseconds(500));
+    harness.passTime(milliseconds(500));
     CHECK(harness.state("a") == JobState::Completed);
     harness.scheduler.setStartsPaused(false);
     CHECK(harness.planAndStart().size() == 1);
