--- a/tests/unit/peerlinks_test.cpp
+++ b/tests/unit/peerlinks_test.cpp
@@ -8,6 +8,8 @@
 #include <event2/listener.h>
 
 #include <algorithm>
+#include <ctime>
+#include <sys/resource.h>
 
 using namespace monsoonledge;
 
@@ -300,6 +302,26 @@
     CHECK(runUntil([&] { return b.hasEvent("down closed"); }));
 }
 
+// Guards against a loop that spins, or a listener that stays off, after a lack of file descriptors.
+TEST_CASE_FIXTURE(LoopFixture, "connections are accepted again after a lack of file descriptors")
+{
+    EntryProcess b(loop, "b", 23124);
+    b.links->addPeer(EntryId("a"), {"127.0.0.1", 23125}); // nothing listens there
+    runFor(milliseconds(5));
+    RawPeer raw(23124); // connected by the kernel
+    rlimit limit{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    const rlimit none{0, limit.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    const std::clock_t before = std::clock();
+    runFor(milliseconds(300));
+    const double processorSeconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    CHECK(processorSeconds < 0.1);
+    raw.hello("a", 5);
+    CHECK(runUntil([&] { return b.hasEvent("up 5"); }));
+}
+
 TEST_CASE_FIXTURE(ConnectedPair, "the error for an address in use names the address")
 {
     CHECK_THROWS_WITH_AS(EntryProcess(loop, "c", 23102),
