--- a/tests/unit/overload_fleet_test.cpp
+++ b/tests/unit/overload_fleet_test.cpp
@@ -93,6 +93,17 @@
                                number % 3 == 0 ? "ms=1100" : "ms=500");
     }
 
+    /// Publishes the report and submits jobs until one is refused, whose number is returned.
+    int firstRefused()
+    {
+        publish();
+        world.clock.advance(milliseconds(20));
+        int number = 0;
+        while (world.submit(0, job(number)) != JobAnswer::Overloaded)
+            REQUIRE(++number < 50);
+        return number;
+    }
+
     FleetWorld world;
 };
 
@@ -130,11 +141,7 @@
 {
     Reported reported;
     FleetWorld &world = reported.world;
-    reported.publish();
-    world.clock.advance(milliseconds(20));
-    int number = 0;
-    while (world.submit(0, Reported::job(number)) != JobAnswer::Overloaded)
-        REQUIRE(++number < 50);
+    const int number = reported.firstRefused();
     std::vector<JobAnswer> answers;
     const auto submit = [&] {
         world.node(0).submit(
@@ -158,11 +165,7 @@
 {
     Reported reported;
     FleetWorld &world = reported.world;
-    reported.publish();
-    world.clock.advance(milliseconds(20));
-    int number = 0;
-    while (world.submit(0, Reported::job(number)) != JobAnswer::Overloaded)
-        REQUIRE(++number < 50);
+    int number = reported.firstRefused();
     world.process(0).store->silentPrefix = "coordinator";
     world.clock.advance(milliseconds(1100)); // the last watch is answered
     reported.publish();
