--- a/tests/unit/relaylinks_test.cpp
+++ b/tests/unit/relaylinks_test.cpp
@@ -183,9 +183,15 @@
 // silent because a request could not wait until its link was open.
 TEST_CASE_FIXTURE(Fixture, "a time-out while the link is being opened is reported as such")
 {
-    const ResultPtr brief = begin(a, b.peer(), submission("brief"), Duration(1));
-    const ResultPtr other = begin(a, b.peer(), submission("other"));
-    REQUIRE(runUntil([&] { return brief->has_value() && other->has_value(); }));
+    Entry slow(stoppedLoop, "s", 23204); // does not answer the hello until its loop runs
+    const ResultPtr brief = begin(a, slow.peer(), submission("brief"), milliseconds(20));
+    const ResultPtr other = begin(a, slow.peer(), submission("other"));
+    REQUIRE(runUntil([&] { return brief->has_value(); }, slow.settings.connectTimeout));
+    REQUIRE(runUntil([&] {
+        stoppedLoop.after(milliseconds(1), [this](Time) { stoppedLoop.stop(); });
+        stoppedLoop.run();
+        return other->has_value();
+    }));
     CHECK((*brief)->delivery == RelayDelivery::NotSent);
     CHECK((*brief)->detail == "the link is not open yet");
     CHECK((*brief)->isTimedOut);
