--- a/src/adapters/relaylinks.cpp
+++ b/src/adapters/relaylinks.cpp
@@ -3,18 +3,10 @@
 //
 // Sections:
 //   [1] Links that this process has opened
-//   [2] Links that other processes have opened
-//   [3] Hello exchange and messages
-#include "adapters/peerchannel_p.h"
+//   [2] Hello exchange and messages
+#include "adapters/peerlistener_p.h"
 #include "adapters/relaycodec_p.h"
 
-#include <event2/listener.h>
-#include <event2/util.h>
-
-#include <cerrno>
-#include <csignal>
-#include <cstring>
-#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -23,9 +15,7 @@
 namespace {
 
 constexpr int ProtocolVersion = 1;
-// Limit of accepted connections; each of them has a read buffer of 16 KiB. A deployment has at most
-// some 50 entry processes.
-constexpr std::size_t MaxAcceptedChannels = 128;
+constexpr std::size_t MaxAcceptedChannels = 128; // a deployment has some 50 entry processes
 constexpr Duration AcceptRetryDelay = milliseconds(200); // if there are no file descriptors
 
 const char *lossName(LinkLoss loss)
@@ -72,77 +62,65 @@
         Time deadline;
         std::function<void(const RelayResult &, Time now)> done;
         TimerId timer = 0;
-        std::optional<Time> sentAt; // unset: the link is being opened
+        bool isSent = false;
     };
     struct Link
     {
         PeerChannelPtr channel;
         std::map<std::uint64_t, Pending> pending; // by correlation
-        std::optional<Time> openedAt; // unset: the peer's hello has not arrived
-        Time receivedAt{}; // last message
+        bool isOpen = false; // the peer's hello has arrived
         std::optional<TimerId> idleTimer; // set while nothing is pending
+        // Set while a hello, or a message after a request, is awaited.
+        std::optional<TimerId> silenceTimer;
     };
 
     Link &linkTo(const RelayPeer &peer);
-    void sendPending(Link &link, Time now);
+    void sendPending(Link &link, const Address &address, Time now);
     void onTimeout(const Address &address, std::uint64_t correlation, Time now);
     void finish(Link &link, std::uint64_t correlation, const RelayResult &result,
                 const Address &address, Time now);
+    void closeAfter(std::optional<TimerId> &timer, Duration delay, const Address &address,
+                    const char *cause);
+    void stop(std::optional<TimerId> &timer);
+    void stopTimers(Link &link);
     void closeLink(const Address &address, const std::string &cause, Time now);
     std::map<Address, Link>::iterator findLink(const PeerChannelPtr &channel);
 
-    static void onAccept(evconnlistener *listener, evutil_socket_t socket, sockaddr *from,
-                         int fromLength, void *self);
-    static void onAcceptError(evconnlistener *listener, void *self);
-    void listen();
-
     void sendHello(PeerChannel &channel);
     void received(const PeerChannelPtr &channel, const std::string &bytes, Time now);
     void receivedHello(const PeerChannelPtr &channel, const std::string &bytes, Time now);
     void receivedRequest(const PeerChannelPtr &channel, const std::string &bytes, Time now);
     void receivedAnswer(const PeerChannelPtr &channel, const std::string &bytes, Time now);
-    bool decodeOrReject(PeerChannel &channel, const std::function<void()> &decode);
+    template<typename Decode>
+    auto decodeOrReject(PeerChannel &channel, Decode decode) -> std::optional<decltype(decode())>;
     void lost(const PeerChannelPtr &channel, Time now);
 
     RelayLinkSettings settings_;
     PeerChannelContext context_;
     RelayReceiver receiver_;
-    evconnlistener *listener_ = nullptr;
-    std::optional<TimerId> acceptRetryTimer_;
+    PeerListener listener_; // owns the links that others have opened
     std::map<Address, Link> links_; // opened by this process
-    std::set<PeerChannelPtr> accepted_; // opened by others
     std::uint64_t lastCorrelation_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
 RelayLinks::RelayLinks(EventLoop &loop, const RelayLinkSettings &settings)
-    : settings_(settings), context_(loop, channelSettings(settings))
+    : settings_(settings), context_(loop, channelSettings(settings)),
+      listener_(context_, "forwarded requests", {MaxAcceptedChannels, AcceptRetryDelay})
 {
     context_.opened = [this](PeerChannel &channel) { sendHello(channel); };
     context_.received = [this](const PeerChannelPtr &channel, const std::string &bytes, Time now) {
         received(channel, bytes, now);
     };
     context_.lost = [this](const PeerChannelPtr &channel, Time now) { lost(channel, now); };
-    // libevent writes without MSG_NOSIGNAL. With SIGPIPE ignored, a write to a closed connection
-    // returns an error.
-    std::signal(SIGPIPE, SIG_IGN);
-    listen();
 }
 
 RelayLinks::~RelayLinks()
 {
-    if (acceptRetryTimer_)
-        context_.loop.cancel(*acceptRetryTimer_);
-    evconnlistener_free(listener_);
     for (auto &[address, link] : links_) {
-        if (link.idleTimer)
-            context_.loop.cancel(*link.idleTimer);
-        for (const auto &[correlation, pending] : link.pending)
-            context_.loop.cancel(pending.timer);
+        stopTimers(link);
         link.channel->close();
     }
-    for (const PeerChannelPtr &channel : accepted_)
-        channel->close();
 }
 
 // [1] Links that this process has opened
@@ -155,6 +133,8 @@
         link.channel = std::make_shared<PeerChannel>(context_, PeerChannelKind::Connector,
                                                      EntryId(peer.name));
         link.channel->connect(peer.address);
+        closeAfter(link.silenceTimer, settings_.connectTimeout, peer.address,
+                   "the link was not opened in time");
     }
     return link;
 }
@@ -165,8 +145,7 @@
     const Time now = context_.loop.now();
     const std::uint64_t correlation = ++lastCorrelation_;
     Link &link = linkTo(peer);
-    if (link.idleTimer)
-        context_.loop.cancel(*std::exchange(link.idleTimer, std::nullopt));
+    stop(link.idleTimer);
     Pending &pending = link.pending[correlation];
     pending.request = request;
     pending.deadline = now + timeout;
@@ -175,21 +154,24 @@
             timeout, [this, address = peer.address, correlation](Time eventTime) {
                 onTimeout(address, correlation, eventTime);
             });
-    if (link.openedAt)
-        sendPending(link, now);
+    if (link.isOpen)
+        sendPending(link, peer.address, now);
 }
 
 /// Sends the requests that waited for the link. One that cannot be sent is reported at its timeout
 /// or when the link is lost, whichever comes first.
-void RelayLinks::sendPending(Link &link, Time now)
+void RelayLinks::sendPending(Link &link, const Address &address, Time now)
 {
     for (auto &[correlation, pending] : link.pending) {
-        if (pending.sentAt)
+        if (pending.isSent)
             continue;
         pending.request.timeLeft = pending.deadline - now;
         try {
-            if (link.channel->write(encodeRelayRequest(correlation, pending.request)))
-                pending.sentAt = now;
+            if (!link.channel->write(encodeRelayRequest(correlation, pending.request)))
+                continue;
+            pending.isSent = true;
+            if (!link.silenceTimer)
+                closeAfter(link.silenceTimer, settings_.silenceTimeout, address, "no answer");
         } catch (const std::invalid_argument &) {
             // The message exceeds a limit. The peer would close the link each time it is sent.
         }
@@ -202,14 +184,15 @@
     if (found == links_.end() || found->second.pending.count(correlation) == 0)
         return;
     Link &link = found->second;
-    const Pending &pending = link.pending.at(correlation);
-    const bool isSilent = !link.openedAt || (pending.sentAt && link.receivedAt < *pending.sentAt);
-    if (isSilent) {
-        closeLink(address, "no answer", now);
-        return;
+    RelayResult result;
+    result.delivery = RelayDelivery::NotSent;
+    result.detail = link.isOpen ? "the request could not be sent" : "the link is not open yet";
+    if (link.pending.at(correlation).isSent) {
+        result.delivery = RelayDelivery::Lost;
+        result.detail = "no answer";
     }
-    const RelayDelivery delivery = pending.sentAt ? RelayDelivery::Lost : RelayDelivery::NotSent;
-    finish(link, correlation, {delivery, {}, "no answer"}, address, now);
+    result.isTimedOut = true;
+    finish(link, correlation, result, address, now);
 }
 
 /// Reports the result of one request. May invalidate the link.
@@ -220,13 +203,32 @@
     link.pending.erase(correlation);
     context_.loop.cancel(pending.timer);
     if (link.pending.empty())
-        link.idleTimer =
-                context_.loop.after(settings_.idleTimeout, [this, address](Time eventTime) {
-                    closeLink(address, "idle", eventTime);
-                });
+        closeAfter(link.idleTimer, settings_.idleTimeout, address, "idle");
     pending.done(result, now);
 }
 
+/// Closes the link after the delay, unless the timer is stopped.
+void RelayLinks::closeAfter(std::optional<TimerId> &timer, Duration delay, const Address &address,
+                            const char *cause)
+{
+    timer = context_.loop.after(
+            delay, [this, address, cause](Time now) { closeLink(address, cause, now); });
+}
+
+void RelayLinks::stop(std::optional<TimerId> &timer)
+{
+    if (timer)
+        context_.loop.cancel(*std::exchange(timer, std::nullopt));
+}
+
+void RelayLinks::stopTimers(Link &link)
+{
+    stop(link.idleTimer);
+    stop(link.silenceTimer);
+    for (const auto &[correlation, pending] : link.pending)
+        context_.loop.cancel(pending.timer);
+}
+
 /// Closes the link and reports its requests as not answered or not sent.
 void RelayLinks::closeLink(const Address &address, const std::string &cause, Time now)
 {
@@ -235,14 +237,11 @@
         return;
     Link link = std::move(found->second);
     links_.erase(found);
-    if (link.idleTimer)
-        context_.loop.cancel(*link.idleTimer);
+    stopTimers(link);
     link.channel->close();
-    for (auto &[correlation, pending] : link.pending)
-        context_.loop.cancel(pending.timer);
     for (auto &[correlation, pending] : link.pending) {
         const RelayDelivery delivery =
-                pending.sentAt ? RelayDelivery::Lost : RelayDelivery::NotSent;
+                pending.isSent ? RelayDelivery::Lost : RelayDelivery::NotSent;
         pending.done({delivery, {}, cause}, now); // may open a new link
     }
 }
@@ -255,60 +254,17 @@
     return it;
 }
 
-// [2] Links that other processes have opened
-
-void RelayLinks::listen()
-{
-    SocketAddress address(settings_.listen);
-    errno = EINVAL;
-    if (address.length != 0)
-        listener_ = evconnlistener_new_bind(
-                context_.loop.base(), onAccept, this,
-                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, SOMAXCONN,
-                address.get(), static_cast<int>(address.length));
-    if (listener_ == nullptr)
-        throw std::runtime_error("cannot listen for forwarded requests on " + settings_.listen.str()
-                                 + ": " + std::strerror(errno));
-    evconnlistener_set_error_cb(listener_, onAcceptError);
-}
-
-void RelayLinks::onAccept(evconnlistener * /*listener*/, evutil_socket_t socket,
-                          sockaddr * /*from*/, int /*fromLength*/, void *self)
-{
-    auto *links = static_cast<RelayLinks *>(self);
-    if (links->accepted_.size() >= MaxAcceptedChannels) {
-        evutil_closesocket(socket);
-        return;
-    }
-    const auto channel =
-            std::make_shared<PeerChannel>(links->context_, PeerChannelKind::Acceptor, EntryId());
-    links->accepted_.insert(channel);
-    channel->accept(socket);
-}
-
-/// Out of file descriptors: the event loop would spin, as the pending connection keeps the socket
-/// readable.
-void RelayLinks::onAcceptError(evconnlistener * /*listener*/, void *self)
-{
-    auto *links = static_cast<RelayLinks *>(self);
-    evconnlistener_disable(links->listener_);
-    links->acceptRetryTimer_ = links->context_.loop.after(AcceptRetryDelay, [links](Time) {
-        links->acceptRetryTimer_.reset();
-        evconnlistener_enable(links->listener_);
-    });
-}
-
 void RelayLinks::lost(const PeerChannelPtr &channel, Time now)
 {
     const std::string cause = lossName(channel->loss());
     channel->close();
-    accepted_.erase(channel);
+    listener_.release(channel);
     const auto link = findLink(channel);
     if (link != links_.end())
         closeLink(Address(link->first), cause, now);
 }
 
-// [3] Hello exchange and messages
+// [2] Hello exchange and messages
 
 void RelayLinks::sendHello(PeerChannel &channel)
 {
@@ -325,39 +281,42 @@
         receivedAnswer(channel, bytes, now);
 }
 
-/// Returns false, and makes the channel fail, if the message cannot be read.
-bool RelayLinks::decodeOrReject(PeerChannel &channel, const std::function<void()> &decode)
+/// Returns nothing, and makes the channel fail, if the message cannot be read.
+template<typename Decode>
+auto RelayLinks::decodeOrReject(PeerChannel &channel, Decode decode)
+        -> std::optional<decltype(decode())>
 {
     try {
-        decode();
-        return true;
+        return decode();
     } catch (const std::runtime_error &error) {
         channel.reject();
         if (receiver_.invalid)
             receiver_.invalid(error.what());
-        return false;
+        return std::nullopt;
     }
 }
 
 void RelayLinks::receivedHello(const PeerChannelPtr &channel, const std::string &bytes, Time now)
 {
     const bool isAcceptor = channel->kind() == PeerChannelKind::Acceptor;
-    EntryId entry;
-    PeerMessageHandlers handlers;
-    handlers.hello = [&](const PeerHello &hello) {
-        // Another process may have the address by now.
-        const bool isExpected = isAcceptor || hello.run.entry == channel->peer();
-        if (isExpected && hello.protocol == ProtocolVersion)
-            entry = hello.run.entry;
-    };
     const auto decode = [&] {
+        EntryId entry;
+        PeerMessageHandlers handlers;
+        handlers.hello = [&](const PeerHello &hello) {
+            // Another process may have the address by now.
+            const bool isExpected = isAcceptor || hello.run.entry == channel->peer();
+            if (isExpected && hello.protocol == ProtocolVersion)
+                entry = hello.run.entry;
+        };
         decodePeerMessage(bytes, handlers);
         if (entry.isEmpty())
             throw std::runtime_error("no hello of the expected process and protocol");
+        return entry;
     };
-    if (!decodeOrReject(*channel, decode))
+    const std::optional<EntryId> entry = decodeOrReject(*channel, decode);
+    if (!entry)
         return;
-    channel->establish(entry, now);
+    channel->establish(*entry, now);
     if (isAcceptor) {
         sendHello(*channel);
         return;
@@ -365,49 +324,36 @@
     const auto found = findLink(channel);
     if (found == links_.end())
         return;
-    found->second.openedAt = now;
-    found->second.receivedAt = now;
-    sendPending(found->second, now);
+    found->second.isOpen = true;
+    stop(found->second.silenceTimer);
+    sendPending(found->second, found->first, now);
 }
 
 void RelayLinks::receivedRequest(const PeerChannelPtr &channel, const std::string &bytes, Time now)
 {
-    std::uint64_t correlation = 0;
-    RelayRequest request;
-    RelayMessageHandlers handlers;
-    handlers.request = [&](std::uint64_t number, const RelayRequest &message) {
-        correlation = number;
-        request = message;
-    };
-    if (!decodeOrReject(*channel, [&] { decodeRelayMessage(bytes, handlers); }))
+    const auto request = decodeOrReject(*channel, [&] { return decodeRelayRequest(bytes); });
+    if (!request)
         return;
-    const auto respond = [correlation, weak = std::weak_ptr<PeerChannel>(channel),
+    const auto respond = [correlation = request->correlation,
+                          weak = std::weak_ptr<PeerChannel>(channel),
                           alive = std::weak_ptr<int>(alive_)](const RelayAnswer &answer) {
         const PeerChannelPtr sender = weak.lock();
         if (!alive.expired() && sender)
             sender->write(encodeRelayAnswer(correlation, answer));
     };
-    if (!receiver_.request || !receiver_.request(request, respond, now))
+    if (!receiver_.request || !receiver_.request(request->body, respond, now))
         channel->reject(); // the receiver has logged it
 }
 
 void RelayLinks::receivedAnswer(const PeerChannelPtr &channel, const std::string &bytes, Time now)
 {
-    std::uint64_t correlation = 0;
-    RelayAnswer answer;
-    RelayMessageHandlers handlers;
-    handlers.answer = [&](std::uint64_t number, const RelayAnswer &message) {
-        correlation = number;
-        answer = message;
-    };
-    if (!decodeOrReject(*channel, [&] { decodeRelayMessage(bytes, handlers); }))
-        return;
+    const auto answer = decodeOrReject(*channel, [&] { return decodeRelayAnswer(bytes); });
     const auto found = findLink(channel);
-    if (found == links_.end())
+    if (!answer || found == links_.end())
         return;
-    found->second.receivedAt = now;
-    if (found->second.pending.count(correlation) > 0) // otherwise it is late
-        finish(found->second, correlation, {RelayDelivery::Answered, answer, {}},
+    stop(found->second.silenceTimer);
+    if (found->second.pending.count(answer->correlation) > 0) // otherwise it is late
+        finish(found->second, answer->correlation, {RelayDelivery::Answered, answer->body, {}},
                Address(found->first), now);
 }
 
--- a/src/fleet/admit.cpp
+++ b/src/fleet/admit.cpp
@@ -6,11 +6,11 @@
 namespace monsoonledge {
 
 /// Refuses the job, unless an earlier attempt whose answer was lost has stored it. If the store
-/// does not say so, the job is admitted.
-void FleetNode::refuseUnlessStored(const JobSpec &job, Time deadline,
-                                   std::function<void(JobAnswer, Time)> done)
+/// does not answer, the job is admitted.
+void FleetNode::refuseUnlessStored(const JobSpec &job, const AdmissionDecision &decision,
+                                   Time deadline, std::function<void(JobAnswer, Time)> done)
 {
-    ports_.store.get(keys::spec(job.id), [this, job, deadline, done = std::move(done),
+    ports_.store.get(keys::spec(job.id), [this, job, decision, deadline, done = std::move(done),
                                           alive = std::weak_ptr<int>(alive_)](
                                                  const KeyValueResult &result, Time now) {
         if (alive.expired())
@@ -20,14 +20,8 @@
             done(JobAnswer::Accepted, now);
             return;
         }
-        if (result.status != KeyValueStatus::NotFound) {
-            store(job, deadline, done, now);
-            return;
-        }
-        // Meanwhile the client may have repeated the job and been admitted, or the report changed.
-        const AdmissionReport *report = admissionReport_ ? &*admissionReport_ : nullptr;
-        const AdmissionDecision decision = admission_.decide(job, report, reportAge(now), now);
-        if (decision.isAdmitted) {
+        // Another submission of the job may have been admitted during the read.
+        if (result.status != KeyValueStatus::NotFound || admission_.mayBeStored(job.id, now)) {
             store(job, deadline, done, now);
             return;
         }
@@ -40,7 +34,7 @@
              {"freeMilliCores", std::to_string(decision.free)},
              {"totalMilliCores", std::to_string(decision.total)},
              {"delayMs", std::to_string(wholeMilliseconds(decision.delay))},
-             {"reportAgeMs", std::to_string(wholeMilliseconds(reportAge(now)))},
+             {"reportAgeMs", std::to_string(wholeMilliseconds(decision.reportAge))},
              {"retryAfterS", std::to_string(decision.retryAfter / seconds(1))}});
         done(JobAnswer::Overloaded, now);
     });
@@ -53,15 +47,16 @@
 }
 
 /// Takes the report for admission from a record of the backlog. One that was loaded instead of
-/// watched may be of any age, so it is not used. The age of a watched one counts from when the
-/// watch was sent: its answer may have waited in the socket while this process was paused.
-void FleetNode::takeAdmissionReport(const std::string &bytes, bool isWatched, Time now)
+/// watched may be of any age, so it is not used. The age of a watched one counts from the first
+/// call after the last answer: the report may have been stored during failed calls, and the answer
+/// may have waited in the socket while this process was paused.
+void FleetNode::takeAdmissionReport(const std::string &bytes, bool isWatched)
 {
     admissionReport_.reset();
     if (bytes.empty() || !isWatched)
         return;
     admissionReport_ = decodeAdmissionReport(bytes);
-    admissionReportSince_ = now - coordinatorWatch_->lastAnswer().took;
+    admissionReportSince_ = coordinatorWatch_->lastAnswer().askedSince;
     if (!admissionReport_)
         log(LogLevel::Error, "record-unreadable",
             "the report for admission is malformed; all jobs are admitted until the next one",
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -273,9 +273,10 @@
         // If unset, the keys are loaded once and not watched.
         std::function<void(const std::vector<KeyValue> &events, Time now)> changed;
     };
-    /// An answer of the store, for logs.
+    /// A successful answer of the store.
     struct Answer
     {
+        Time askedSince{}; // when the first call after the previous answer was sent
         Duration took{}; // since the call; of a watch, including the wait for an event
         std::size_t items = 0; // keys, or events of a watch
         std::size_t bytes = 0; // of their values
@@ -373,7 +374,7 @@
         Time deadline;
         CreateCallback done;
         bool maybeWritten = false; // an earlier attempt was not answered
-        int attempts = 0;
+        std::uint64_t attempts = 0;
         Time notBefore{}; // of the next attempt
     };
     struct Batch
@@ -678,11 +679,11 @@
     void watchJobs();
     void store(const JobSpec &job, Time deadline, std::function<void(JobAnswer, Time)> done,
                Time now);
-    void refuseUnlessStored(const JobSpec &job, Time deadline,
+    void refuseUnlessStored(const JobSpec &job, const AdmissionDecision &decision, Time deadline,
                             std::function<void(JobAnswer, Time)> done);
     Duration reportAge(Time now) const;
-    void takeAdmissionReport(const std::string &bytes, bool isWatched, Time now);
-    void onBacklogItem(const KeyValue &item, bool isWatched, Time now);
+    void takeAdmissionReport(const std::string &bytes, bool isWatched);
+    void onBacklogItem(const KeyValue &item, bool isWatched);
     void onCoordinatorItem(const KeyValue &item, bool isWatched, Time now);
     void challengeIfStronger(Time now);
     void onChallenge(double cores);
--- a/tests/unit/overload_fleet_test.cpp
+++ b/tests/unit/overload_fleet_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include "fakes/fleetworld.h"
+#include "platform/platform.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,8 +53,152 @@
     int entry = 0; // a process that is not the coordinator
 };
 
+/// A process that is not the coordinator and never becomes one. The test writes the reports.
+struct Reported
+{
+    Reported() : world(1, 1)
+    {
+        world.admitsUnderShortage = true;
+        world.start(0);
+        REQUIRE(world.wait([&] { return world.node(0).isReady(world.clock.now()); }));
+        world.node(0).drain();
+        world.clock.advance(seconds(3));
+    }
+
+    /// By this report, half of the jobs of about 1 s are refused, chosen by a hash.
+    static AdmissionReport report()
+    {
+        ServiceLoad service;
+        service.service = ServiceId("desk");
+        service.total = 16000;
+        service.priorities.push_back({});
+        service.priorities.back().delay = milliseconds(6500);
+        service.priorities.back().lateDelay = milliseconds(6500);
+        QueueLoad queue;
+        queue.queue = QueueId("renewal");
+        queue.admitShare = 0.5;
+        return {{service}, {queue}};
+    }
+    /// `admission`: the encoded report; empty: all jobs are admitted.
+    void publish(const std::string &admission = encodeAdmissionReport(report()))
+    {
+        BacklogReport backlog;
+        backlog.revision = 1;
+        backlog.admission = admission;
+        world.store.put("coordinator/backlog", encodeBacklog(backlog));
+    }
+    static JobSpec job(int number)
+    {
+        return FleetWorld::job("n" + std::to_string(number), 1,
+                               number % 3 == 0 ? "ms=1100" : "ms=500");
+    }
+
+    /// Publishes the report and submits jobs until one is refused, whose number is returned.
+    int firstRefused()
+    {
+        publish();
+        world.clock.advance(milliseconds(20));
+        int number = 0;
+        while (world.submit(0, job(number)) != JobAnswer::Overloaded)
+            REQUIRE(++number < 50);
+        return number;
+    }
+
+    FleetWorld world;
+};
+
 } // namespace
 
+// Guards against jobs that count twice in the mean duration by which long jobs are refused more
+// often: refused jobs were decided about a second time after the read of their specification.
+TEST_CASE("each submission is decided about once")
+{
+    Reported reported;
+    FleetWorld &world = reported.world;
+    AdmissionPolicy policy; // decides once
+    int refused = 0;
+    for (int i = 0; i < 400; ++i) {
+        if (i % 100 == 0) { // before the last report becomes too old
+            reported.publish();
+            world.clock.advance(milliseconds(20));
+        }
+        JobSpec expected = Reported::job(i);
+        expected.terms = *world.node(0).config().find(expected.queue);
+        const AdmissionReport report = Reported::report();
+        const bool isAdmitted =
+                policy.decide(expected, &report, Duration::zero(), world.clock.now()).isAdmitted;
+        const JobAnswer answer = world.submit(0, Reported::job(i));
+        REQUIRE(answer == (isAdmitted ? JobAnswer::Accepted : JobAnswer::Overloaded));
+        refused += isAdmitted ? 0 : 1;
+    }
+    CHECK(refused > 100);
+    CHECK(refused < 300);
+}
+
+// Guards against 503 for a job that another submission, made while the first one waits for the
+// answer of the store, is about to store.
+TEST_CASE("a job that is being stored by another submission is not refused")
+{
+    Reported reported;
+    FleetWorld &world = reported.world;
+    const int number = reported.firstRefused();
+    std::vector<JobAnswer> answers;
+    const auto submit = [&] {
+        world.node(0).submit(
+                Reported::job(number), world.clock.now() + seconds(3),
+                [&](JobAnswer answer, Time) { answers.push_back(answer); }, world.clock.now());
+    };
+    world.process(0).store->latency = milliseconds(100);
+    submit();
+    reported.publish("");
+    world.clock.advance(milliseconds(120));
+    submit();
+    CHECK(answers.empty());
+    world.clock.advance(seconds(1));
+    CHECK(answers.size() == 2);
+    CHECK(std::count(answers.begin(), answers.end(), JobAnswer::Accepted) == 2);
+}
+
+// Guards against an age that begins at the watch call that was answered, although the report may
+// have been stored during the failed calls before it.
+TEST_CASE("a report that is received after failed watch calls may be as old as these")
+{
+    Reported reported;
+    FleetWorld &world = reported.world;
+    int number = reported.firstRefused();
+    world.process(0).store->silentPrefix = "coordinator";
+    world.clock.advance(milliseconds(1100)); // the last watch is answered
+    reported.publish();
+    world.clock.advance(seconds(4));
+    world.process(0).store->silentPrefix.clear();
+    world.clock.advance(milliseconds(1600)); // the retry delay and the timeout of the last call
+    int refused = 0;
+    for (const int last = number + 50; number < last; ++number)
+        refused += world.submit(0, Reported::job(number + 1)) == JobAnswer::Accepted ? 0 : 1;
+    CHECK(refused == 0);
+}
+
+// Guards against queue names that end their label in /metrics.
+TEST_CASE("names of queues are escaped in the metrics")
+{
+    Reported reported;
+    FleetWorld &world = reported.world;
+    AdmissionReport report = Reported::report();
+    report.services.front().service = ServiceId(); // of jobs of an unknown queue
+    report.services.front().shapes.push_back({1, 1, 0, ""}); // too small for the job
+    reported.publish(encodeAdmissionReport(report));
+    world.clock.advance(milliseconds(20));
+    JobSpec job = Reported::job(1);
+    job.queue = QueueId("a\"} 1\nb\\");
+    REQUIRE(world.submit(0, job) == JobAnswer::Overloaded);
+    const platform::Frontend frontend(
+            world.node(0), [&] { return world.wall(); }, [](const LogEvent &) {});
+    const std::string metrics = platform::formatMetrics(world.node(0), frontend, world.clock.now());
+    CHECK(metrics.find(
+                  "jobs_refused_total{queue=\"a\\\"} 1\\nb\\\\\",reason=\"no-such-worker\"} 1\n")
+          != std::string::npos);
+}
+
 TEST_CASE("a job without a chance is refused with a delay, is not stored and never runs")
 {
     Overloaded overloaded;
--- a/tests/unit/relaylinks_test.cpp
+++ b/tests/unit/relaylinks_test.cpp
@@ -2,14 +2,11 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "adapters/adapters.h"
 #include "adapters/relaycodec_p.h"
+#include "fakes/linkhelpers.h"
 
 #include <doctest/doctest.h>
 #include <event2/event.h>
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <filesystem>
 
 using namespace monsoonledge;
@@ -38,6 +35,7 @@
         settings.listen = {"127.0.0.1", port};
         settings.idleTimeout = IdleTimeout;
         settings.connectTimeout = milliseconds(100);
+        settings.silenceTimeout = Timeout;
         start(loop);
     }
     void start(EventLoop &loop)
@@ -56,31 +54,18 @@
     RelayPeer peer() const { return {settings.self.entry.str(), settings.listen, settings.domain}; }
 };
 
-struct Fixture
+struct Fixture : LoopFixture
 {
-    EventLoop loop;
     EventLoop stoppedLoop; // its processes listen but do not run
     Entry a{loop, "a", 23201};
     Entry b{loop, "b", 23202};
 
-    bool runUntil(const std::function<bool()> &condition, Duration limit = seconds(5))
-    {
-        const Time end = loop.now() + limit;
-        while (!condition() && loop.now() < end)
-            runFor(milliseconds(2));
-        return condition();
-    }
-    void runFor(Duration duration)
-    {
-        loop.after(duration, [this](Time) { loop.stop(); });
-        loop.run();
-    }
-
     using ResultPtr = std::shared_ptr<std::optional<RelayResult>>;
-    ResultPtr begin(Entry &from, const RelayPeer &to, const RelayRequest &request)
+    ResultPtr begin(Entry &from, const RelayPeer &to, const RelayRequest &request,
+                    Duration timeout = Timeout)
     {
         auto result = std::make_shared<std::optional<RelayResult>>();
-        from.links->send(to, request, Timeout,
+        from.links->send(to, request, timeout,
                          [result](const RelayResult &value, Time) { *result = value; });
         CHECK_FALSE(result->has_value()); // never from inside the call
         return result;
@@ -104,41 +89,6 @@
     return std::distance(begin(files), end(files));
 }
 
-/// A process on a plain socket, which can violate the protocol at any point.
-struct RawPeer
-{
-    const int descriptor;
-
-    explicit RawPeer(std::uint16_t port) : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const sockaddr_in address{AF_INET, htons(port), {htonl(INADDR_LOOPBACK)}, {}};
-        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address)
-                == 0);
-        write("GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-              "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Version: 13\r\n\r\n");
-    }
-    ~RawPeer() { ::close(descriptor); }
-    void write(const std::string &bytes)
-    {
-        (void)::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    }
-    /// Sends a binary frame of less than 126 bytes with a mask of zeros.
-    void frame(const std::string &payload)
-    {
-        write({static_cast<char>(0x82), static_cast<char>(0x80 | payload.size()), 0, 0, 0, 0});
-        write(payload);
-    }
-    bool isClosed()
-    {
-        char bytes[4096];
-        while (true) {
-            const ssize_t size = recv(descriptor, bytes, sizeof bytes, MSG_DONTWAIT);
-            if (size <= 0)
-                return size == 0 || errno == ECONNRESET;
-        }
-    }
-};
-
 } // namespace
 
 TEST_CASE_FIXTURE(Fixture, "requests and answers pass in both directions, also large ones")
@@ -198,6 +148,62 @@
     CHECK(next.answer.kind == RelayAnswer::Kind::NotStored);
 }
 
+// Guards against the loss of other requests because one of them has a short deadline.
+TEST_CASE_FIXTURE(Fixture, "a time-out before the peer had time to answer keeps the link")
+{
+    CHECK(send(a, b.peer(), submission("open")).delivery == RelayDelivery::Answered);
+    b.answers = false;
+    const ResultPtr other = begin(a, b.peer(), submission("other"));
+    const ResultPtr brief = begin(a, b.peer(), submission("brief"), milliseconds(20));
+    REQUIRE(runUntil([&] { return brief->has_value(); }, Timeout / 2));
+    CHECK((*brief)->delivery == RelayDelivery::Lost);
+    CHECK((*brief)->isTimedOut);
+    REQUIRE(b.held.size() == 2);
+    b.held[0]({RelayAnswer::Kind::Stored});
+    REQUIRE(runUntil([&] { return other->has_value(); }));
+    CHECK((*other)->delivery == RelayDelivery::Answered);
+}
+
+// Guards against a silent link that stays because each request on it has a short deadline.
+TEST_CASE_FIXTURE(Fixture, "a link that is silent is closed also if all deadlines are short")
+{
+    CHECK(send(a, b.peer(), submission("open")).delivery == RelayDelivery::Answered);
+    b.answers = false;
+    const long before = openFiles();
+    for (int i = 0; i < 3; ++i) {
+        const ResultPtr brief = begin(a, b.peer(), submission("x"), milliseconds(20));
+        REQUIRE(runUntil([&] { return brief->has_value(); }));
+        runFor(milliseconds(4)); // a socket is closed in the next pass of the loop
+        CHECK(openFiles() == before);
+    }
+    CHECK(runUntil([&] { return openFiles() < before; }, Timeout)); // it is not idle yet
+}
+
+// Guards against the loss of other requests that wait for a link, and against a peer that counts as
+// silent because a request could not wait until its link was open.
+TEST_CASE_FIXTURE(Fixture, "a time-out while the link is being opened is reported as such")
+{
+    Entry slow(stoppedLoop, "s", 23204); // does not answer the hello until its loop runs
+    const ResultPtr brief = begin(a, slow.peer(), submission("brief"), milliseconds(20));
+    const ResultPtr other = begin(a, slow.peer(), submission("other"));
+    REQUIRE(runUntil([&] { return brief->has_value(); }, slow.settings.connectTimeout));
+    REQUIRE(runUntil([&] {
+        stoppedLoop.after(milliseconds(1), [this](Time) { stoppedLoop.stop(); });
+        stoppedLoop.run();
+        return other->has_value();
+    }));
+    CHECK((*brief)->delivery == RelayDelivery::NotSent);
+    CHECK((*brief)->detail == "the link is not open yet");
+    CHECK((*brief)->isTimedOut);
+    CHECK((*other)->delivery == RelayDelivery::Answered);
+    // A peer that does not answer the hello.
+    Entry paused(stoppedLoop, "p", 23203);
+    const RelayResult unopened = send(a, paused.peer(), submission("x"));
+    CHECK(unopened.delivery == RelayDelivery::NotSent);
+    CHECK(unopened.detail == "the link was not opened in time");
+    CHECK_FALSE(unopened.isTimedOut);
+}
+
 // Guards against the loss of other requests because one of them takes long.
 TEST_CASE_FIXTURE(Fixture, "a late answer on a link that works is dropped")
 {
@@ -253,32 +259,31 @@
 // Guards against a process that ends, or serves others no longer, because of one message.
 TEST_CASE_FIXTURE(Fixture, "a message that cannot be read closes its link and costs nothing else")
 {
-    const std::string hello =
-            encodePeerMessage(PeerHello{{EntryId("r"), Incarnation{1}}, DomainId("z"), 1});
     RawPeer raw(23202);
     SUBCASE("before the hello")
     {
+        raw.handshake();
         raw.frame(encodeRelayRequest(1, {}));
     }
     SUBCASE("no CBOR")
     {
-        raw.frame(hello);
+        raw.hello("r", 1);
         raw.frame("garbled");
     }
     SUBCASE("a truncated request")
     {
-        raw.frame(hello);
+        raw.hello("r", 1);
         const std::string request = encodeRelayRequest(1, {});
         raw.frame(request.substr(0, request.size() - 1));
     }
     SUBCASE("an answer in place of a request")
     {
-        raw.frame(hello);
+        raw.hello("r", 1);
         raw.frame(encodeRelayAnswer(1, {}));
     }
     SUBCASE("deeply nested")
     {
-        raw.frame(hello);
+        raw.hello("r", 1);
         raw.frame(std::string(100, '\x81'));
     }
     CHECK(runUntil([&] { return raw.isClosed(); }));
