Admission: refuse no job that may still be on time, unless the excess is to be refused

Refused clients come back when their jobs are late, mostly to a process that takes them for new ones; and the delay of work that can be on time was taken for that of each new job, though the scheduler starts those with little work first.

--- a/src/overload/decision.cpp
+++ b/src/overload/decision.cpp
@@ -8,9 +8,12 @@
 
 namespace {
 
-// Multiple of the time after which a result is worthless at which no job is admitted. Work that can
-// be on time is overestimated by the report, since part of it becomes late before it starts.
-constexpr double CertainlyWorthless = 2;
+// Multiples of the time after which a result is worthless at which no job is admitted, with and
+// without refusal of the excess. The delay of work that can be on time holds for the last of it:
+// the scheduler starts jobs with little work first, and part of the others becomes late and is
+// passed.
+constexpr double CertainlyWorthless = 10;
+constexpr double CertainlyWorthlessExcess = 2;
 
 /// The duration of the longest chain of steps, with a default for steps without an estimate.
 double criticalPathSeconds(const JobSpec &job)
@@ -193,12 +196,15 @@
     const bool isInTime = lost + delay + path <= limit * share;
     // If it can be on time at all, only the excess is refused: the report is a second or two old,
     // and refusing every job until the next one would leave processors idle.
+    const double certainty =
+            settings_.refusesExcess ? CertainlyWorthlessExcess : CertainlyWorthless;
     const bool mayBeInTime =
             lost + path < objective
-            && lost + std::max(onTimeDelay, shareDelay) + path <= limit * CertainlyWorthless;
-    if (isInTime
-        || (mayBeInTime
-            && !isExcess(job.id, 1 - (1 - queue.admitShare) * weight, hasWaited, now))) {
+            && lost + std::max(onTimeDelay, shareDelay) + path <= limit * certainty;
+    const bool isRefusedExcess =
+            settings_.refusesExcess
+            && isExcess(job.id, 1 - (1 - queue.admitShare) * weight, hasWaited, now);
+    if (isInTime || (mayBeInTime && !isRefusedExcess)) {
         decision.reason = AdmissionReason::InTime;
         return decision;
     }
--- a/src/overload/overload.h
+++ b/src/overload/overload.h
@@ -237,6 +237,10 @@
     double worthlessFactor = 3;
     // Share of that time at which refusal of a queue, once begun, ends.
     double endShare = 0.8;
+    // Also refuses a part of the jobs that could each be done in time, if there is no capacity for
+    // all of them. Without it, the order of the scheduler decides which of them are late: the jobs
+    // that come back after such a refusal are mostly too late to be worth anything.
+    bool refusesExcess = false;
     Duration maxRetryAfter = seconds(30);
     // How long refused jobs are remembered, and jobs that may be stored.
     Duration memory = seconds(60);
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -118,6 +118,7 @@
         settings.evacuationLimit = evacuationLimit;
         settings.scheduling.warmupOverage = warmupOverage;
         settings.admitsUnderShortage = admitsUnderShortage;
+        settings.admission = admission;
         const FleetPorts ports{*process.store,
                                *process.workers,
                                *process.timers,
@@ -243,6 +244,7 @@
     Duration evacuationLimit{}; // 0: closed domains are ignored; taken at the start of a process
     double warmupOverage = 0; // as in SchedulingSettings; taken at the start of a process
     bool admitsUnderShortage = false; // taken at the start of a process
+    AdmissionSettings admission;
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
     Duration orderDuration{}; // of workers; taken at the start of a process
     double lostAnswerShare = 0; // of answers to orders; taken at the start of a process
