Scheduling: measure the speeds of workers, and place tasks by them

A worker may run everything several times slower for a while without failing. Its jobs were late, and the scheduler gave it as much work as any other. WorkerSpeeds compares the progress of runs with that of the same step or queue on other workers; a task is placed on a slow worker only if that does its job no harm. Off by default.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -24,6 +24,7 @@
         0.3; // per unit of the average pace, as a share of the task's CPU demand
 constexpr double AffinityBonus = 1e6; // exceeds any difference between scores based on CPU
 constexpr double FailurePenalty = 1e7; // exceeds the affinity bonus
+constexpr double SlowPenalty = 1.2e6; // divided by the speed; exceeds the affinity bonus
 constexpr Duration WaitLogInterval = seconds(2); // of one task
 constexpr Duration AnyWaitLogInterval = milliseconds(500); // of all tasks, to bound the volume
 constexpr Duration UnplacedRequestLifetime = milliseconds(200); // then every worker is tried again
@@ -157,6 +158,7 @@
     if (job.suspectTasks > 0)
         assignSuspects(job, occurrence, step, assigned, now);
     std::optional<std::vector<Candidate>> candidates; // the tasks of a step share them
+    bool isKnownUnplaced = false;
     for (int index = first; index < first + spec.count; ++index) {
         ScheduledTask &task = job.tasks[static_cast<std::size_t>(index)];
         if (task.progress.phase != TaskPhase::Waiting || task.earliestStart > now
@@ -164,24 +166,25 @@
             continue;
         if (!candidates) {
             const UnplacedRequest *request = findUnplacedRequest(task);
-            if (request && !isWorthAnotherTry(*request, now)) {
-                waitForRoom(task, now);
-                return;
-            }
-            candidates = candidatesFor(task, request ? request->lastTriedInPass : 0, now);
+            isKnownUnplaced = request && !isWorthAnotherTry(*request, now);
+            candidates.emplace();
+            if (!isKnownUnplaced)
+                candidates = candidatesFor(task, request ? request->lastTriedInPass : 0, now);
         }
         if (!task.failedOn.empty()) { // workers where it failed have another score
-            if (ScheduledWorker *worker = candidates->empty() ? nullptr : chooseWorker(task, now)) {
+            const bool hasCandidates = !candidates->empty() || slowWorkers_ > 0;
+            if (ScheduledWorker *worker = hasCandidates ? chooseWorker(task, now) : nullptr) {
                 assign(task, *worker);
                 assigned.push_back(&task);
                 candidates.reset();
                 continue;
             }
-        } else if (assignToBest(task, *candidates, now)) {
+        } else if (assignToBest(task, *candidates, now) || assignToSlow(task, *candidates, now)) {
             assigned.push_back(&task);
             continue;
         }
-        recordUnplacedRequest(task, now);
+        if (!isKnownUnplaced)
+            recordUnplacedRequest(task, now);
         waitForRoom(task, now);
         return;
     }
@@ -192,6 +195,7 @@
 {
     if (stepOf(task).bestEffort && startStarvedTask(task, now))
         return;
+    bookFasterRoom(task, now);
     logWaiting(task, now);
     if (!isInterrupted(task))
         return;
@@ -272,6 +276,7 @@
 void Scheduler::beginPass(Time now)
 {
     ++planCache_->passNumber;
+    planCache_->vainSlowScans = 0;
     if (now - planCache_->clearedAt < UnplacedRequestLifetime)
         return;
     planCache_->clearedAt = now;
@@ -351,6 +356,8 @@
         return "warmingUp";
     case Obstacle::Isolation:
         return "isolation";
+    case Obstacle::Slow:
+        return "slow";
     case Obstacle::NoGain:
         return "noGain";
     case Obstacle::None:
@@ -387,6 +394,8 @@
         return Obstacle::AntiAffinity;
     if (isKeptApart(worker, task))
         return Obstacle::Isolation;
+    if (isTooSlowFor(worker, task, now))
+        return Obstacle::Slow;
     return Obstacle::None;
 }
 
@@ -454,6 +463,8 @@
         score += AffinityBonus;
     if (hasFailedOn(task, worker))
         score -= FailurePenalty;
+    if (worker.speedFactor < 1 && !step.longRunning)
+        score -= SlowPenalty / worker.speedFactor;
     return score;
 }
 
@@ -480,6 +491,8 @@
     for (const auto &[id, worker] : workers_) {
         if (worker->changedInPass < sincePass)
             continue;
+        if (worker->speedFactor < 1 && !stepOf(task).longRunning)
+            continue; // tried by assignToSlow(), once no other worker has room
         if (const std::optional<double> score = scoreOf(*worker, task, now))
             candidates.push_back({*score, worker.get()});
     }
@@ -547,6 +560,7 @@
     noteAssigned(task, worker);
     countWaiting(task, -1);
     reserve(worker, task);
+    noteRoomUse(task);
     markChanged(job);
     task.assignedInVersion = job.version;
 }
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -9,6 +9,7 @@
 
 #include "scheduling/scheduling.h"
 
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -64,6 +65,8 @@
     AntiAffinity,
     WarmingUp, // the worker is slow for now and has work in proportion
     Isolation, // of a task that may crash its worker: this one, or one that was started there
+    Slow, // the worker is slow, and the task would make its job late there or be done earlier
+          // elsewhere
     NoGain, // a best-effort task that would find too few idle processors, or disturb serving tasks
     Count
 };
@@ -85,6 +88,16 @@
 /// The number of tasks on the worker that belong to the same step and occurrence of the job.
 int countTasksOfStep(const ScheduledWorker &worker, const TaskRef &ref);
 
+/// When runs on workers that are not slow are expected to end, of one service and either of
+/// best-effort tasks or of others.
+struct Scheduler::RoomTimes
+{
+    std::optional<Time> builtAt;
+    std::vector<std::pair<Time, std::int64_t>> ends; // with the CPU in millicores, by time
+    std::int64_t booked = 0; // millicores that tasks of jobs before will take
+    std::uint64_t bookedInPass = 0; // planning pass of `booked`
+};
+
 struct Scheduler::PlanCache
 {
     std::uint64_t passNumber = 1; // of the current planning pass
@@ -92,6 +105,8 @@
     Time clearedAt{};
     std::vector<UnplacedRequest> unplacedRequests;
     std::unordered_map<const ScheduledWorker *, BestEffortOutlook> outlooks;
+    std::map<std::pair<ServiceId, bool>, RoomTimes> roomTimes; // true: of best-effort tasks
+    int vainSlowScans = 0; // of this pass, for a slow worker that can take a task
 };
 
 } // namespace monsoonledge
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -1,6 +1,7 @@
 // Job records, job states and the handling of ended runs. Workers are handled in workers.cpp; the
 // next tasks are chosen in placement.cpp.
 #include "scheduling/planpass_p.h"
+#include "scheduling/workerspeed.h"
 
 #include <algorithm>
 #include <cassert>
@@ -41,7 +42,9 @@
 
 Scheduler::Scheduler(SchedulingSettings settings, Time formerLeaseExpiry, LogHook log, Time now)
     : settings_(settings), formerLeaseExpiry_(formerLeaseExpiry), log_(std::move(log)),
-      startedAt_(now), planCache_(std::make_unique<PlanCache>())
+      startedAt_(now),
+      speeds_(settings.avoidsSlowWorkers ? std::make_unique<WorkerSpeeds>() : nullptr),
+      planCache_(std::make_unique<PlanCache>())
 { }
 
 Scheduler::~Scheduler() = default;
@@ -375,13 +378,15 @@
 
 /// Updates the queue's ratio of measured to estimated durations. Besides their individual errors,
 /// the estimates of one queue share a common factor. Only runs that did not resume from a
-/// checkpoint, end at full pace and began on a warm worker are comparable with their estimate.
+/// checkpoint, end at full pace and began on a warm worker that was not slow are comparable with
+/// their estimate.
 void Scheduler::updateDurationFactor(const ScheduledTask &task, Time now)
 {
     const StepSpec &step = stepOf(task);
     const bool isMeasured = task.runState == RunState::Running && task.pace == 100
                             && task.progress.checkpoint.empty() && step.estimate > Duration::zero()
-                            && !(task.worker && task.startedAt < task.worker->coldUntil);
+                            && !(task.worker && task.startedAt < task.worker->coldUntil)
+                            && !(task.worker && task.startedAt <= task.worker->slowAt);
     if (!isMeasured)
         return;
     const double ratio = toMilliseconds(now - task.startedAt) / toMilliseconds(step.estimate);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -175,6 +175,10 @@
     // as warm ones.
     double warmupOverage = 0;
 
+    // True: the speeds of workers are measured, and tasks are placed on a slow worker only if that
+    // does their job no harm (slowworkers.cpp).
+    bool avoidsSlowWorkers = false;
+
     // Consecutive failed runs of different jobs before a worker is quarantined.
     int failuresToQuarantine = 3;
     // Length of the first quarantine. Doubled each time until a run succeeds, up to the maximum.
@@ -475,6 +479,9 @@
     bool isDomainClosed = false; // nothing may be started there
     Time coldUntil{}; // it is slow until then, because it warms up
     Time reportRequestedAt{}; // last time, to prove that starts are survived
+    double speedFactor = 1; // below 1: classified as slow
+    bool isOnSpeedTrial = false; // it was slow, and may be again: one run at a time
+    Time slowAt{}; // last time at which it was classified as slow
 };
 
 /// A worker that has stopped answering or has ended.
@@ -491,6 +498,8 @@
 
 // [6] Scheduler
 
+class WorkerSpeeds;
+struct SpeedChange;
 struct UnplacedRequest;
 struct CrashVerdict;
 struct CapacitySnapshot;
@@ -725,6 +734,22 @@
     WorkerSpeed speedOf(const ScheduledWorker &worker, Time now) const;
     void updateWarmup(ScheduledWorker &worker, const WorkerEntry &entry, Time now) const;
     bool exceedsColdShare(const ScheduledWorker &worker, const StepSpec &step, Time now) const;
+    struct Candidate;
+    bool isSpeedMeasured(const ScheduledTask &task) const;
+    void measureSpeed(ScheduledWorker &worker, Time sentAt, Time now);
+    void measureDoneRun(const ScheduledTask &task, Time now);
+    void updateSpeed(ScheduledWorker &worker, Time now);
+    void forgetWorker(const ScheduledWorker &worker);
+    void logSpeedChange(const ScheduledWorker &worker, const SpeedChange &change) const;
+    bool isTooSlowFor(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
+    bool isBetterElsewhere(const ScheduledWorker &worker, const ScheduledTask &task,
+                           Time now) const;
+    struct RoomTimes;
+    RoomTimes &roomTimesFor(const ScheduledTask &task, Time now) const;
+    Duration waitForFasterWorker(const ScheduledTask &task, Time now) const;
+    void bookFasterRoom(const ScheduledTask &task, Time now);
+    void noteRoomUse(const ScheduledTask &task);
+    bool assignToSlow(ScheduledTask &task, std::vector<Candidate> &candidates, Time now);
     void planMoves(Time now);
     bool isToBeMoved(const ScheduledTask &task, Time now) const;
     Duration remainingTime(const ScheduledTask &task, Time now) const;
@@ -739,7 +764,6 @@
     static double remainingCoreSeconds(const ScheduledJob &job);
     static Duration longestWait(const ScheduledJob &job, Time now);
     std::vector<ScheduledJob *> orderJobs(Time now);
-    struct Candidate;
     void assignJob(ScheduledJob &job, Time now);
     void assignStep(ScheduledJob &job, int occurrence, int step,
                     std::vector<const ScheduledTask *> &assigned, Time now);
@@ -780,6 +804,8 @@
     std::optional<std::int64_t> wallOffset_; // time of day minus the steady clock, in ms
     QueueConfig config_;
     InterferenceModel interference_;
+    std::unique_ptr<WorkerSpeeds> speeds_; // null: not measured
+    int slowWorkers_ = 0;
     std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> jobs_;
     std::map<WorkerId, std::unique_ptr<ScheduledWorker>> workers_;
     std::vector<ScheduledJob *> activeJobs_; // jobs that have not ended
--- /dev/null
+++ b/src/scheduling/slowworkers.cpp
@@ -0,0 +1,270 @@
+// Slow workers: what their reports say about their speed, and which tasks they still get. How the
+// speed is measured is the matter of workerspeed.h. All of it is off unless
+// SchedulingSettings::avoidsSlowWorkers is set: no worker is then classified as slow.
+//
+// A task is started on a slow worker only if its job is on time all the same, or if it is done
+// there earlier than by waiting for another worker. How long it would wait is estimated from the
+// runs on the other workers and from the tasks that get room before it.
+#include "scheduling/planpass_p.h"
+#include "scheduling/workerspeed.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonledge {
+
+namespace {
+
+/// The time of a report lies within its call. Longer calls make progress rates too uncertain.
+constexpr Duration MaxReportCall = milliseconds(300);
+constexpr Duration RoomTimesLifetime = milliseconds(100);
+/// Expected remaining time of a run that takes longer than estimated.
+constexpr Duration OverdueRemaining = milliseconds(100);
+/// A task that has waited longer than this for another worker takes any: labels, memory and
+/// failures may keep it from the room that is expected elsewhere.
+constexpr Duration MaxWaitForFaster = milliseconds(1500);
+/// Bounds the cost of a pass in which thousands of tasks wait.
+constexpr int MaxVainSlowScans = 16;
+
+/// Best-effort tasks share what others leave of the processors.
+double shareOfProcessors(const ScheduledWorker &worker, double demand, double idleServingShare)
+{
+    const double room = static_cast<double>(worker.entry.cpu.value)
+                        - static_cast<double>(worker.reservedCpu)
+                        + idleServingShare * worker.reservedServingCpu;
+    return demand <= 0 ? 1 : std::clamp(room / demand, 0.0, 1.0);
+}
+
+} // namespace
+
+/// True for runs whose speed shows that of their worker. The members of a gang wait for each other.
+bool Scheduler::isSpeedMeasured(const ScheduledTask &task) const
+{
+    const StepSpec &step = stepOf(task);
+    return speeds_ && task.worker && task.runState == RunState::Running && !step.longRunning
+           && !step.gang;
+}
+
+/// Measures the worker's speed by the report that was just processed.
+void Scheduler::measureSpeed(ScheduledWorker &worker, Time sentAt, Time now)
+{
+    if (!speeds_)
+        return;
+    double demand = 0; // of best-effort tasks
+    for (const ScheduledTask *task : worker.tasks) {
+        if (stepOf(*task).bestEffort)
+            demand += static_cast<double>(stepOf(*task).cpu.value) * task->pace / 100;
+    }
+    const double share = shareOfProcessors(worker, demand, settings_.servingIdleShare);
+    for (const ScheduledTask *task : worker.tasks) {
+        if (task->lastReportedAt != now || !isSpeedMeasured(*task) || now - sentAt > MaxReportCall)
+            continue;
+        const StepSpec &step = stepOf(*task);
+        RunProgress progress;
+        progress.run = task->progress.run;
+        progress.percent = task->percent;
+        progress.startedAt = task->startedAt;
+        progress.asOf = sentAt + (now - sentAt) / 2;
+        progress.estimate = step.estimate;
+        progress.isResumed = !task->progress.checkpoint.empty();
+        if (step.bestEffort)
+            progress.allowedSpeed = std::min(task->pace / 100.0, share);
+        if (now < worker.coldUntil)
+            progress.allowedSpeed = 0;
+        speeds_->noteProgress(worker.entry.id, task->ref, task->job->spec.queue, progress);
+    }
+    updateSpeed(worker, now);
+}
+
+/// Measures by a run that has done its task; its state is still that of before its end.
+void Scheduler::measureDoneRun(const ScheduledTask &task, Time now)
+{
+    if (!isSpeedMeasured(task))
+        return;
+    RunProgress progress;
+    progress.run = task.progress.run;
+    progress.percent = 100;
+    progress.startedAt = task.startedAt;
+    progress.asOf = now;
+    progress.estimate = stepOf(task).estimate;
+    progress.isResumed = !task.progress.checkpoint.empty();
+    progress.allowedSpeed = task.startedAt < task.worker->coldUntil ? 0 : task.pace / 100.0;
+    speeds_->noteEnd(task.worker->entry.id, task.ref, task.job->spec.queue, progress,
+                     task.lastReportedAt);
+}
+
+/// Classifies the worker again by what is known of its runs.
+void Scheduler::updateSpeed(ScheduledWorker &worker, Time now)
+{
+    const std::optional<SpeedChange> change = speeds_->update(worker.entry.id, now);
+    const bool wasSlow = worker.speedFactor < 1;
+    const bool wasOnTrial =
+            std::exchange(worker.isOnSpeedTrial, speeds_->isOnTrial(worker.entry.id, now));
+    worker.speedFactor = speeds_->speedOf(worker.entry.id, now).factor;
+    const bool isSlow = worker.speedFactor < 1;
+    if (isSlow)
+        worker.slowAt = now;
+    slowWorkers_ += (isSlow ? 1 : 0) - (wasSlow ? 1 : 0);
+    if (wasSlow != isSlow)
+        planCache_->roomTimes.clear();
+    if ((wasSlow && !isSlow) || (wasOnTrial && !worker.isOnSpeedTrial))
+        markWorkerChanged(worker);
+    if (change)
+        logSpeedChange(worker, *change);
+}
+
+/// Forgets what is known of a worker that is removed.
+void Scheduler::forgetWorker(const ScheduledWorker &worker)
+{
+    planCache_->outlooks.erase(&worker);
+    slowWorkers_ -= worker.speedFactor < 1 ? 1 : 0;
+    if (speeds_)
+        speeds_->remove(worker.entry.id);
+}
+
+void Scheduler::logSpeedChange(const ScheduledWorker &worker, const SpeedChange &change) const
+{
+    const auto percent = [](double share) {
+        return std::to_string(static_cast<int>(std::lround(share * 100)));
+    };
+    const char *const comparedWith = change.isByStep ? "step" : "queue";
+    log_({change.isSlow ? LogLevel::Warning : LogLevel::Info,
+          change.isSlow ? "worker-slow" : "worker-speed-recovered",
+          change.isSlow
+                  ? "runs on the worker make less progress than the same ones on other workers"
+                  : "the worker no longer counts as slow",
+          {{"worker", worker.entry.id.str()},
+           {"speedPercent", percent(change.factor)},
+           {"runs", std::to_string(change.runs)},
+           {"slowRuns", std::to_string(change.slowRuns)},
+           {"lowestRunPercent", percent(change.lowestRun)},
+           {"comparedWith", change.runs == 0 ? "none" : comparedWith}}});
+}
+
+/// True if the task is not to be started on the worker because the worker is slow, or was slow and
+/// has not shown yet that it has recovered. Tasks that may crash their worker are started anywhere.
+bool Scheduler::isTooSlowFor(const ScheduledWorker &worker, const ScheduledTask &task,
+                             Time now) const
+{
+    if (worker.speedFactor >= 1 && !worker.isOnSpeedTrial)
+        return false;
+    if (stepOf(task).longRunning || isSuspect(task))
+        return false;
+    const bool hasRun =
+            std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                        [&](const ScheduledTask *other) { return !stepOf(*other).longRunning; });
+    const Time waitsSince = std::max(task.waitingSince, task.earliestStart);
+    if (now - waitsSince > MaxWaitForFaster)
+        return false;
+    if (worker.isOnSpeedTrial && hasRun)
+        return true;
+    return worker.speedFactor < 1 && isBetterElsewhere(worker, task, now);
+}
+
+/// True if the task would make its job late on a slow worker and would be done earlier by waiting
+/// for another one.
+bool Scheduler::isBetterElsewhere(const ScheduledWorker &worker, const ScheduledTask &task,
+                                  Time now) const
+{
+    ScheduledJob &job = *task.job;
+    const auto runTime =
+            std::chrono::duration_cast<Duration>(stepOf(task).estimate * durationFactor(job));
+    const auto added = std::chrono::duration_cast<Duration>(runTime * (1 / worker.speedFactor - 1));
+    if (now + remainingCriticalPath(job) + added <= objectiveOf(job))
+        return false;
+    return waitForFasterWorker(task, now) < added;
+}
+
+/// The expected ends of runs on workers that are not slow and that take tasks like this one.
+Scheduler::RoomTimes &Scheduler::roomTimesFor(const ScheduledTask &task, Time now) const
+{
+    const ServiceId &service = task.job->queue.service;
+    const bool isBestEffort = stepOf(task).bestEffort;
+    RoomTimes &times = planCache_->roomTimes[{service, isBestEffort}];
+    if (std::exchange(times.bookedInPass, planCache_->passNumber) != planCache_->passNumber)
+        times.booked = 0;
+    if (times.builtAt && now - *times.builtAt < RoomTimesLifetime)
+        return times;
+    times.builtAt = now;
+    times.ends.clear();
+    for (const auto &[id, worker] : workers_) {
+        if (worker->entry.service != service || worker->speedFactor < 1
+            || !acceptsTasks(*worker, now))
+            continue;
+        for (const ScheduledTask *other : worker->tasks) {
+            const StepSpec &step = stepOf(*other);
+            if (step.longRunning || step.bestEffort != isBestEffort)
+                continue;
+            const Time start = other->runState == RunState::Running ? other->startedAt : now;
+            const auto runTime = std::chrono::duration_cast<Duration>(
+                    step.estimate * durationFactor(*other->job));
+            times.ends.emplace_back(std::max(start + runTime, now + OverdueRemaining),
+                                    static_cast<std::int64_t>(step.cpu.value));
+        }
+    }
+    std::sort(times.ends.begin(), times.ends.end());
+    return times;
+}
+
+/// How long the last waiting task of the step is expected to wait for a worker that is not slow.
+Duration Scheduler::waitForFasterWorker(const ScheduledTask &task, Time now) const
+{
+    const RoomTimes &times = roomTimesFor(task, now);
+    const int waiting = task.job->waitingTaskCounts[task.job->stepIndex(task.ref)];
+    std::int64_t wanted =
+            times.booked + waiting * static_cast<std::int64_t>(stepOf(task).cpu.value);
+    for (const auto &[end, cpu] : times.ends) {
+        wanted -= cpu;
+        if (wanted <= 0)
+            return std::max(end - now, Duration::zero());
+    }
+    return Duration::max();
+}
+
+/// The waiting tasks of the step will take the next room, before those of later jobs.
+void Scheduler::bookFasterRoom(const ScheduledTask &task, Time now)
+{
+    if (slowWorkers_ == 0)
+        return;
+    const int waiting = task.job->waitingTaskCounts[task.job->stepIndex(task.ref)];
+    roomTimesFor(task, now).booked += waiting * static_cast<std::int64_t>(stepOf(task).cpu.value);
+}
+
+/// Adds the end of a run that was assigned in this pass to the expected ones.
+void Scheduler::noteRoomUse(const ScheduledTask &task)
+{
+    const StepSpec &step = stepOf(task);
+    if (slowWorkers_ == 0 || step.longRunning || task.worker->speedFactor < 1)
+        return;
+    const auto it = planCache_->roomTimes.find({task.job->queue.service, step.bestEffort});
+    if (it == planCache_->roomTimes.end() || !it->second.builtAt)
+        return;
+    const auto runTime =
+            std::chrono::duration_cast<Duration>(step.estimate * durationFactor(*task.job));
+    const std::pair<Time, std::int64_t> end{planCache_->startedAt + runTime,
+                                            static_cast<std::int64_t>(step.cpu.value)};
+    std::vector<std::pair<Time, std::int64_t>> &ends = it->second.ends;
+    ends.insert(std::upper_bound(ends.begin(), ends.end(), end), end);
+}
+
+/// Assigns a task for which no other worker has room to a slow one, if that does it no harm.
+/// Replaces the candidates of its step.
+bool Scheduler::assignToSlow(ScheduledTask &task, std::vector<Candidate> &candidates, Time now)
+{
+    if (slowWorkers_ == 0 || stepOf(task).longRunning
+        || planCache_->vainSlowScans >= MaxVainSlowScans)
+        return false;
+    candidates.clear();
+    for (const auto &[id, worker] : workers_) {
+        if (worker->speedFactor >= 1)
+            continue;
+        if (const std::optional<double> score = scoreOf(*worker, task, now))
+            candidates.push_back({*score, worker.get()});
+    }
+    if (assignToBest(task, candidates, now))
+        return true;
+    ++planCache_->vainSlowScans;
+    return false;
+}
+
+} // namespace monsoonledge
--- a/src/scheduling/warmup.cpp
+++ b/src/scheduling/warmup.cpp
@@ -16,7 +16,7 @@
 /// one.
 void Scheduler::updateWarmup(ScheduledWorker &worker, const WorkerEntry &entry, Time now) const
 {
-    if (settings_.warmupOverage <= 0)
+    if (settings_.warmupOverage <= 0 && !settings_.avoidsSlowWorkers)
         return;
     const WorkerEntry &former = worker.entry;
     // The list of workers is delivered as a whole; an entry that was not written again is as old as
@@ -32,7 +32,10 @@
 WorkerSpeed Scheduler::speedOf(const ScheduledWorker &worker, Time now) const
 {
     const bool isCold = now < worker.coldUntil;
-    return {worker.entry.id, isCold ? 1 / std::max(settings_.warmupOverage, 1.0) : 1, now,
+    const double coldFactor = isCold ? 1 / std::max(settings_.warmupOverage, 1.0) : 1;
+    if (worker.speedFactor < coldFactor)
+        return {worker.entry.id, worker.speedFactor, now, EstimateSource::Measured};
+    return {worker.entry.id, coldFactor, now,
             isCold ? EstimateSource::Reported : EstimateSource::Assumed};
 }
 
@@ -42,7 +45,7 @@
 bool Scheduler::exceedsColdShare(const ScheduledWorker &worker, const StepSpec &step,
                                  Time now) const
 {
-    if (now >= worker.coldUntil || step.longRunning)
+    if (settings_.warmupOverage <= 0 || now >= worker.coldUntil || step.longRunning)
         return false;
     const double usedByServing =
             worker.reservedServingCpu * (step.bestEffort ? 1 - settings_.servingIdleShare : 1);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -73,7 +73,7 @@
     for (auto it = workers_.begin(); it != workers_.end();) {
         const bool isObsolete = !it->second->listed && it->second->tasks.empty();
         if (isObsolete)
-            planCache_->outlooks.erase(it->second.get());
+            forgetWorker(*it->second);
         it = isObsolete ? workers_.erase(it) : std::next(it);
     }
 }
@@ -227,6 +227,7 @@
         loseRunsOfFormerIncarnations(worker, sentAt, now);
         handleMissingRuns(worker, sentAt, now);
     }
+    measureSpeed(worker, sentAt, now);
     refuseUnansweredStarts(worker, now);
     stopStalledRuns(worker, now);
     learnInterference(worker, now);
@@ -250,6 +251,8 @@
             markChanged(*task->job, RecordUrgency::Deferrable);
         }
         if (isCurrent) {
+            if (finished.outcome == RunOutcome::Done)
+                measureDoneRun(*task, now);
             endRun(*task, finished.outcome, finished.checkpoint, now);
         } else if (finished.outcome == RunOutcome::Done && !stepOf(*task).longRunning) {
             // The run was considered lost, but it succeeded. Its result counts unless another run
@@ -482,6 +485,8 @@
             const bool isReplaced = wasReplaced(*worker);
             loseAllRuns(*worker, isReplaced ? WorkerLoss::Crashed : WorkerLoss::Unreachable, now);
         }
+        if (worker->speedFactor < 1)
+            updateSpeed(*worker, now);
         if (worker->entry.draining && !isSilent)
             drainWorker(*worker, now);
         // The load estimate of a serving step may change between two reports of this worker,
--- /dev/null
+++ b/src/scheduling/workerspeed.h
@@ -0,0 +1,162 @@
+// The speeds of workers, measured from the progress of their runs. Some workers run everything
+// several times slower for a while, without failing and without reporting it.
+//
+// The progress of a run is compared with that of runs of the same step on other workers. If there
+// are too few, it is compared with runs of the same queue, relative to their estimated durations.
+// A step or queue whose runs differ much among themselves is no basis for a comparison. A worker
+// is therefore slow only relative to the others: if all of them are equally slow, none is.
+//
+// The class performs no I/O, reads no clock and has no access to the state of the scheduler.
+#pragma once
+
+#include "capacity/capacity.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace monsoonledge {
+
+/// The progress of a run at the time of a report.
+struct RunProgress
+{
+    RunNumber run;
+    int percent = 0;
+    Time startedAt{}; // when its start was confirmed
+    Time asOf{}; // of the report
+    Duration estimate{}; // of the whole run; 0: not known
+    bool isResumed = false; // from a checkpoint, so that it did not begin at 0 percent
+    // Speed that the scheduler allows the run, relative to full speed: by its pace and by what
+    // other tasks leave of the processors. A run that is not comparable has speed 0.
+    double allowedSpeed = 1;
+};
+
+/// A worker that has become slow or has recovered, with the evidence.
+struct SpeedChange
+{
+    bool isSlow = false;
+    double factor = 1; // measured speed, relative to other workers
+    int runs = 0; // on whose progress it is based; 0: recovered for lack of evidence
+    int slowRuns = 0; // of these, the ones that are clearly slower than those of other workers
+    double lowestRun = 1; // relative progress of the slowest run
+    bool isByStep = false; // at least one run was compared with runs of its own step
+};
+
+class WorkerSpeeds
+{
+public:
+    /// Adds what a report says about a run that goes on.
+    void noteProgress(const WorkerId &worker, const TaskRef &task, const QueueId &queue,
+                      const RunProgress &progress);
+    /// Adds the end of a run that has done its task. `lastReport`: the last one in which it was
+    /// active; it ended between then and `progress.asOf`.
+    void noteEnd(const WorkerId &worker, const TaskRef &task, const QueueId &queue,
+                 const RunProgress &progress, Time lastReport);
+    /// Classifies the worker again. Returns a value if its class has changed.
+    std::optional<SpeedChange> update(const WorkerId &worker, Time now);
+    /// 1 for a worker that is not classified as slow. Without new evidence, for example because
+    /// the worker is silent, the factor of a slow worker returns gradually to 1.
+    WorkerSpeed speedOf(const WorkerId &worker, Time now) const;
+    /// True if the last evidence of a slow worker is too old to give it more than one run at a
+    /// time.
+    bool isOnTrial(const WorkerId &worker, Time now) const;
+    /// Forgets a worker that is gone.
+    void remove(const WorkerId &worker);
+
+private:
+    /// Progress rates of different runs; the oldest is replaced.
+    class RateSamples
+    {
+    public:
+        void add(std::uint64_t runKey, int worker, double rate, Time when);
+        /// The median of the rates on other workers. Nothing if there are too few or if they
+        /// differ too much.
+        std::optional<double> typicalRate(int exceptWorker, Time now) const;
+
+    private:
+        struct Sample
+        {
+            std::uint64_t runKey = 0;
+            int worker = 0;
+            double rate = 0;
+            Time when{};
+        };
+        std::vector<Sample> samples_;
+        std::size_t next_ = 0; // to be replaced
+    };
+
+    /// Rates in shares of a run per second; in a queue, multiplied by the estimate in seconds.
+    struct Group
+    {
+        RateSamples progress; // of runs that report it
+        RateSamples total; // of whole runs
+    };
+    struct JobGroups
+    {
+        std::vector<Group> steps;
+        Time usedAt{};
+    };
+
+    /// What one run says about its worker.
+    struct RunEvidence
+    {
+        std::uint64_t key = 0;
+        TaskRef task;
+        RunNumber run;
+        int basePercent = 0; // at the beginning of the interval that is not counted yet
+        Time baseTime{};
+        double baseSpeed = 1; // allowed then
+        bool hasReportedProgress = false; // between 0 and 100 percent
+        bool hadFullSpeed = true; // allowed all the time
+        // Progress and the progress that it would have made on other workers, in shares of a run.
+        double done = 0;
+        double expected = 0;
+        bool isByStep = false;
+        Time when{}; // of the last progress that was counted
+        Time seenAt{}; // last report that contained the run, or its end
+
+        double ratio() const { return expected > 0 ? done / expected : 1; }
+    };
+
+    /// Sums over the recent evidence of a worker.
+    struct Evidence
+    {
+        double done = 0; // weighted by age, as is `expected`
+        double expected = 0;
+        double share = 0; // expected progress without weights
+        SpeedChange summary;
+        bool isFarBehind = false; // a run compared within its step
+
+        double ratio() const { return expected > 0 ? done / expected : 1; }
+    };
+
+    enum class SpeedClass { Normal, Slow, Trial };
+    struct Worker
+    {
+        int number = 0;
+        std::vector<RunEvidence> runs;
+        SpeedClass speedClass = SpeedClass::Normal;
+        double factor = 1; // as last measured
+        Time evidenceAt{}; // last evidence
+        int returnFactor = 1; // on the time in which the factor returns to 1
+    };
+
+    Worker &workerOf(const WorkerId &id);
+    RunEvidence &evidenceOf(Worker &worker, const TaskRef &task, const RunProgress &progress);
+    Group &stepGroup(const TaskRef &task, Time now);
+    void countProgress(Worker &worker, RunEvidence &run, const QueueId &queue,
+                       const RunProgress &progress);
+    void dropOldJobs(Time now);
+    static Evidence evidenceFor(Worker &worker, Time now);
+    static bool isSlow(const Evidence &evidence);
+    static double factorAt(const Worker &worker, Time now);
+
+    std::unordered_map<WorkerId, Worker> workers_;
+    std::unordered_map<JobId, JobGroups> jobs_;
+    std::unordered_map<QueueId, Group> queues_;
+    int lastWorkerNumber_ = 0;
+    std::uint64_t lastRunKey_ = 0;
+    Time jobsDroppedAt_{};
+};
+
+} // namespace monsoonledge
