--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -178,6 +178,9 @@
     // True: the speeds of workers are measured, and tasks are placed on a slow worker only if that
     // does their job no harm (slowworkers.cpp).
     bool avoidsSlowWorkers = false;
+    // True: also a task whose job is late in either case, but not worthless. It leaves the other
+    // workers to jobs that can be on time.
+    bool usesSlowWorkersForLateJobs = false;
 
     // Consecutive failed runs of different jobs before a worker is quarantined.
     int failuresToQuarantine = 3;
@@ -480,7 +483,8 @@
     Time coldUntil{}; // it is slow until then, because it warms up
     Time reportRequestedAt{}; // last time, to prove that starts are survived
     double speedFactor = 1; // below 1: classified as slow
-    bool isOnSpeedTrial = false; // it was slow, and may be again: one run at a time
+    double measuredSpeed = 1; // as last measured, until it is known to have recovered
+    bool isOnSpeedTrial = false; // it was slow, and it is not known whether it still is
     Time slowAt{}; // last time at which it was classified as slow
 };
 
@@ -742,8 +746,7 @@
     void forgetWorker(const ScheduledWorker &worker);
     void logSpeedChange(const ScheduledWorker &worker, const SpeedChange &change) const;
     bool isTooSlowFor(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
-    bool isBetterElsewhere(const ScheduledWorker &worker, const ScheduledTask &task,
-                           Time now) const;
+    bool isBetterElsewhere(double speedFactor, const ScheduledTask &task, Time now) const;
     struct RoomTimes;
     RoomTimes &roomTimesFor(const ScheduledTask &task, Time now) const;
     Duration waitForFasterWorker(const ScheduledTask &task, Time now) const;
--- a/src/scheduling/slowworkers.cpp
+++ b/src/scheduling/slowworkers.cpp
@@ -101,6 +101,7 @@
     const bool wasOnTrial =
             std::exchange(worker.isOnSpeedTrial, speeds_->isOnTrial(worker.entry.id, now));
     worker.speedFactor = speeds_->speedOf(worker.entry.id, now).factor;
+    worker.measuredSpeed = speeds_->measuredFactor(worker.entry.id);
     const bool isSlow = worker.speedFactor < 1;
     if (isSlow)
         worker.slowAt = now;
@@ -150,29 +151,43 @@
         return false;
     if (stepOf(task).longRunning || isSuspect(task))
         return false;
-    const bool hasRun =
-            std::any_of(worker.tasks.begin(), worker.tasks.end(),
-                        [&](const ScheduledTask *other) { return !stepOf(*other).longRunning; });
     const Time waitsSince = std::max(task.waitingSince, task.earliestStart);
     if (now - waitsSince > MaxWaitForFaster)
         return false;
-    if (worker.isOnSpeedTrial && hasRun)
-        return true;
-    return worker.speedFactor < 1 && isBetterElsewhere(worker, task, now);
+    // Until its speed is known again, it gets one run by the speed that it may have regained, and
+    // more only by the one that was last measured.
+    const auto isTried = [&](const ScheduledTask *other) { return !stepOf(*other).longRunning; };
+    const bool isBeingTried =
+            worker.isOnSpeedTrial && std::any_of(worker.tasks.begin(), worker.tasks.end(), isTried);
+    const double factor = isBeingTried ? worker.measuredSpeed : worker.speedFactor;
+    return factor < 1 && isBetterElsewhere(factor, task, now);
 }
 
-/// True if the task would make its job late on a slow worker and would be done earlier by waiting
-/// for another one.
-bool Scheduler::isBetterElsewhere(const ScheduledWorker &worker, const ScheduledTask &task,
-                                  Time now) const
+/// True if the task would make its job late on a worker of this speed and would be done earlier by
+/// waiting for another one.
+bool Scheduler::isBetterElsewhere(double speedFactor, const ScheduledTask &task, Time now) const
 {
     ScheduledJob &job = *task.job;
-    const auto runTime =
-            std::chrono::duration_cast<Duration>(stepOf(task).estimate * durationFactor(job));
-    const auto added = std::chrono::duration_cast<Duration>(runTime * (1 / worker.speedFactor - 1));
-    if (now + remainingCriticalPath(job) + added <= objectiveOf(job))
+    const double factor = durationFactor(job);
+    const auto runTime = std::chrono::duration_cast<Duration>(stepOf(task).estimate * factor);
+    const auto added = std::chrono::duration_cast<Duration>(runTime * (1 / speedFactor - 1));
+    // The learnt factor contains the delay until the end of a run is reported, which does not
+    // extend what the client expects.
+    const auto allowed =
+            std::chrono::duration_cast<Duration>(job.criticalPathEstimate * job.queue.slackFactor
+                                                 * std::min(factor, 1.0))
+            + job.queue.targetLatency;
+    const Time end = now + remainingCriticalPath(job);
+    if (end + added <= job.submittedAt + allowed)
+        return false;
+    const Duration wait = waitForFasterWorker(task, now);
+    if (wait >= added)
         return false;
-    return waitForFasterWorker(task, now) < added;
+    const auto worthless =
+            std::chrono::duration_cast<Duration>(allowed * settings_.maxLatenessFactor);
+    const bool isLateAnyway =
+            end + wait > job.submittedAt + allowed && end + added <= job.submittedAt + worthless;
+    return !settings_.usesSlowWorkersForLateJobs || !isLateAnyway;
 }
 
 /// The expected ends of runs on workers that are not slow and that take tasks like this one.
--- a/src/scheduling/workerspeed.cpp
+++ b/src/scheduling/workerspeed.cpp
@@ -12,11 +12,12 @@
 
 constexpr std::size_t MaxSamples = 32; // of a step or queue
 constexpr Duration MaxSampleAge = seconds(5);
-constexpr std::size_t MinSamples = 4; // on other workers
-constexpr std::size_t MinSampledWorkers = 3;
-/// Ratio of the median to the lower quartile above which runs differ too much among themselves.
-/// With a quarter of the runs on slow workers, the lower quartile is still that of healthy ones.
+constexpr std::size_t MinSamples = 3; // on other workers
+constexpr std::size_t MaxMinWorkers = 5;
+/// Ratio of the median to the lower quantile above which runs differ too much among themselves.
 constexpr double MaxSpread = 1.6;
+/// Share of the step's rate in that of the queue from which on the two agree.
+constexpr double AgreedShare = 0.7;
 
 /// Progress is counted over intervals in which reports with whole percents are precise enough.
 constexpr Duration MinInterval = milliseconds(250);
@@ -31,14 +32,18 @@
 constexpr double MaxRememberedShare = 1.25;
 constexpr Duration MaxEvidenceAge = seconds(5);
 constexpr Duration EvidenceHalfLife = milliseconds(700); // of the weight of a run's evidence
+constexpr Duration RecentEvidenceAge = milliseconds(1500);
 constexpr double MinRunShare = 0.25; // expected progress of a run that counts as evidence
 constexpr double MinTotalShare = 0.5; // of all runs of a worker together
 /// Below and above which a worker becomes slow and recovers. The tasks of one step usually differ
 /// by less than a quarter from each other.
 constexpr double SlowRatio = 0.6;
 constexpr double RecoveredRatio = 0.8;
+constexpr int MinSlowRuns = 2;
+constexpr int MinSlowRunsOfQueue = 4; // of different jobs, as the estimates of jobs may be wrong
 constexpr double FarBehindRatio = 0.4; // of a run that others would have finished
 constexpr double MinFactor = 0.05;
+constexpr double MaxRunRatio = 1.25; // a short task must not hide that others are slow
 
 constexpr Duration KeepFactor = seconds(3); // after the last evidence
 constexpr Duration ReturnDuration = seconds(5); // of the factor to 1, after that
@@ -72,27 +77,32 @@
     }
 }
 
-std::optional<double> WorkerSpeeds::RateSamples::typicalRate(int exceptWorker, Time now) const
+std::optional<double> WorkerSpeeds::RateSamples::typicalRate(int exceptWorker,
+                                                             const std::vector<bool> &slowWorkers,
+                                                             const SampleDemand &demand,
+                                                             Time now) const
 {
     std::array<double, MaxSamples> rates{};
-    std::array<int, MinSampledWorkers> sampledWorkers{};
+    std::array<int, MaxMinWorkers> sampledWorkers{};
     std::size_t count = 0;
     std::size_t workerCount = 0;
     for (const Sample &sample : samples_) {
-        if (sample.worker == exceptWorker || now - sample.when > MaxSampleAge)
+        const auto number = static_cast<std::size_t>(sample.worker);
+        if (sample.worker == exceptWorker || slowWorkers[number]
+            || now - sample.when > MaxSampleAge)
             continue;
         rates.at(count++) = sample.rate;
         const auto end = sampledWorkers.begin() + static_cast<std::ptrdiff_t>(workerCount);
-        if (workerCount < MinSampledWorkers
+        if (workerCount < demand.workers
             && std::find(sampledWorkers.begin(), end, sample.worker) == end)
             sampledWorkers.at(workerCount++) = sample.worker;
     }
-    if (count < MinSamples || workerCount < MinSampledWorkers)
+    if (count < MinSamples || workerCount < demand.workers)
         return std::nullopt;
     std::sort(rates.begin(), rates.begin() + static_cast<std::ptrdiff_t>(count));
     const double median = rates.at(count / 2);
-    const double lowerQuartile = rates.at(count / 4);
-    if (median <= 0 || median > MaxSpread * lowerQuartile)
+    const double lowerQuantile = rates.at(count / demand.quantile);
+    if (median <= 0 || median > MaxSpread * lowerQuantile)
         return std::nullopt;
     return median;
 }
@@ -100,8 +110,10 @@
 WorkerSpeeds::Worker &WorkerSpeeds::workerOf(const WorkerId &id)
 {
     Worker &worker = workers_[id];
-    if (worker.number == 0)
-        worker.number = ++lastWorkerNumber_;
+    if (worker.number == 0) {
+        worker.number = static_cast<int>(isSlow_.size());
+        isSlow_.push_back(false);
+    }
     return worker;
 }
 
@@ -115,6 +127,48 @@
     return groups.steps[step];
 }
 
+const WorkerSpeeds::SampleDemand WorkerSpeeds::OfStep{3, 4};
+const WorkerSpeeds::SampleDemand WorkerSpeeds::OfNarrowStep{1, 4};
+const WorkerSpeeds::SampleDemand WorkerSpeeds::OfQueue{MaxMinWorkers, 5};
+
+/// What the progress of a run is compared with; workers that are known to be slow are left out. A
+/// step whose other runs are on one or two workers counts only if the queue does not contradict it,
+/// since these workers may be slow as well. The rates by the durations of runs are never too high,
+/// because a run has ended some time before the report of its end.
+WorkerSpeeds::Baseline WorkerSpeeds::baselineFor(int worker, const Group &step, const Group &queue,
+                                                 Duration estimate, Time now) const
+{
+    const auto rateOf = [&](const RateSamples &samples, const SampleDemand &demand) {
+        return samples.typicalRate(worker, isSlow_, demand, now).value_or(0);
+    };
+    if (const double rate = rateOf(step.progress, OfStep); rate > 0)
+        return {rate, true};
+    const double byStep =
+            std::max(rateOf(step.progress, OfNarrowStep), rateOf(step.total, OfNarrowStep));
+    double byQueue = 0;
+    if (estimate > Duration::zero())
+        byQueue = std::max(rateOf(queue.progress, OfQueue), rateOf(queue.total, OfQueue))
+                  / inSeconds(estimate);
+    if (byStep <= 0)
+        return {byQueue, false};
+    // Either the tasks of this job are long, or the other workers are slow as well.
+    const bool isContradictory = byStep < AgreedShare * byQueue;
+    return {isContradictory ? 0 : byStep, true};
+}
+
+/// A comparison with the step, even one without a result, replaces those with the queue, and none
+/// with the queue is added to it.
+void WorkerSpeeds::useBaseline(RunEvidence &run, Baseline &baseline)
+{
+    if (run.isByStep && !baseline.isByStep)
+        baseline.rate = 0;
+    if (run.isByStep || !baseline.isByStep)
+        return;
+    run.isByStep = true;
+    run.done = 0;
+    run.expected = 0;
+}
+
 void WorkerSpeeds::dropOldJobs(Time now)
 {
     if (now - jobsDroppedAt_ < DropInterval)
@@ -161,7 +215,6 @@
     run.hadFullSpeed = run.hadFullSpeed && progress.allowedSpeed >= 1;
     const bool isComparable = progress.allowedSpeed >= MinAllowedSpeed && change <= MaxSpeedChange;
     if (isComparable && progress.percent > 0 && progress.percent < 100) {
-        run.hasReportedProgress = true;
         countProgress(worker, run, queue, progress);
         return;
     }
@@ -184,14 +237,9 @@
     const double estimate = inSeconds(progress.estimate);
     Group &step = stepGroup(run.task, progress.asOf);
     Group &ofQueue = queues_[queue];
-    const std::optional<double> byStep = step.progress.typicalRate(worker.number, progress.asOf);
-    std::optional<double> rate = byStep;
-    if (!rate && estimate > 0) {
-        rate = ofQueue.progress.typicalRate(worker.number, progress.asOf);
-        if (rate)
-            *rate /= estimate;
-    }
-    const double expected = rate.value_or(0) * allowedSeconds;
+    Baseline baseline = baselineFor(worker.number, step, ofQueue, progress.estimate, progress.asOf);
+    useBaseline(run, baseline);
+    const double expected = baseline.rate * allowedSeconds;
     if (std::max(share, expected) < MinIntervalShare && elapsed < MaxInterval)
         return;
     if (share >= 0) { // otherwise the run has gone back to a checkpoint
@@ -200,17 +248,16 @@
             ofQueue.progress.add(run.key, worker.number, share / allowedSeconds * estimate,
                                  progress.asOf);
         // The interval goes on until there is something to compare it with.
-        if (!rate && elapsed < MaxInterval)
+        if (baseline.rate <= 0 && elapsed < MaxInterval)
             return;
     }
     run.basePercent = progress.percent;
     run.baseTime = progress.asOf;
     run.baseSpeed = progress.allowedSpeed;
-    if (share < 0 || !rate)
+    if (share < 0 || baseline.rate <= 0)
         return;
-    run.done += share;
+    run.done += std::min(share, expected * MaxRunRatio);
     run.expected += expected;
-    run.isByStep = byStep.has_value();
     if (run.expected > MaxRememberedShare) {
         run.done *= MaxRememberedShare / run.expected;
         run.expected = MaxRememberedShare;
@@ -225,30 +272,22 @@
     Worker &worker = workerOf(id);
     RunEvidence &run = evidenceOf(worker, task, progress);
     run.seenAt = progress.asOf;
+    if (!run.hadFullSpeed || progress.allowedSpeed < 1 || progress.asOf <= progress.startedAt)
+        return;
     const double shortest = inSeconds(lastReport - progress.startedAt);
     const double longest = inSeconds(progress.asOf - progress.startedAt);
-    if (run.hasReportedProgress || !run.hadFullSpeed || progress.allowedSpeed < 1 || longest <= 0)
-        return;
-    const double rate = 2 / (shortest + longest);
-    const double estimate = inSeconds(progress.estimate);
     Group &step = stepGroup(task, progress.asOf);
     Group &ofQueue = queues_[queue];
-    const std::optional<double> byStep = step.total.typicalRate(worker.number, progress.asOf);
-    std::optional<double> typical = byStep;
-    if (!typical && estimate > 0) {
-        typical = ofQueue.total.typicalRate(worker.number, progress.asOf);
-        if (typical)
-            *typical /= estimate;
-    }
-    step.total.add(run.key, worker.number, rate, progress.asOf);
-    if (estimate > 0)
-        ofQueue.total.add(run.key, worker.number, rate * estimate, progress.asOf);
-    if (!typical)
-        return;
-    // Of the durations that are possible, the one closest to those on other workers counts.
+    Baseline baseline = baselineFor(worker.number, step, ofQueue, progress.estimate, progress.asOf);
+    step.total.add(run.key, worker.number, 1 / longest, progress.asOf);
+    if (progress.estimate > Duration::zero())
+        ofQueue.total.add(run.key, worker.number, inSeconds(progress.estimate) / longest,
+                          progress.asOf);
+    useBaseline(run, baseline);
+    if (baseline.rate <= 0 || run.expected >= MinRunShare)
+        return; // without a comparison, or counted by its progress
     run.done = 1;
-    run.expected = *typical * std::clamp(1 / *typical, shortest, longest);
-    run.isByStep = byStep.has_value();
+    run.expected = std::max(1.0, baseline.rate * shortest);
     run.when = progress.asOf;
     worker.evidenceAt = progress.asOf;
 }
@@ -271,9 +310,10 @@
         ++sum.summary.runs;
         sum.summary.lowestRun = std::min(sum.summary.lowestRun, run.ratio());
         sum.summary.isByStep = sum.summary.isByStep || run.isByStep;
+        sum.hasNormalRun = sum.hasNormalRun
+                           || (run.ratio() >= SlowRatio && now - run.when <= RecentEvidenceAge);
         if (run.ratio() >= SlowRatio)
             continue;
-        // The estimates of one job may be wrong for all of its tasks.
         const bool isCounted =
                 !run.isByStep
                 && std::any_of(slowByQueue.begin(), slowByQueue.end(),
@@ -283,14 +323,19 @@
         sum.summary.slowRuns += isCounted ? 0 : 1;
         sum.isFarBehind = sum.isFarBehind
                           || (run.isByStep && run.expected >= 1 && run.ratio() <= FarBehindRatio);
+        sum.hasSlowStepRun = sum.hasSlowStepRun || run.isByStep;
     }
     return sum;
 }
 
 bool WorkerSpeeds::isSlow(const Evidence &evidence)
 {
-    return evidence.share >= MinTotalShare && evidence.ratio() < SlowRatio
-           && (evidence.summary.slowRuns >= 2 || evidence.isFarBehind);
+    if (evidence.share < MinTotalShare || evidence.ratio() >= SlowRatio)
+        return false;
+    if (evidence.hasSlowStepRun)
+        return evidence.summary.slowRuns >= MinSlowRuns || evidence.isFarBehind;
+    // Jobs of one queue may differ, so that some are long: a slow worker has only slow runs.
+    return evidence.summary.slowRuns >= MinSlowRunsOfQueue && !evidence.hasNormalRun;
 }
 
 double WorkerSpeeds::factorAt(const Worker &worker, Time now)
@@ -302,6 +347,12 @@
     return worker.factor + (1 - worker.factor) * std::clamp(share, 0.0, 1.0);
 }
 
+void WorkerSpeeds::setClass(Worker &worker, SpeedClass speedClass)
+{
+    worker.speedClass = speedClass;
+    isSlow_[static_cast<std::size_t>(worker.number)] = speedClass == SpeedClass::Slow;
+}
+
 std::optional<SpeedChange> WorkerSpeeds::update(const WorkerId &id, Time now)
 {
     dropOldJobs(now);
@@ -316,24 +367,24 @@
     if (worker.speedClass != SpeedClass::Slow) {
         if (isSlow(evidence)) {
             worker.returnFactor = worker.speedClass == SpeedClass::Trial ? MaxReturnFactor : 1;
-            worker.speedClass = SpeedClass::Slow;
+            setClass(worker, SpeedClass::Slow);
             worker.factor = change.factor;
             change.isSlow = true;
             return change;
         }
         if (worker.speedClass == SpeedClass::Trial && isEnough && evidence.ratio() >= SlowRatio)
-            worker.speedClass = SpeedClass::Normal;
+            setClass(worker, SpeedClass::Normal);
         return std::nullopt;
     }
     if (isEnough && evidence.ratio() >= RecoveredRatio) {
-        worker.speedClass = SpeedClass::Normal;
+        setClass(worker, SpeedClass::Normal);
         return change;
     }
     if (isEnough)
         worker.factor = change.factor;
     if (factorAt(worker, now) < 1)
         return std::nullopt;
-    worker.speedClass = SpeedClass::Trial;
+    setClass(worker, SpeedClass::Trial);
     worker.runs.clear();
     return SpeedChange{};
 }
@@ -349,6 +400,13 @@
             isMeasured ? EstimateSource::Measured : EstimateSource::Assumed};
 }
 
+double WorkerSpeeds::measuredFactor(const WorkerId &id) const
+{
+    const auto it = workers_.find(id);
+    return it == workers_.end() || it->second.speedClass == SpeedClass::Normal ? 1
+                                                                               : it->second.factor;
+}
+
 bool WorkerSpeeds::isOnTrial(const WorkerId &id, Time now) const
 {
     const auto it = workers_.find(id);
--- a/src/scheduling/workerspeed.h
+++ b/src/scheduling/workerspeed.h
@@ -57,13 +57,27 @@
     /// 1 for a worker that is not classified as slow. Without new evidence, for example because
     /// the worker is silent, the factor of a slow worker returns gradually to 1.
     WorkerSpeed speedOf(const WorkerId &worker, Time now) const;
-    /// True if the last evidence of a slow worker is too old to give it more than one run at a
-    /// time.
+    /// The factor as last measured, of a worker that is slow or was slow when it was last measured;
+    /// otherwise 1.
+    double measuredFactor(const WorkerId &worker) const;
+    /// True if the last evidence of a slow worker is too old to rely on speedOf() for more than one
+    /// run.
     bool isOnTrial(const WorkerId &worker, Time now) const;
     /// Forgets a worker that is gone.
     void remove(const WorkerId &worker);
 
 private:
+    /// What is required of rates to compare with. The part of the runs that may be on slow workers
+    /// is smaller than 1 / `quantile`, and so is the part that may be long.
+    struct SampleDemand
+    {
+        std::size_t workers = 1; // at least
+        std::size_t quantile = 4; // of the lowest rates, which must be near the median
+    };
+    static const SampleDemand OfStep;
+    static const SampleDemand OfNarrowStep;
+    static const SampleDemand OfQueue;
+
     /// Progress rates of different runs; the oldest is replaced.
     class RateSamples
     {
@@ -71,7 +85,8 @@
         void add(std::uint64_t runKey, int worker, double rate, Time when);
         /// The median of the rates on other workers. Nothing if there are too few or if they
         /// differ too much.
-        std::optional<double> typicalRate(int exceptWorker, Time now) const;
+        std::optional<double> typicalRate(int exceptWorker, const std::vector<bool> &slowWorkers,
+                                          const SampleDemand &demand, Time now) const;
 
     private:
         struct Sample
@@ -88,8 +103,13 @@
     /// Rates in shares of a run per second; in a queue, multiplied by the estimate in seconds.
     struct Group
     {
-        RateSamples progress; // of runs that report it
-        RateSamples total; // of whole runs
+        RateSamples progress; // by reports of progress between 0 and 100 percent
+        RateSamples total; // by the durations of runs until the report of their end
+    };
+    struct Baseline
+    {
+        double rate = 0; // in shares of a run per second; 0: there is nothing to compare with
+        bool isByStep = false;
     };
     struct JobGroups
     {
@@ -106,7 +126,6 @@
         int basePercent = 0; // at the beginning of the interval that is not counted yet
         Time baseTime{};
         double baseSpeed = 1; // allowed then
-        bool hasReportedProgress = false; // between 0 and 100 percent
         bool hadFullSpeed = true; // allowed all the time
         // Progress and the progress that it would have made on other workers, in shares of a run.
         double done = 0;
@@ -126,6 +145,8 @@
         double share = 0; // expected progress without weights
         SpeedChange summary;
         bool isFarBehind = false; // a run compared within its step
+        bool hasSlowStepRun = false;
+        bool hasNormalRun = false; // a recent one that is not slow
 
         double ratio() const { return expected > 0 ? done / expected : 1; }
     };
@@ -146,6 +167,10 @@
     Group &stepGroup(const TaskRef &task, Time now);
     void countProgress(Worker &worker, RunEvidence &run, const QueueId &queue,
                        const RunProgress &progress);
+    static void useBaseline(RunEvidence &run, Baseline &baseline);
+    Baseline baselineFor(int worker, const Group &step, const Group &queue, Duration estimate,
+                         Time now) const;
+    void setClass(Worker &worker, SpeedClass speedClass);
     void dropOldJobs(Time now);
     static Evidence evidenceFor(Worker &worker, Time now);
     static bool isSlow(const Evidence &evidence);
@@ -154,7 +179,8 @@
     std::unordered_map<WorkerId, Worker> workers_;
     std::unordered_map<JobId, JobGroups> jobs_;
     std::unordered_map<QueueId, Group> queues_;
-    int lastWorkerNumber_ = 0;
+    // By the number of the worker. Number 0 is unused; that of a removed worker is not used again.
+    std::vector<bool> isSlow_{false};
     std::uint64_t lastRunKey_ = 0;
     Time jobsDroppedAt_{};
 };
