--- a/tests/unit/invariant_evacuation_test.cpp
+++ b/tests/unit/invariant_evacuation_test.cpp
@@ -154,6 +154,8 @@
         return platform::formatMetrics(coordinator, frontend, test.world.clock.now());
     };
     CHECK(metrics().find("monsoonledge_domains_closed 1\n") != std::string::npos);
+    CHECK(metrics().find("monsoonledge_workers_slow 0\n") != std::string::npos);
+    CHECK(metrics().find("monsoonledge_lowest_worker_speed 1\n") != std::string::npos);
     CHECK(metrics().find("monsoonledge_evacuation_tasks_left 0\n") == std::string::npos);
     CHECK(metrics().find("monsoonledge_evacuation_tasks_left ") != std::string::npos);
     CHECK(test.world.wait([&] { return test.isEmptied(domain); }, seconds(40)));
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -70,6 +70,17 @@
     CHECK(relayAddress("Ip: \"10.1.0.13\"\nInternalPortRange: []\n") == none);
 }
 
+TEST_CASE("measuring the speeds of workers is off unless the environment switches it on")
+{
+    const std::string path = writeSettingsFile(ValidSettings);
+    unsetenv("MONSOONLEDGE_SLOW_WORKERS");
+    CHECK(!loadPlatformSettings(path).avoidsSlowWorkers);
+    setenv("MONSOONLEDGE_SLOW_WORKERS", "off", 1);
+    CHECK(!loadPlatformSettings(path).avoidsSlowWorkers);
+    setenv("MONSOONLEDGE_SLOW_WORKERS", "on", 1);
+    CHECK(loadPlatformSettings(path).avoidsSlowWorkers);
+}
+
 TEST_CASE("all invalid settings are reported together, each with its line")
 {
     const std::string path = writeSettingsFile("NodeName: \"n\"\nZone: \"a\"\n"
