Slow workers: look up waits incrementally, and spend scans on tasks that may use them

Jobs that may not use a slow worker used up the scans of a pass, so that later ones found none. The test of the rule now comes first, and the expected wait is found from where the last one ended.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -277,6 +277,7 @@
 {
     ++planCache_->passNumber;
     planCache_->vainSlowScans = 0;
+    planCache_->bestSlowSpeed.reset();
     if (now - planCache_->clearedAt < UnplacedRequestLifetime)
         return;
     planCache_->clearedAt = now;
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -96,6 +96,10 @@
     std::vector<std::pair<Time, std::int64_t>> ends; // with the CPU in millicores, by time
     std::int64_t booked = 0; // millicores that tasks of jobs before will take
     std::uint64_t bookedInPass = 0; // planning pass of `booked`
+    // The first `covered` ends free `freed` millicores. Kept from one look-up to the next, as the
+    // tasks of a pass want later and later ones.
+    std::size_t covered = 0;
+    std::int64_t freed = 0;
 };
 
 struct Scheduler::PlanCache
@@ -106,7 +110,8 @@
     std::vector<UnplacedRequest> unplacedRequests;
     std::unordered_map<const ScheduledWorker *, BestEffortOutlook> outlooks;
     std::map<std::pair<ServiceId, bool>, RoomTimes> roomTimes; // true: of best-effort tasks
-    int vainSlowScans = 0; // of this pass, for a slow worker that can take a task
+    int vainSlowScans = 0; // of this pass, for a slow worker with room
+    std::optional<double> bestSlowSpeed; // in this pass, of the slow workers; empty: not known
 };
 
 } // namespace monsoonledge
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -745,6 +745,8 @@
     void updateSpeed(ScheduledWorker &worker, Time now);
     void forgetWorker(const ScheduledWorker &worker);
     void logSpeedChange(const ScheduledWorker &worker, const SpeedChange &change) const;
+    double usableSpeed(const ScheduledWorker &worker) const;
+    bool mayRunAt(double speedFactor, const ScheduledTask &task, Time now) const;
     bool isTooSlowFor(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
     bool isBetterElsewhere(double speedFactor, const ScheduledTask &task, Time now) const;
     struct RoomTimes;
--- a/src/scheduling/slowworkers.cpp
+++ b/src/scheduling/slowworkers.cpp
@@ -24,7 +24,7 @@
 /// failures may keep it from the room that is expected elsewhere.
 constexpr Duration MaxWaitForFaster = milliseconds(1500);
 /// Bounds the cost of a pass in which thousands of tasks wait.
-constexpr int MaxVainSlowScans = 16;
+constexpr int MaxVainSlowScans = 8;
 
 /// Best-effort tasks share what others leave of the processors.
 double shareOfProcessors(const ScheduledWorker &worker, double demand, double idleServingShare)
@@ -142,25 +142,34 @@
            {"comparedWith", change.runs == 0 ? "none" : comparedWith}}});
 }
 
+/// The speed by which the worker may get another run. Until its speed is known again, it gets one
+/// by the speed that it may have regained, and more only by the one that was last measured.
+double Scheduler::usableSpeed(const ScheduledWorker &worker) const
+{
+    const auto isTried = [&](const ScheduledTask *task) { return !stepOf(*task).longRunning; };
+    const bool isBeingTried =
+            worker.isOnSpeedTrial && std::any_of(worker.tasks.begin(), worker.tasks.end(), isTried);
+    return isBeingTried ? worker.measuredSpeed : worker.speedFactor;
+}
+
+/// False if a worker of this speed does the task's job harm. Tasks that may crash their worker are
+/// started anywhere.
+bool Scheduler::mayRunAt(double speedFactor, const ScheduledTask &task, Time now) const
+{
+    if (speedFactor >= 1 || stepOf(task).longRunning || isSuspect(task))
+        return true;
+    const Time waitsSince = std::max(task.waitingSince, task.earliestStart);
+    return now - waitsSince > MaxWaitForFaster || !isBetterElsewhere(speedFactor, task, now);
+}
+
 /// True if the task is not to be started on the worker because the worker is slow, or was slow and
-/// has not shown yet that it has recovered. Tasks that may crash their worker are started anywhere.
+/// has not shown yet that it has recovered.
 bool Scheduler::isTooSlowFor(const ScheduledWorker &worker, const ScheduledTask &task,
                              Time now) const
 {
     if (worker.speedFactor >= 1 && !worker.isOnSpeedTrial)
         return false;
-    if (stepOf(task).longRunning || isSuspect(task))
-        return false;
-    const Time waitsSince = std::max(task.waitingSince, task.earliestStart);
-    if (now - waitsSince > MaxWaitForFaster)
-        return false;
-    // Until its speed is known again, it gets one run by the speed that it may have regained, and
-    // more only by the one that was last measured.
-    const auto isTried = [&](const ScheduledTask *other) { return !stepOf(*other).longRunning; };
-    const bool isBeingTried =
-            worker.isOnSpeedTrial && std::any_of(worker.tasks.begin(), worker.tasks.end(), isTried);
-    const double factor = isBeingTried ? worker.measuredSpeed : worker.speedFactor;
-    return factor < 1 && isBetterElsewhere(factor, task, now);
+    return !mayRunAt(usableSpeed(worker), task, now);
 }
 
 /// True if the task would make its job late on a worker of this speed and would be done earlier by
@@ -202,6 +211,8 @@
         return times;
     times.builtAt = now;
     times.ends.clear();
+    times.covered = 0;
+    times.freed = 0;
     for (const auto &[id, worker] : workers_) {
         if (worker->entry.service != service || worker->speedFactor < 1
             || !acceptsTasks(*worker, now))
@@ -224,16 +235,18 @@
 /// How long the last waiting task of the step is expected to wait for a worker that is not slow.
 Duration Scheduler::waitForFasterWorker(const ScheduledTask &task, Time now) const
 {
-    const RoomTimes &times = roomTimesFor(task, now);
+    RoomTimes &times = roomTimesFor(task, now);
     const int waiting = task.job->waitingTaskCounts[task.job->stepIndex(task.ref)];
-    std::int64_t wanted =
+    const std::int64_t wanted =
             times.booked + waiting * static_cast<std::int64_t>(stepOf(task).cpu.value);
-    for (const auto &[end, cpu] : times.ends) {
-        wanted -= cpu;
-        if (wanted <= 0)
-            return std::max(end - now, Duration::zero());
-    }
-    return Duration::max();
+    const auto &ends = times.ends;
+    while (times.freed < wanted && times.covered < ends.size())
+        times.freed += ends[times.covered++].second;
+    while (times.covered > 0 && times.freed - ends[times.covered - 1].second >= wanted)
+        times.freed -= ends[--times.covered].second;
+    if (times.freed < wanted || times.covered == 0)
+        return Duration::max();
+    return std::max(ends[times.covered - 1].first - now, Duration::zero());
 }
 
 /// The waiting tasks of the step will take the next room, before those of later jobs.
@@ -258,8 +271,13 @@
             std::chrono::duration_cast<Duration>(step.estimate * durationFactor(*task.job));
     const std::pair<Time, std::int64_t> end{planCache_->startedAt + runTime,
                                             static_cast<std::int64_t>(step.cpu.value)};
-    std::vector<std::pair<Time, std::int64_t>> &ends = it->second.ends;
-    ends.insert(std::upper_bound(ends.begin(), ends.end(), end), end);
+    RoomTimes &times = it->second;
+    const auto position = std::upper_bound(times.ends.begin(), times.ends.end(), end);
+    if (static_cast<std::size_t>(position - times.ends.begin()) < times.covered) {
+        ++times.covered;
+        times.freed += end.second;
+    }
+    times.ends.insert(position, end);
 }
 
 /// Assigns a task for which no other worker has room to a slow one, if that does it no harm.
@@ -269,6 +287,14 @@
     if (slowWorkers_ == 0 || stepOf(task).longRunning
         || planCache_->vainSlowScans >= MaxVainSlowScans)
         return false;
+    std::optional<double> &bestSpeed = planCache_->bestSlowSpeed;
+    if (!bestSpeed) {
+        bestSpeed = 0;
+        for (const auto &[id, worker] : workers_)
+            bestSpeed = std::max(*bestSpeed, worker->speedFactor < 1 ? usableSpeed(*worker) : 0);
+    }
+    if (*bestSpeed <= 0 || !mayRunAt(*bestSpeed, task, now))
+        return false;
     candidates.clear();
     for (const auto &[id, worker] : workers_) {
         if (worker->speedFactor >= 1)
