--- a/src/scheduling/slowworkers.cpp
+++ b/src/scheduling/slowworkers.cpp
@@ -129,17 +129,19 @@
         return std::to_string(static_cast<int>(std::lround(share * 100)));
     };
     const char *const comparedWith = change.isByStep ? "step" : "queue";
-    log_({change.isSlow ? LogLevel::Warning : LogLevel::Info,
-          change.isSlow ? "worker-slow" : "worker-speed-recovered",
-          change.isSlow
-                  ? "runs on the worker make less progress than the same ones on other workers"
-                  : "the worker no longer counts as slow",
-          {{"worker", worker.entry.id.str()},
-           {"speedPercent", percent(change.factor)},
-           {"runs", std::to_string(change.runs)},
-           {"slowRuns", std::to_string(change.slowRuns)},
-           {"lowestRunPercent", percent(change.lowestRun)},
-           {"comparedWith", change.runs == 0 ? "none" : comparedWith}}});
+    const std::vector<std::pair<std::string, std::string>> fields{
+            {"worker", worker.entry.id.str()},
+            {"speedPercent", percent(change.factor)},
+            {"runs", std::to_string(change.runs)},
+            {"slowRuns", std::to_string(change.slowRuns)},
+            {"lowestRunPercent", percent(change.lowestRun)},
+            {"comparedWith", change.runs == 0 ? "none" : comparedWith}};
+    if (change.isSlow)
+        log_({LogLevel::Warning, "worker-slow",
+              "runs on the worker make less progress than the same ones on other workers", fields});
+    else
+        log_({LogLevel::Info, "worker-speed-recovered", "the worker no longer counts as slow",
+              fields});
 }
 
 /// The speed by which the worker may get another run. Until its speed is known again, it gets one
