Retry-After of refused submissions by the length of the outage

Refusals for lack of the store were always answered with 1 s, so four repetitions did not span an outage of 9 s. The wait is now about as long as the outage has lasted, at most a quarter of the time for which the submission is useful, and spread by a hash of the job's id.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -32,6 +32,7 @@
 //   [8] Entry process
 #pragma once
 
+#include "overload/outage.h"
 #include "overload/overload.h"
 #include "scheduling/scheduling.h"
 
@@ -630,6 +631,12 @@
                 Time now);
     /// When the client of a job that was answered with Overloaded should repeat it.
     Duration retryAfter(const JobId &id) const { return admission_.retryAfter(id); }
+    /// After how many seconds the client of a job that was answered with NotAccepted should repeat
+    /// it.
+    int outageRetryAfter(const OutageTerms &terms, const JobId &id, Time now) const
+    {
+        return monsoonledge::outageRetryAfter(now - lastStoreContact(), terms, id);
+    }
     const AdmissionPolicy &admission() const { return admission_; }
     void cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
