Leases around an outage of the store: earlier renewals, and proof by the record

Runs ended after outages that were shorter than their leases allow, because the coordinator noticed the store's return only when its last call had timed out, its workers got a lease only when the renewals that waited there for news were answered, and a process whose lease had ended did not stand again before its watch reported that. Renewals of the coordinator's lease are now repeated after 250 ms without waiting for the timeout; the first contact after the grace period renews all leases of workers at once; an ended lease leads to a candidacy at once.

Contact with the store now counts only by the record itself, as a transaction that requires it or a read of it; a removed record deposes the coordinator.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -125,8 +125,8 @@
 {
     if (scheduler_ || !areJobsLoaded_ || !areWorkersLoaded_ || !areUnreachableLoaded_)
         return;
-    // A former coordinator renewed the lease of its record for the last time before the record was
-    // removed, and so before this coordinator was elected.
+    // The last contact of a former coordinator to the store was while its record existed, and so
+    // before this coordinator was elected.
     const Time formerLeaseExpiry = startedAt_ + longestDurationOf(settings_.maxLeaseWithoutStore);
     settings_.scheduling.maxLeaseDuration = longestDurationOf(settings_.maxWorkerLease);
     scheduler_ =
@@ -330,6 +330,8 @@
 /// with.
 void Coordinator::writeChanges(WriteScope records, Time now)
 {
+    if (!isWithinRenewalGrace(now))
+        return; // until the lease of the coordinator record has been renewed
     if (records == WriteScope::Urgent && !scheduler_->hasUrgentChanges()) {
         scheduleDeferredWrite();
         return;
@@ -350,7 +352,7 @@
             write->transaction.puts.push_back({key, change.record, LeaseId{}});
         }
         ++writesInFlight_;
-        sendProgressWrite(write);
+        sendProgressWrite(write, now);
     }
 }
 
@@ -368,13 +370,45 @@
                         });
 }
 
-void Coordinator::sendProgressWrite(const std::shared_ptr<ProgressWrite> &write)
+void Coordinator::sendProgressWrite(const std::shared_ptr<ProgressWrite> &write, Time now)
 {
-    ports_.store.commit(write->transaction, [this, write, alive = std::weak_ptr<int>(alive_)](
-                                                    const KeyValueResult &result, Time now) {
-        if (!alive.expired() && !isDeposed_)
-            onWritten(write, result, now);
-    });
+    commit(
+            write->transaction,
+            [this, write](const KeyValueResult &result, Time eventTime) {
+                onWritten(write, result, eventTime);
+            },
+            now);
+}
+
+/// Sends a transaction that requires the coordinator record. If it takes effect, the record existed
+/// after `sentAt`, so no other coordinator was elected before. Answers that arrive after this
+/// coordinator was deposed are dropped.
+void Coordinator::commit(const Transaction &transaction, KeyValueCallback done, Time sentAt)
+{
+    ports_.store.commit(transaction,
+                        [this, sentAt, done = std::move(done), alive = std::weak_ptr<int>(alive_)](
+                                const KeyValueResult &result, Time now) {
+                            if (alive.expired() || isDeposed_)
+                                return;
+                            if (result.status == KeyValueStatus::Ok)
+                                onStoreContact(sentAt, now);
+                            done(result, now);
+                        });
+}
+
+/// Repeats a write whose outcome is unknown. During an outage it waits until the lease of the
+/// coordinator record has been renewed.
+void Coordinator::scheduleRepetition(const std::shared_ptr<ProgressWrite> &write)
+{
+    ports_.timers.after(WriteRetryDelay,
+                        [this, write, alive = std::weak_ptr<int>(alive_)](Time now) {
+                            if (alive.expired() || isDeposed_)
+                                return;
+                            if (isWithinRenewalGrace(now))
+                                sendProgressWrite(write, now);
+                            else
+                                scheduleRepetition(write);
+                        });
 }
 
 void Coordinator::onWritten(const std::shared_ptr<ProgressWrite> &write,
@@ -395,11 +429,7 @@
     case KeyValueStatus::Unknown:
         // Repeats the same write. If the first attempt took effect, the repetition ends in a
         // conflict, whose current values show that.
-        ports_.timers.after(WriteRetryDelay,
-                            [this, write, alive = std::weak_ptr<int>(alive_)](Time) {
-                                if (!alive.expired() && !isDeposed_)
-                                    sendProgressWrite(write);
-                            });
+        scheduleRepetition(write);
         return;
     default:
         writeNotBefore_ = now + WriteRetryDelay;
@@ -446,7 +476,7 @@
 
 void Coordinator::removeFinishedJobs(Time now)
 {
-    if (!scheduler_ || now - lastCleanup_ < CleanupInterval)
+    if (!scheduler_ || now - lastCleanup_ < CleanupInterval || !isWithinRenewalGrace(now))
         return;
     lastCleanup_ = now;
     std::vector<JobId> ids = scheduler_->jobsEndedBefore(now - settings_.finishedJobRetention);
@@ -460,22 +490,24 @@
         transaction.removals.push_back(keys::cancel(id));
         transaction.removals.push_back(keys::progress(id));
     }
-    ports_.store.commit(transaction, [this, ids, alive = std::weak_ptr<int>(alive_)](
-                                             const KeyValueResult &result, Time) {
-        if (alive.expired() || result.status != KeyValueStatus::Ok)
-            return; // the next cleanup tries again
-        for (const JobId &id : ids) {
-            scheduler_->removeJob(id);
-            progressRevisions_.erase(id);
-            jobView_.remove(id);
-        }
-    });
+    commit(
+            transaction,
+            [this, ids](const KeyValueResult &result, Time) {
+                if (result.status != KeyValueStatus::Ok)
+                    return; // the next cleanup tries again
+                for (const JobId &id : ids) {
+                    scheduler_->removeJob(id);
+                    progressRevisions_.erase(id);
+                    jobView_.remove(id);
+                }
+            },
+            now);
 }
 
 /// Writes the backlog for the other processes. If the call fails, the next report replaces it.
 void Coordinator::publishBacklog(Time now)
 {
-    if (now < nextBacklogAt_)
+    if (now < nextBacklogAt_ || !isWithinRenewalGrace(now))
         return;
     nextBacklogAt_ = now + settings_.backlogInterval;
     BacklogReport report;
@@ -493,7 +525,13 @@
     Transaction transaction;
     transaction.conditions.push_back({keys::Coordinator, recordRevision_});
     transaction.puts.push_back({keys::Backlog, encodeBacklog(report), LeaseId{}});
-    ports_.store.commit(transaction, [](const KeyValueResult &, Time) {});
+    commit(
+            transaction,
+            [this](const KeyValueResult &result, Time) {
+                if (result.status == KeyValueStatus::Conflict)
+                    depose("the coordinator record has changed; another process may hold it");
+            },
+            now);
 }
 
 void Coordinator::depose(const std::string &reason)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -199,6 +199,10 @@
     Duration challengeAfter = seconds(3);
     Duration challengeInterval = seconds(10); // minimum between two challenges by one process
     Duration leaseRenewalInterval = milliseconds(600); // of the coordinator record's lease
+    // Until another renewal is sent if one has failed or is not answered. The end of an outage is
+    // noticed within this time, and not when the last call has timed out. Shorter values would take
+    // up more of the connections to a store that does not answer.
+    Duration leaseRenewalRetry = milliseconds(250);
     // A coordinator that has lost contact with the store still plans and renews the workers' leases
     // for this long.
     Duration renewalGrace = seconds(3);
@@ -464,8 +468,9 @@
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
 
-    /// The coordinator's lease was renewed by a call sent at `sentAt`.
-    void onStoreContact(Time sentAt);
+    /// The coordinator's record still existed when the store carried out a call sent at `sentAt`.
+    void onStoreContact(Time sentAt, Time now);
+    StoreRevision recordRevision() const { return recordRevision_; }
     void onConfigChanged();
     void onClosedDomainsChanged(Time now);
     /// False if most of the registered workers cannot be reached from this process.
@@ -518,7 +523,10 @@
     enum class WriteScope { Urgent, All };
     void writeChanges(WriteScope records, Time now);
     void scheduleDeferredWrite();
-    void sendProgressWrite(const std::shared_ptr<ProgressWrite> &write);
+    void sendProgressWrite(const std::shared_ptr<ProgressWrite> &write, Time now);
+    void commit(const Transaction &transaction, KeyValueCallback done, Time sentAt);
+    void scheduleRepetition(const std::shared_ptr<ProgressWrite> &write);
+    void renewAllLeases(Time now);
     void onWritten(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
                    Time now);
     void onWriteConflict(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
@@ -530,10 +538,14 @@
     void renewLeases(Time now);
     void checkLink(const WorkerId &id, Time now);
     void sendRenewal(const WorkerEntry &worker, WorkerLink &link, Time now);
-    void requestReport(const WorkerId &id, Time now);
+    enum class LeaseUse { None, Renew };
+    void requestReport(const WorkerId &id, Time now, LeaseUse lease = LeaseUse::None);
     WorkerCallback onAnswer(const WorkerEntry &worker, WorkerCallback handle);
     void updateUnreachableRecord(const ScheduledWorker &worker, WorkerLink &link, Time now);
-    void writeUnreachableRecord(const WorkerId &id, bool isUnreachable);
+    bool isSilent(const ScheduledWorker &worker, Time now) const;
+    void writeUnreachableRecords(Time now);
+    bool addUnreachableRecord(const WorkerId &id, Transaction &transaction, Time now);
+    void onUnreachableWritten(const std::vector<WorkerId> &ids, KeyValueStatus status, Time now);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCallResult &callResult, Time now);
     bool isPresentIncarnation(const WorkerId &id, WorkerIncarnation incarnation) const;
@@ -579,6 +591,9 @@
     bool isDeposed_ = false;
     int writesInFlight_ = 0;
     Time writeNotBefore_{};
+    std::vector<WorkerId> unreachableToWrite_; // records that are to be stored or removed
+    bool isUnreachableWriteInFlight_ = false;
+    Time unreachableNotBefore_{}; // of the next write of such records
     bool isDeferredWriteScheduled_ = false;
     Time lastCleanup_{};
     Time nextBacklogAt_{};
@@ -693,7 +708,11 @@
     void requestCoordinatorLease(Time now);
     void onLeaseGranted(LeaseId lease, Time sentAt);
     void becomeCoordinator(StoreRevision recordRevision, Time sentAt, Time now);
-    void scheduleLeaseRenewal();
+    void scheduleLeaseRenewal(Duration delay);
+    void renewCoordinatorLease();
+    void checkCoordinatorRecord(Time sentAt);
+    void onRecordGone(const std::string &reason, bool isReplaced);
+    void resign();
     void stepDown();
     void log(LogLevel level, const std::string &event, const std::string &message,
              std::vector<std::pair<std::string, std::string>> fields = {});
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace monsoonledge {
 
@@ -166,6 +167,8 @@
     if (item.key != keys::Coordinator)
         return;
     isRecordPresent_ = !item.deleted;
+    if (coordinator_ && item.revision > coordinator_->recordRevision())
+        onRecordGone("the coordinator record was removed", isRecordPresent_);
     recordReceivedAt_ = now;
     coordinatorCores_ = std::strtod(item.value.c_str(), nullptr); // the name follows after a space
 }
@@ -216,10 +219,7 @@
     log(LogLevel::Info, "coordinator-resigned",
         "a process on a much stronger host has asked this coordinator to resign",
         {{"cores", std::to_string(settings_.hostCores)}, {"challenger", std::to_string(cores)}});
-    const LeaseId lease = lease_;
-    stepDown();
-    // If this call fails, the lease expires later.
-    ports_.store.endLease(lease, [](const KeyValueResult &, Time) {});
+    resign();
 }
 
 /// Tries to become the coordinator after a delay, which is shorter on stronger hosts, so that they
@@ -306,44 +306,93 @@
                                [this](Time when) { return knowsClosedDomains(when); }},
             sentAt, now);
     lastStoreContact_ = now;
-    scheduleLeaseRenewal();
+    scheduleLeaseRenewal(settings_.leaseRenewalInterval);
+}
+
+void FleetNode::scheduleLeaseRenewal(Duration delay)
+{
+    ports_.timers.after(delay,
+                        [this, lease = lease_, alive = std::weak_ptr<int>(alive_)](Time now) {
+                            if (alive.expired() || !coordinator_ || lease_ != lease)
+                                return;
+                            if (coordinator_->reachesMostWorkers(now)) {
+                                renewCoordinatorLease();
+                                return;
+                            }
+                            log(LogLevel::Warning, "coordinator-resigned",
+                                "most workers cannot be reached; another process has to take over");
+                            nextCandidacyAt_ = now + CandidacyPauseAfterResigning;
+                            resign();
+                        });
+}
+
+/// Renews the lease of the coordinator record, and schedules the next renewal: without an answer,
+/// it does not wait until this call has timed out.
+void FleetNode::renewCoordinatorLease()
+{
+    const auto isNextScheduled = std::make_shared<bool>(false);
+    const auto scheduleNext = [this, isNextScheduled](Duration delay) {
+        if (!std::exchange(*isNextScheduled, true))
+            scheduleLeaseRenewal(delay);
+    };
+    const auto isPresent = [this, lease = lease_, alive = std::weak_ptr<int>(alive_)] {
+        return !alive.expired() && coordinator_ && lease_ == lease;
+    };
+    ports_.store.renewLease(lease_, [this, isPresent, scheduleNext](const KeyValueResult &result,
+                                                                    Time now) {
+        if (!isPresent())
+            return;
+        if (result.status == KeyValueStatus::NotFound) {
+            onRecordGone("the lease of the coordinator record has ended", false);
+            return;
+        }
+        const bool isRenewed = result.status == KeyValueStatus::Ok;
+        if (isRenewed) {
+            lastStoreContact_ = now;
+            checkCoordinatorRecord(now);
+        }
+        scheduleNext(isRenewed ? settings_.leaseRenewalInterval : settings_.leaseRenewalRetry);
+    });
+    ports_.timers.after(settings_.leaseRenewalRetry, [isPresent, scheduleNext](Time) {
+        if (isPresent())
+            scheduleNext(Duration::zero());
+    });
 }
 
-void FleetNode::scheduleLeaseRenewal()
+/// Reads the coordinator record. A store may remove it before its lease has ended and still renew
+/// the lease, so only the record itself shows that no other process was elected before `sentAt`.
+void FleetNode::checkCoordinatorRecord(Time sentAt)
 {
-    ports_.timers.after(
-            settings_.leaseRenewalInterval,
-            [this, lease = lease_, alive = std::weak_ptr<int>(alive_)](Time sentAt) {
+    ports_.store.get(
+            keys::Coordinator, [this, sentAt, lease = lease_, alive = std::weak_ptr<int>(alive_)](
+                                       const KeyValueResult &result, Time now) {
                 if (alive.expired() || !coordinator_ || lease_ != lease)
                     return;
-                if (!coordinator_->reachesMostWorkers(sentAt)) {
-                    log(LogLevel::Warning, "coordinator-resigned",
-                        "most workers cannot be reached; another process has to take over");
-                    nextCandidacyAt_ = sentAt + CandidacyPauseAfterResigning;
-                    stepDown();
-                    // If this call fails, the lease expires later.
-                    ports_.store.endLease(lease, [](const KeyValueResult &, Time) {});
-                    return;
-                }
-                ports_.store.renewLease(lease, [this, lease, sentAt,
-                                                alive](const KeyValueResult &result, Time now) {
-                    if (alive.expired() || !coordinator_ || lease_ != lease)
-                        return;
-                    if (result.status == KeyValueStatus::NotFound) {
-                        log(LogLevel::Warning, "coordinator-deposed",
-                            "the lease of the coordinator record has ended");
-                        stepDown();
-                        return;
-                    }
-                    if (result.status == KeyValueStatus::Ok) {
-                        coordinator_->onStoreContact(sentAt);
-                        lastStoreContact_ = now;
-                    }
-                    scheduleLeaseRenewal();
-                });
+                const bool isRead = result.status == KeyValueStatus::Ok && !result.items.empty();
+                if (isRead && result.items.front().revision == coordinator_->recordRevision())
+                    coordinator_->onStoreContact(sentAt, now);
+                else if (isRead || result.status == KeyValueStatus::NotFound)
+                    onRecordGone("the coordinator record was removed", isRead);
             });
 }
 
+/// The record of this coordinator no longer exists. `isReplaced`: another process has written its
+/// own; if that is only not known yet, the next candidacy of this process shows it.
+void FleetNode::onRecordGone(const std::string &reason, bool isReplaced)
+{
+    log(LogLevel::Warning, "coordinator-deposed", reason);
+    isRecordPresent_ = isReplaced;
+    resign();
+}
+
+void FleetNode::resign()
+{
+    const LeaseId lease = lease_;
+    stepDown();
+    // If this call fails, the lease expires later.
+    ports_.store.endLease(lease, [](const KeyValueResult &, Time) {});
+}
+
 void FleetNode::stepDown()
 {
     if (!coordinator_)
@@ -363,12 +412,8 @@
     isDraining_ = true;
     if (handover_)
         handover_->drain();
-    if (!coordinator_)
-        return;
-    const LeaseId lease = lease_;
-    stepDown();
-    // If this call fails, the lease expires later.
-    ports_.store.endLease(lease, [](const KeyValueResult &, Time) {});
+    if (coordinator_)
+        resign();
 }
 
 // Contact to the store
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Duration RenewRetryDelay = milliseconds(250); // from the second failure in a row on
+constexpr Duration UnreachableRetryDelay = milliseconds(250); // after a failed write of records
 constexpr Duration LinkCheckInterval = milliseconds(100); // between two checks of all workers
 constexpr Duration MaxStoredEndsWait = milliseconds(400); // that a renewal waits for stored records
 // Long-poll waits of renewals, instead of the one in the settings: for a worker with interference
@@ -155,6 +156,12 @@
 
 // [2] Worker leases
 
+/// True if the worker counts as unreachable.
+bool Coordinator::isSilent(const ScheduledWorker &worker, Time now) const
+{
+    return now - worker.lastReport > MaxWorkerSilence + settings_.renewWait;
+}
+
 /// Grants a worker a new lease. Returns its end in ms on the worker's clock, or 0 if the worker may
 /// get no lease now.
 std::uint64_t Coordinator::grantWorkerLease(const WorkerId &id, Time now)
@@ -167,7 +174,7 @@
     if (workerLink.unreachableRecord != UnreachableRecord::Absent)
         return 0;
     if (workerLink.clock == 0 || workerLink.incarnation != worker->second->entry.incarnation
-        || now - worker->second->lastReport > MaxWorkerSilence + settings_.renewWait)
+        || isSilent(*worker->second, now))
         return 0;
     const auto elapsed =
             static_cast<std::uint64_t>(wholeMilliseconds(now - workerLink.clockReceivedAt));
@@ -193,6 +200,19 @@
     nextLinkCheckAt_ = now + LinkCheckInterval;
     for (const auto &[id, worker] : scheduler_->workers())
         checkLink(id, now);
+    writeUnreachableRecords(now);
+}
+
+/// Renews the leases of all workers in parallel to the renewals that wait there for news. Used when
+/// the store answers again: the last leases may end before those renewals do.
+void Coordinator::renewAllLeases(Time now)
+{
+    if (!scheduler_)
+        return;
+    for (const auto &[id, worker] : scheduler_->workers()) {
+        if (!worker->hasEnded && !worker->tasks.empty())
+            requestReport(id, now, LeaseUse::Renew);
+    }
 }
 
 void Coordinator::checkLink(const WorkerId &id, Time now)
@@ -220,44 +240,92 @@
 /// coordinator renewed them until its end.
 void Coordinator::updateUnreachableRecord(const ScheduledWorker &worker, WorkerLink &link, Time now)
 {
-    const bool isSilent = now - worker.lastReport > MaxWorkerSilence + settings_.renewWait;
+    const bool silent = isSilent(worker, now);
     // Until the worker's first report here, a former coordinator may still renew its leases.
     const bool mayBeRenewed = !worker.hasReported && now - startedAt_ <= settings_.renewalGrace;
-    if (link.unreachableRecord == UnreachableRecord::Absent && isSilent && !mayBeRenewed
+    if (link.unreachableRecord == UnreachableRecord::Absent && silent && !mayBeRenewed
         && !worker.tasks.empty()) {
         link.unreachableRecord = UnreachableRecord::Writing;
-        writeUnreachableRecord(worker.entry.id, true);
-    } else if (link.unreachableRecord == UnreachableRecord::Stored && !isSilent) {
+        unreachableToWrite_.push_back(worker.entry.id);
+    } else if (link.unreachableRecord == UnreachableRecord::Stored && !silent) {
         link.unreachableRecord = UnreachableRecord::Removing;
-        writeUnreachableRecord(worker.entry.id, false);
+        unreachableToWrite_.push_back(worker.entry.id);
     }
 }
 
-void Coordinator::writeUnreachableRecord(const WorkerId &id, bool isUnreachable)
+/// Writes the records of unreachable workers that are due, one transaction at a time. When a
+/// failure domain is cut off, there are many of them at once.
+void Coordinator::writeUnreachableRecords(Time now)
 {
-    const auto worker = scheduler_->workers().find(id);
+    if (unreachableToWrite_.empty() || isUnreachableWriteInFlight_ || now < unreachableNotBefore_
+        || !isWithinRenewalGrace(now))
+        return;
     Transaction transaction;
     transaction.conditions.push_back({keys::Coordinator, recordRevision_});
-    if (isUnreachable) {
-        const std::string value = std::to_string(worker->second->entry.incarnation.value);
-        transaction.puts.push_back({keys::unreached(id), value, LeaseId{}});
-    } else {
+    std::vector<WorkerId> ids;
+    std::size_t taken = 0;
+    while (taken < unreachableToWrite_.size() && ids.size() + 1 < MaxTransactionEntries) {
+        const WorkerId id = unreachableToWrite_[taken++];
+        if (addUnreachableRecord(id, transaction, now))
+            ids.push_back(id);
+    }
+    unreachableToWrite_.erase(unreachableToWrite_.begin(),
+                              unreachableToWrite_.begin() + static_cast<std::ptrdiff_t>(taken));
+    if (ids.empty())
+        return;
+    isUnreachableWriteInFlight_ = true;
+    commit(
+            transaction,
+            [this, ids](const KeyValueResult &result, Time eventTime) {
+                onUnreachableWritten(ids, result.status, eventTime);
+            },
+            now);
+}
+
+/// Adds the change of a worker's record. Returns false if it is not needed any more.
+bool Coordinator::addUnreachableRecord(const WorkerId &id, Transaction &transaction, Time now)
+{
+    const auto found = links_.find(id);
+    if (found == links_.end())
+        return false;
+    WorkerLink &link = found->second;
+    if (link.unreachableRecord != UnreachableRecord::Writing) {
         transaction.removals.push_back(keys::unreached(id));
+        return true;
+    }
+    const auto worker = scheduler_->workers().find(id);
+    if (worker == scheduler_->workers().end() || !isSilent(*worker->second, now)) {
+        link.unreachableRecord = UnreachableRecord::Absent;
+        return false;
+    }
+    const std::string value = std::to_string(worker->second->entry.incarnation.value);
+    transaction.puts.push_back({keys::unreached(id), value, LeaseId{}});
+    return true;
+}
+
+void Coordinator::onUnreachableWritten(const std::vector<WorkerId> &ids, KeyValueStatus status,
+                                       Time now)
+{
+    isUnreachableWriteInFlight_ = false;
+    if (status == KeyValueStatus::Conflict) {
+        depose("the coordinator record has changed; another process may hold it");
+        return;
+    }
+    if (status != KeyValueStatus::Ok)
+        unreachableNotBefore_ = now + UnreachableRetryDelay;
+    for (const WorkerId &id : ids) {
+        const auto found = links_.find(id);
+        if (found == links_.end())
+            continue;
+        UnreachableRecord &record = found->second.unreachableRecord;
+        const bool wasRemoved =
+                status == KeyValueStatus::Ok && record == UnreachableRecord::Removing;
+        const bool wasNeverStored =
+                status == KeyValueStatus::NotApplied && record == UnreachableRecord::Writing;
+        // If the outcome is unknown, the record is assumed to be stored, and is removed later.
+        record = wasRemoved || wasNeverStored ? UnreachableRecord::Absent
+                                              : UnreachableRecord::Stored;
     }
-    ports_.store.commit(transaction, [this, id, isUnreachable, alive = std::weak_ptr<int>(alive_)](
-                                             const KeyValueResult &result, Time) {
-        if (alive.expired() || isDeposed_)
-            return;
-        const auto link = links_.find(id);
-        if (result.status == KeyValueStatus::Conflict) {
-            depose("the coordinator record has changed; another process may hold it");
-        } else if (link != links_.end()) {
-            const bool isDone = result.status == KeyValueStatus::Ok;
-            // If the outcome is unknown, the record is assumed to be stored, and is removed later.
-            link->second.unreachableRecord = isUnreachable || !isDone ? UnreachableRecord::Stored
-                                                                      : UnreachableRecord::Absent;
-        }
-    });
 }
 
 void Coordinator::sendRenewal(const WorkerEntry &worker, WorkerLink &link, Time now)
@@ -294,15 +362,16 @@
 /// Requests a worker's lists of runs at once, in parallel to a renewal that may be waiting there.
 /// Used when a task waits for them: after a stop, after a start whose outcome is unknown, and while
 /// a suspect is isolated. Ended runs are left for the renewals to acknowledge.
-void Coordinator::requestReport(const WorkerId &id, Time now)
+void Coordinator::requestReport(const WorkerId &id, Time now, LeaseUse lease)
 {
     const auto worker = scheduler_->workers().find(id);
     const auto link = links_.find(id);
     if (worker == scheduler_->workers().end() || link == links_.end() || !link->second.isConfirmed)
         return;
     const WorkerEntry &entry = worker->second->entry;
+    const std::uint64_t leaseEnd = lease == LeaseUse::Renew ? grantWorkerLease(id, now) : 0;
     ports_.workers.renew(
-            entry, token_, 0, 0, Duration::zero(),
+            entry, token_, leaseEnd, 0, Duration::zero(),
             onAnswer(entry,
                      [this, id, sentAt = now](const WorkerCallResult &callResult, Time eventTime) {
                          // After a failure, the waiting renewal returns the same lists later.
@@ -394,9 +463,14 @@
     scheduler_->onReport(id, sentAt, report, now);
 }
 
-void Coordinator::onStoreContact(Time sentAt)
+void Coordinator::onStoreContact(Time sentAt, Time now)
 {
+    const bool wasWithinGrace = isWithinRenewalGrace(now);
     lastStoreContact_ = std::max(lastStoreContact_, sentAt);
+    if (wasWithinGrace || !isWithinRenewalGrace(now))
+        return;
+    renewAllLeases(now);
+    schedulePass();
 }
 
 bool Coordinator::reachesMostWorkers(Time now) const
--- a/tests/fakes/fakekeyvalue.h
+++ b/tests/fakes/fakekeyvalue.h
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -125,6 +126,28 @@
         return {id};
     }
 
+    /// While leases are paused, none ends; then each has as much time left as before.
+    void pauseLeases() { pausedAt_ = clock_.now(); }
+    void resumeLeases()
+    {
+        if (!pausedAt_)
+            return;
+        const Duration pause = clock_.now() - *std::exchange(pausedAt_, std::nullopt);
+        for (auto &[id, end] : leaseEnds_) {
+            end += pause;
+            expireAt(id, end);
+        }
+    }
+
+    /// Removes the keys of all leases, which can still be renewed.
+    void revokeKeys()
+    {
+        for (auto &[lease, keys] : leaseKeys_) {
+            for (const std::string &key : std::exchange(keys, {}))
+                remove(key);
+        }
+    }
+
     bool keep(LeaseId lease)
     {
         const auto it = leaseEnds_.find(lease.value);
@@ -201,7 +224,7 @@
     {
         clock_.at(end, [this, id] {
             const auto it = leaseEnds_.find(id);
-            if (it != leaseEnds_.end() && it->second <= clock_.now())
+            if (!pausedAt_ && it != leaseEnds_.end() && it->second <= clock_.now())
                 endLease({id});
         });
     }
@@ -209,6 +232,7 @@
     FakeClock &clock_;
     std::uint64_t revision_ = 1;
     std::uint64_t lastLease_ = 0;
+    std::optional<Time> pausedAt_;
     std::map<std::string, KeyValue> items_;
     std::vector<KeyValue> history_;
     StoreRevision historyStart_{};
@@ -227,6 +251,10 @@
     Duration latency = milliseconds(2); // each way
     bool refusing = false; // answers NotApplied at once
     bool silent = false; // nothing arrives there, and nothing comes back
+    bool resetting = false; // answers Unknown at once, without an effect
+    bool isDeaf = false; // calls take effect, but nothing comes back
+    /// Called for each call, with the name of the function and the key, if there is one.
+    std::function<void(const std::string &call, const std::string &key)> onCall;
     std::string silentPrefix; // watches and loads of this prefix get no answer; empty: none
     bool losesAnswers = false; // of changes, which are made
     Duration lostAreLate{}; // the changes whose answers are lost are made so much later
@@ -235,11 +263,13 @@
 
     void get(const std::string &key, KeyValueCallback done) override
     {
+        noteCall("get", key);
         call([this, key] { return store_.get(key); }, done, false);
     }
     void range(const std::string &prefix, const std::string &afterKey,
                KeyValueCallback done) override
     {
+        noteCall("range", prefix);
         entryReads += prefix == "entry/" ? 1 : 0;
         if (failPrefix(prefix, done))
             return;
@@ -247,10 +277,12 @@
     }
     void commit(const Transaction &transaction, KeyValueCallback done) override
     {
+        noteCall("commit", transaction.puts.empty() ? "" : transaction.puts.front().key);
         call([this, transaction] { return store_.commit(transaction); }, done, true);
     }
     void grantLease(Duration ttl, KeyValueCallback done) override
     {
+        noteCall("grantLease", "");
         call(
                 [this, ttl] {
                     KeyValueResult result;
@@ -262,6 +294,7 @@
     }
     void renewLease(LeaseId lease, KeyValueCallback done) override
     {
+        noteCall("renewLease", "");
         call(
                 [this, lease] {
                     KeyValueResult result;
@@ -273,6 +306,7 @@
     }
     void endLease(LeaseId lease, KeyValueCallback done) override
     {
+        noteCall("endLease", "");
         call(
                 [this, lease] {
                     store_.endLease(lease);
@@ -285,6 +319,7 @@
     void watch(const std::string &prefix, StoreRevision after, Duration wait,
                KeyValueCallback done) override
     {
+        noteCall("watch", prefix);
         if (fail(done) || failPrefix(prefix, done))
             return;
         auto answered = std::make_shared<bool>(false);
@@ -315,11 +350,17 @@
 private:
     static constexpr Duration Timeout = milliseconds(900);
 
+    void noteCall(const std::string &call, const std::string &key)
+    {
+        if (onCall)
+            onCall(call, key);
+    }
+
     /// Delivers through the process's own timers, so that a dead process hears nothing. An answer
     /// that has not arrived as a whole by the deadline is lost.
     void deliver(const KeyValueResult &result, Time deadline, const KeyValueCallback &done)
     {
-        if (silent) {
+        if (silent || isDeaf) {
             timers_.after(Timeout, [done](Time now) { done({}, now); });
             return;
         }
@@ -335,11 +376,11 @@
 
     bool fail(const KeyValueCallback &done)
     {
-        if (!refusing && !silent)
+        if (!refusing && !silent && !resetting)
             return false;
         KeyValueResult result;
         result.status = refusing ? KeyValueStatus::NotApplied : KeyValueStatus::Unknown;
-        timers_.after(refusing ? latency : Timeout,
+        timers_.after(refusing || resetting ? latency : Timeout,
                       [result, done](Time now) { done(result, now); });
         return true;
     }
--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -78,6 +78,7 @@
     std::set<TaskKey> acknowledgedDone;
     std::map<TaskKey, Time> lastStarts;
     int crashes = 0;
+    int lapsedRuns = 0; // that ended with the lease of their worker
     /// Called for a worker that is back after a crash, under its former id or a new one.
     std::function<void(const std::string &formerId, const std::string &id)> onBack;
     /// Called before an order ends a run.
@@ -323,8 +324,10 @@
             Worker &owner = workers_.at(id);
             if (owner.leaseEnd <= clock_.now())
                 owner.lapsedAt = clock_.now();
-            while (owner.up && owner.leaseEnd <= clock_.now() && !owner.running.empty())
+            while (owner.up && owner.leaseEnd <= clock_.now() && !owner.running.empty()) {
+                ++lapsedRuns;
                 endRun(owner, owner.running.begin()->first, RunOutcome::LeaseExpired);
+            }
         });
     }
 
