Order and spread of the calls to the store after an outage

When the store reset all connections, the watches of all processes failed together and were repeated together, and the coordinator repeated writes and watches before the lease of its record. Repetitions of a watch are now spread over the retry delay, and in the coordinator they wait until the lease has been renewed, for outages of up to 15 s. Its writes already wait for that.

The new test counts the calls of the first second after an outage.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -221,6 +221,10 @@
     Duration watchWait = seconds(1);
     // The same for the configuration; shorter, because a new one must be in force within 2 seconds.
     Duration configWatchWait = milliseconds(600);
+    // After an outage of up to this length, the coordinator repeats its watches only when the lease
+    // of its record has been renewed. After a longer one it repeats them in any case, since the
+    // store may answer only reads.
+    Duration maxWatchHold = seconds(15);
     Duration planDelay = milliseconds(10); // to handle events that arrive together in one pass
     Duration finishedJobRetention = seconds(125); // then the records of an ended job are removed
     // Where this process answers requests of others (relay.h). Port 0: none are answered or
@@ -257,6 +261,11 @@
     LogHook log;
     WorkMeter *workMeter = nullptr; // null: the time of the work is not measured
     RelayPort *relay = nullptr; // null: no request is forwarded to other processes
+    // Differs between processes, so that calls which failed together are not repeated together.
+    std::uint64_t spreadSeed = 0;
+    // True while a watch whose last call failed waits, so that the store answers more urgent calls
+    // first. Null: never.
+    std::function<bool(Time now)> holdsWatches = {};
 };
 
 // [4] Watching a key prefix
@@ -317,6 +326,8 @@
     void onCallFailed(const std::string &call, const KeyValueResult &result, Time now);
     void onCallAnswered(const KeyValueResult &result, Time now);
     void scheduleStep(Duration delay, void (PrefixWatch::*step)(Time now));
+    Duration repetitionDelay() const;
+    void scheduleRepetition(Duration delay, void (PrefixWatch::*step)(Time now));
     void reload(Time now);
 
     FleetPorts ports_;
@@ -471,6 +482,11 @@
     /// The coordinator's record still existed when the store carried out a call sent at `sentAt`.
     void onStoreContact(Time sentAt, Time now);
     StoreRevision recordRevision() const { return recordRevision_; }
+    /// True during an outage, until the lease of the coordinator record has been renewed.
+    bool awaitsStore(Time now) const
+    {
+        return !isWithinRenewalGrace(now) && now - lastStoreContact_ < settings_.maxWatchHold;
+    }
     void onConfigChanged();
     void onClosedDomainsChanged(Time now);
     /// False if most of the registered workers cannot be reached from this process.
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -19,14 +19,23 @@
 constexpr Duration CandidacyRetryDelay = milliseconds(300);
 constexpr Duration CandidacyPauseAfterResigning = seconds(5);
 
+FleetPorts withSpreadSeed(FleetPorts ports, std::uint64_t seed)
+{
+    ports.spreadSeed = seed;
+    return ports;
+}
+
 } // namespace
 
 FleetNode::FleetNode(const FleetSettings &settings, const FleetPorts &ports, std::uint64_t seed,
                      Time now)
-    : settings_(settings), ports_(ports), random_(seed), closedDomains_(ports.log),
-      admission_(settings.admission), writer_(ports), lastStoreContact_(now),
-      storeContactSince_(now)
+    : settings_(settings), ports_(withSpreadSeed(ports, seed)), random_(seed),
+      closedDomains_(ports.log), admission_(settings.admission), writer_(ports_),
+      lastStoreContact_(now), storeContactSince_(now)
 {
+    ports_.holdsWatches = [this](Time when) {
+        return coordinator_ && coordinator_->awaitsStore(when);
+    };
     configWatch_ = std::make_unique<PrefixWatch>(
             ports_, settings_.configPrefix, settings_.configWatchWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -9,6 +9,7 @@
 
 constexpr Duration RetryDelay = milliseconds(150); // doubled with each failure, up to the maximum
 constexpr Duration MaxRetryDelay = milliseconds(600);
+constexpr Duration HoldCheckInterval = milliseconds(50); // while more urgent calls come first
 // The store ends an answer to a watch at about 1 MB, with later changes left for the next one.
 constexpr std::size_t MaxCompleteAnswerBytes = 256 * 1024;
 
@@ -81,6 +82,27 @@
     });
 }
 
+/// The delay before a failed call is repeated: half of the usual one up to one and a half. When the
+/// store resets all connections, the watches of all processes fail at the same moment.
+Duration PrefixWatch::repetitionDelay() const
+{
+    const Duration delay = retryDelayAfter(failuresInARow_);
+    const std::uint64_t hash = stableHash(prefix_, ports_.spreadSeed + failedCalls_);
+    return delay / 2 + Duration(hash % static_cast<std::uint64_t>(delay.count()));
+}
+
+void PrefixWatch::scheduleRepetition(Duration delay, void (PrefixWatch::*step)(Time now))
+{
+    ports_.timers.after(delay, [this, step, alive = std::weak_ptr<int>(alive_)](Time now) {
+        if (alive.expired())
+            return;
+        if (ports_.holdsWatches && ports_.holdsWatches(now))
+            scheduleRepetition(HoldCheckInterval, step);
+        else
+            (this->*step)(now);
+    });
+}
+
 /// Logs the first of several failures in a row. The line of the first success after it counts them.
 void PrefixWatch::onCallFailed(const std::string &call, const KeyValueResult &result, Time now)
 {
@@ -133,7 +155,7 @@
 {
     if (result.status != KeyValueStatus::Ok) {
         onCallFailed("load", result, now);
-        scheduleStep(retryDelayAfter(failuresInARow_), &PrefixWatch::loadPage);
+        scheduleRepetition(repetitionDelay(), &PrefixWatch::loadPage);
         return;
     }
     onCallAnswered(result, now);
@@ -190,7 +212,9 @@
     }
     if (result.status != KeyValueStatus::Ok) {
         onCallFailed("watch", result, now);
-        scheduleWatch(true, retryDelayAfter(failuresInARow_));
+        scheduleRepetition(repetitionDelay(), delivery_ == Delivery::LatestState
+                                                      ? &PrefixWatch::reload
+                                                      : &PrefixWatch::watchNext);
         return;
     }
     onCallAnswered(result, now);
--- a/tests/unit/storeoutage_test.cpp
+++ b/tests/unit/storeoutage_test.cpp
@@ -110,6 +110,126 @@
     }
 }
 
+/// The calls of all processes to the store in the first second after an outage.
+struct Recovery
+{
+    struct Call
+    {
+        Time at;
+        int process = 0;
+        std::string call;
+        std::string key;
+    };
+
+    Recovery(Fault fault, bool areLeasesPaused, int phase) : world(8, 60, phase + 1)
+    {
+        world.useBirthTimes();
+        REQUIRE(world.wait([&] { return world.coordinator() >= 0; }));
+        for (int i = 0; i < 60; ++i) // records change all the time, also at the end of the outage
+            REQUIRE(world.submit(i % 8, FleetWorld::job("job" + std::to_string(i), 10,
+                                                        "ms=" + std::to_string(3000 + 100 * i)))
+                    == JobAnswer::Accepted);
+        if (areLeasesPaused)
+            world.store.pauseLeases();
+        setOutage(world, fault, true);
+        for (auto &[id, worker] : world.runners.all()) // a failure domain is cut off as well
+            worker.reachable = std::stoi(id.str().substr(1)) % 3 != 0;
+        world.clock.advance(seconds(5));
+        for (auto &[id, worker] : world.runners.all())
+            worker.reachable = true;
+        world.clock.advance(milliseconds(700 + 37 * phase));
+        former = world.coordinator();
+        end = world.clock.now();
+        for (std::size_t i = 0; i < world.processes.size(); ++i)
+            world.processes[i].store->onCall = [this, i](const std::string &call,
+                                                         const std::string &key) {
+                calls.push_back({world.clock.now(), static_cast<int>(i), call, key});
+            };
+        setOutage(world, fault, false);
+        world.store.resumeLeases();
+        world.clock.advance(seconds(1));
+    }
+
+    /// The first such call of the former coordinator.
+    Time first(const std::string &call, const std::string &prefix) const
+    {
+        for (const Call &made : calls) {
+            if (made.process == former && made.call == call && made.key.rfind(prefix, 0) == 0)
+                return made.at;
+        }
+        return Time::max();
+    }
+
+    template<typename Key> static int most(const std::map<Key, int> &counts)
+    {
+        int highest = 0;
+        for (const auto &[key, count] : counts)
+            highest = std::max(highest, count);
+        return highest;
+    }
+    int mostCallsOfOneProcess() const
+    {
+        std::map<int, int> counts;
+        for (const Call &call : calls)
+            ++counts[call.process];
+        return most(counts);
+    }
+    /// By one process, within the time in which the store answers.
+    int mostWritesAtOnce() const
+    {
+        std::map<std::pair<int, std::int64_t>, int> counts;
+        for (const Call &call : calls) {
+            const bool isRead = call.call == "get" || call.call == "range" || call.call == "watch";
+            counts[{call.process, (call.at - end) / milliseconds(5)}] += isRead ? 0 : 1;
+        }
+        return most(counts);
+    }
+    /// Of the first calls of all watches, within a tenth of a second.
+    int mostFirstWatchesAtOnce() const
+    {
+        std::set<std::pair<int, std::string>> seen;
+        std::map<std::int64_t, int> counts;
+        for (const Call &call : calls) {
+            const bool isWatch = call.call == "watch" || call.call == "range";
+            if (isWatch && seen.insert({call.process, call.key}).second)
+                ++counts[(call.at - end) / milliseconds(100)];
+        }
+        return most(counts);
+    }
+
+    FleetWorld world;
+    int former = -1;
+    Time end{};
+    std::vector<Call> calls;
+};
+
+// Guards against a store that is overrun, or that answers the least urgent calls first, when it is
+// back: all records that have changed, and all watches of all processes, are due at that moment.
+TEST_CASE("the calls in the first second after an outage are few, spread and in order")
+{
+    for (const bool areLeasesPaused : {true, false}) {
+        for (const Fault fault : Faults) {
+            for (int phase = 0; phase < 4; ++phase) {
+                CAPTURE(areLeasesPaused);
+                CAPTURE(FaultNames[static_cast<int>(fault)]);
+                CAPTURE(phase);
+                const Recovery recovery(fault, areLeasesPaused, phase);
+                CHECK(recovery.calls.size() <= 100);
+                CHECK(recovery.mostCallsOfOneProcess() <= 40);
+                CHECK(recovery.mostWritesAtOnce() <= 20);
+                CHECK(recovery.mostFirstWatchesAtOnce() <= 12); // of 24
+                if (areLeasesPaused) { // else the former coordinator is replaced
+                    const Time renewal = recovery.first("renewLease", "");
+                    const Time record = recovery.first("commit", "jobs/progress/");
+                    CHECK(renewal < record);
+                    for (const std::string call : {"watch", "range"})
+                        CHECK(renewal < recovery.first(call, ""));
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE("table of runs that end by the length of an outage" * doctest::skip())
 {
     for (const bool areLeasesPaused : {true, false}) {
