--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -32,6 +32,7 @@
 //   [8] Entry process
 #pragma once
 
+#include "overload/outage.h"
 #include "overload/overload.h"
 #include "scheduling/scheduling.h"
 
@@ -198,6 +199,10 @@
     Duration challengeAfter = seconds(3);
     Duration challengeInterval = seconds(10); // minimum between two challenges by one process
     Duration leaseRenewalInterval = milliseconds(600); // of the coordinator record's lease
+    // Until another renewal is sent if one has failed or is not answered. The end of an outage is
+    // noticed within this time, and not when the last call has timed out. Shorter values would take
+    // up more of the connections to a store that does not answer.
+    Duration leaseRenewalRetry = milliseconds(250);
     // A coordinator that has lost contact with the store still plans and renews the workers' leases
     // for this long.
     Duration renewalGrace = seconds(3);
@@ -216,6 +221,10 @@
     Duration watchWait = seconds(1);
     // The same for the configuration; shorter, because a new one must be in force within 2 seconds.
     Duration configWatchWait = milliseconds(600);
+    // After an outage of up to this length, the coordinator repeats its watches only when the lease
+    // of its record has been renewed. After a longer one it repeats them in any case, since the
+    // store may answer only reads.
+    Duration maxWatchHold = seconds(15);
     Duration planDelay = milliseconds(10); // to handle events that arrive together in one pass
     Duration finishedJobRetention = seconds(125); // then the records of an ended job are removed
     // Where this process answers requests of others (relay.h). Port 0: none are answered or
@@ -252,6 +261,11 @@
     LogHook log;
     WorkMeter *workMeter = nullptr; // null: the time of the work is not measured
     RelayPort *relay = nullptr; // null: no request is forwarded to other processes
+    // Differs between processes, so that calls which failed together are not repeated together.
+    std::uint64_t spreadSeed = 0;
+    // True while a watch whose last call failed waits, so that the store answers more urgent calls
+    // first. Null: never.
+    std::function<bool(Time now)> holdsWatches = {};
 };
 
 // [4] Watching a key prefix
@@ -313,6 +327,8 @@
     void onCallFailed(const std::string &call, const KeyValueResult &result, Time now);
     void onCallAnswered(const KeyValueResult &result, Time now);
     void scheduleStep(Duration delay, void (PrefixWatch::*step)(Time now));
+    Duration repetitionDelay() const;
+    void scheduleRepetition(Duration delay, void (PrefixWatch::*step)(Time now));
     void reload(Time now);
 
     FleetPorts ports_;
@@ -464,8 +480,14 @@
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
 
-    /// The coordinator's lease was renewed by a call sent at `sentAt`.
-    void onStoreContact(Time sentAt);
+    /// The coordinator's record still existed when the store carried out a call sent at `sentAt`.
+    void onStoreContact(Time sentAt, Time now);
+    StoreRevision recordRevision() const { return recordRevision_; }
+    /// True during an outage, until the lease of the coordinator record has been renewed.
+    bool awaitsStore(Time now) const
+    {
+        return !isWithinRenewalGrace(now) && now - lastStoreContact_ < settings_.maxWatchHold;
+    }
     void onConfigChanged();
     void onClosedDomainsChanged(Time now);
     /// False if most of the registered workers cannot be reached from this process.
@@ -518,7 +540,10 @@
     enum class WriteScope { Urgent, All };
     void writeChanges(WriteScope records, Time now);
     void scheduleDeferredWrite();
-    void sendProgressWrite(const std::shared_ptr<ProgressWrite> &write);
+    void sendProgressWrite(const std::shared_ptr<ProgressWrite> &write, Time now);
+    void commit(const Transaction &transaction, KeyValueCallback done, Time sentAt);
+    void scheduleRepetition(const std::shared_ptr<ProgressWrite> &write);
+    void renewAllLeases(Time now);
     void onWritten(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
                    Time now);
     void onWriteConflict(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
@@ -531,10 +556,14 @@
     void renewLeases(Time now);
     void checkLink(const WorkerId &id, Time now);
     void sendRenewal(const WorkerEntry &worker, WorkerLink &link, Time now);
-    void requestReport(const WorkerId &id, Time now);
+    enum class LeaseUse { None, Renew };
+    void requestReport(const WorkerId &id, Time now, LeaseUse lease = LeaseUse::None);
     WorkerCallback onAnswer(const WorkerEntry &worker, WorkerCallback handle);
     void updateUnreachableRecord(const ScheduledWorker &worker, WorkerLink &link, Time now);
-    void writeUnreachableRecord(const WorkerId &id, bool isUnreachable);
+    bool isSilent(const ScheduledWorker &worker, Time now) const;
+    void writeUnreachableRecords(Time now);
+    bool addUnreachableRecord(const WorkerId &id, Transaction &transaction, Time now);
+    void onUnreachableWritten(const std::vector<WorkerId> &ids, KeyValueStatus status, Time now);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCallResult &callResult, Time now);
     bool isPresentIncarnation(const WorkerId &id, WorkerIncarnation incarnation) const;
@@ -581,6 +610,9 @@
     bool isDeposed_ = false;
     int writesInFlight_ = 0;
     Time writeNotBefore_{};
+    std::vector<WorkerId> unreachableToWrite_; // records that are to be stored or removed
+    bool isUnreachableWriteInFlight_ = false;
+    Time unreachableNotBefore_{}; // of the next write of such records
     bool isDeferredWriteScheduled_ = false;
     Time lastCleanup_{};
     Time nextBacklogAt_{};
@@ -633,6 +665,12 @@
                 Time now);
     /// When the client of a job that was answered with Overloaded should repeat it.
     Duration retryAfter(const JobId &id) const { return admission_.retryAfter(id); }
+    /// After how many seconds the client of a job that was answered with NotAccepted should repeat
+    /// it.
+    int outageRetryAfter(const OutageTerms &terms, const JobId &id, Time now) const
+    {
+        return monsoonledge::outageRetryAfter(now - lastStoreContact(), terms, id);
+    }
     const AdmissionPolicy &admission() const { return admission_; }
     void cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
@@ -691,7 +729,11 @@
     void requestCoordinatorLease(Time now);
     void onLeaseGranted(LeaseId lease, Time sentAt);
     void becomeCoordinator(StoreRevision recordRevision, Time sentAt, Time now);
-    void scheduleLeaseRenewal();
+    void scheduleLeaseRenewal(Duration delay);
+    void renewCoordinatorLease();
+    void checkCoordinatorRecord(Time sentAt);
+    void onRecordGone(const std::string &reason, bool isReplaced);
+    void resign();
     void stepDown();
     void log(LogLevel level, const std::string &event, const std::string &message,
              std::vector<std::pair<std::string, std::string>> fields = {});
