Scheduler: explains where a new job would be placed

Operators could only learn by submitting a job where its tasks go. The new query runs the placement functions on a copy of the workers, so that reservations, the caches of the planning pass and the table of images stay as they are. It names the chosen worker of each task, or the number of workers by the reason that excludes them.

The reason notAccepting of task-waiting is split into unlisted, draining, unreachable, refusedStart, quarantined and onTrial, and the counts, the gang reservation and the rule of a score became functions that the query shares with the planning pass.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -75,18 +75,30 @@
 
 bool Scheduler::acceptsTasks(const ScheduledWorker &worker, Time now) const
 {
-    if (!worker.listed || worker.hasEnded || worker.entry.draining || worker.isDomainClosed)
-        return false;
-    if (!worker.hasReported || worker.lastCallFailed)
-        return false;
-    if (now - worker.lastReport > settings_.maxReportAge || now < worker.startBackoffUntil)
-        return false;
+    return obstacleToAll(worker, now) == Obstacle::None;
+}
+
+/// What keeps any new task from the worker, whatever the task needs.
+Scheduler::Obstacle Scheduler::obstacleToAll(const ScheduledWorker &worker, Time now) const
+{
+    if (worker.isDomainClosed)
+        return Obstacle::ClosedDomain;
+    if (!worker.listed || worker.hasEnded)
+        return Obstacle::Unlisted;
+    if (worker.entry.draining)
+        return Obstacle::Draining;
+    if (!worker.hasReported || worker.lastCallFailed
+        || now - worker.lastReport > settings_.maxReportAge)
+        return Obstacle::Unreachable;
+    if (now < worker.startBackoffUntil)
+        return Obstacle::RefusedStart;
     if (now < worker.quarantinedUntil)
-        return false;
+        return Obstacle::Quarantined;
     // After its quarantine, a worker gets one new task at a time until a run succeeds.
-    return !awaitsTrial(worker)
-           || std::none_of(worker.tasks.begin(), worker.tasks.end(),
-                           [](const ScheduledTask *task) { return task->isTrial; });
+    const bool isOnTrial = awaitsTrial(worker)
+                           && std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                                          [](const ScheduledTask *task) { return task->isTrial; });
+    return isOnTrial ? Obstacle::OnTrial : Obstacle::None;
 }
 
 void Scheduler::addDueOccurrences(Time now)
@@ -279,6 +291,22 @@
     planCache_->outlooks.clear();
 }
 
+/// Chooses workers for the members of a gang in turn and reserves their capacity. The result is
+/// shorter than the gang if a member finds none.
+std::vector<ScheduledWorker *> Scheduler::reserveGang(const std::vector<ScheduledTask *> &members,
+                                                      Time now)
+{
+    std::vector<ScheduledWorker *> chosen;
+    for (ScheduledTask *task : members) {
+        ScheduledWorker *worker = chooseWorker(*task, now);
+        if (!worker)
+            break;
+        reserve(*worker, *task);
+        chosen.push_back(worker);
+    }
+    return chosen;
+}
+
 /// Assigns all tasks of a gang, or none of them.
 void Scheduler::assignGang(ScheduledJob &job, int occurrence, int step, Time now)
 {
@@ -293,24 +321,16 @@
     const bool isIsolated = isSuspect(*members.front());
     if (isIsolated && hasSuspectStart(*members.front()))
         return;
-    std::vector<ScheduledTask *> reserved;
-    std::vector<ScheduledWorker *> chosen;
-    for (ScheduledTask *task : members) {
-        ScheduledWorker *worker = chooseWorker(*task, now);
-        if (!worker) {
-            if (isIsolated)
-                holdWorker(*task, now);
-            break;
-        }
-        reserve(*worker, *task);
-        reserved.push_back(task);
-        chosen.push_back(worker);
+    const std::vector<ScheduledWorker *> chosen = reserveGang(members, now);
+    if (chosen.size() < members.size()) {
+        ScheduledTask &unplaced = *members[chosen.size()];
+        if (isIsolated)
+            holdWorker(unplaced, now);
+        logWaiting(unplaced, now);
     }
-    if (reserved.size() < members.size())
-        logWaiting(*members[reserved.size()], now);
-    for (ScheduledTask *task : reserved)
-        release(*task);
-    if (reserved.size() < members.size())
+    for (std::size_t i = 0; i < chosen.size(); ++i)
+        release(*members[i]);
+    if (chosen.size() < members.size())
         return;
     RunNumber run{0}; // one number and one checkpoint for all members
     std::string checkpoint;
@@ -333,8 +353,18 @@
     switch (obstacle) {
     case Obstacle::ClosedDomain:
         return "closedDomain";
-    case Obstacle::NotAccepting:
-        return "notAccepting";
+    case Obstacle::Unlisted:
+        return "unlisted";
+    case Obstacle::Draining:
+        return "draining";
+    case Obstacle::Unreachable:
+        return "unreachable";
+    case Obstacle::RefusedStart:
+        return "refusedStart";
+    case Obstacle::Quarantined:
+        return "quarantined";
+    case Obstacle::OnTrial:
+        return "onTrial";
     case Obstacle::OtherService:
         return "otherService";
     case Obstacle::Memory:
@@ -365,10 +395,9 @@
 {
     const StepSpec &step = stepOf(task);
     const WorkerEntry &entry = worker.entry;
-    if (worker.isDomainClosed)
-        return Obstacle::ClosedDomain;
-    if (!acceptsTasks(worker, now))
-        return Obstacle::NotAccepting;
+    const Obstacle obstacle = obstacleToAll(worker, now);
+    if (obstacle != Obstacle::None)
+        return obstacle;
     if (entry.service != task.job->queue.service)
         return Obstacle::OtherService;
     const auto memory = static_cast<std::int64_t>(step.memory.value);
@@ -390,6 +419,25 @@
     return Obstacle::None;
 }
 
+/// The number of workers by what keeps the task from running there.
+std::vector<std::pair<const char *, int>> Scheduler::countObstacles(const ScheduledTask &task,
+                                                                    Time now) const
+{
+    std::array<int, static_cast<std::size_t>(Obstacle::Count)> workers{};
+    for (const auto &[id, worker] : workers_) {
+        Obstacle obstacle = obstacleOn(*worker, task, now);
+        if (obstacle == Obstacle::None && !scoreOf(*worker, task, now))
+            obstacle = Obstacle::NoGain;
+        ++workers.at(static_cast<std::size_t>(obstacle));
+    }
+    std::vector<std::pair<const char *, int>> counts;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        if (workers.at(i) > 0)
+            counts.emplace_back(obstacleName(static_cast<Obstacle>(i)), workers.at(i));
+    }
+    return counts;
+}
+
 /// Logs now and then why a task still waits: the number of workers by what keeps the task from
 /// running there. An interrupted long-running task is always logged, of the others only some.
 void Scheduler::logWaiting(ScheduledTask &task, Time now)
@@ -400,13 +448,6 @@
         return;
     task.waitLoggedAt = now;
     waitLoggedAt_ = now;
-    std::array<int, static_cast<std::size_t>(Obstacle::Count)> workers{};
-    for (const auto &[id, worker] : workers_) {
-        Obstacle obstacle = obstacleOn(*worker, task, now);
-        if (obstacle == Obstacle::None && !scoreOf(*worker, task, now))
-            obstacle = Obstacle::NoGain;
-        ++workers.at(static_cast<std::size_t>(obstacle));
-    }
     LogEvent event{
             LogLevel::Info,
             "task-waiting",
@@ -416,14 +457,32 @@
              {"runs", std::to_string(task.progress.run.value)},
              {"waitedMs", std::to_string(wholeMilliseconds(now - task.waitingSince))},
              {"objectiveInMs", std::to_string(wholeMilliseconds(objectiveOf(*task.job) - now))}}};
-    for (std::size_t i = 0; i < workers.size(); ++i) {
-        if (workers.at(i) > 0)
-            event.fields.emplace_back(obstacleName(static_cast<Obstacle>(i)),
-                                      std::to_string(workers.at(i)));
-    }
+    for (const auto &[name, count] : countObstacles(task, now))
+        event.fields.emplace_back(name, std::to_string(count));
     log_(event);
 }
 
+Scheduler::PlacementRule Scheduler::placementRuleOf(const StepSpec &step)
+{
+    if (step.bestEffort)
+        return PlacementRule::BestEffortGain;
+    return step.tailLatencyTarget > Duration::zero() ? PlacementRule::ServingImages
+                                                     : PlacementRule::BestFit;
+}
+
+const char *Scheduler::placementRuleName(PlacementRule rule)
+{
+    switch (rule) {
+    case PlacementRule::BestFit:
+        return "bestFit";
+    case PlacementRule::ServingImages:
+        return "servingImages";
+    case PlacementRule::BestEffortGain:
+        return "bestEffortGain";
+    }
+    return "bestFit";
+}
+
 /// The score of a worker for the task; the worker with the highest score is chosen. Nothing if the
 /// task cannot run there.
 std::optional<double> Scheduler::scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
@@ -435,18 +494,21 @@
     const WorkerEntry &entry = worker.entry;
     const auto cpu = static_cast<std::int64_t>(step.cpu.value);
     double score = 0;
-    if (step.bestEffort) {
+    switch (placementRuleOf(step)) {
+    case PlacementRule::BestEffortGain:
         score = bestEffortCpuGain(worker, task, now);
         if (score <= 0)
             return std::nullopt;
         // Workers that tolerate most images are kept for tasks that few other workers tolerate.
         score -= ImagePacePenalty * outlookOf(worker, now).averageImagePace
                  * static_cast<double>(cpu);
-    } else if (step.tailLatencyTarget > Duration::zero()) {
+        break;
+    case PlacementRule::ServingImages:
         score = servingScore(worker, task);
-    } else {
-        // Best fit: the fullest worker is preferred, which keeps large gaps for large tasks.
+        break;
+    case PlacementRule::BestFit:
         score = static_cast<double>(worker.reservedCpu) - static_cast<double>(entry.cpu.value);
+        break;
     }
     if (isSuspect(task))
         return isolationScore(worker, task, now) - (hasFailedOn(task, worker) ? FailurePenalty : 0);
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -55,7 +55,12 @@
 enum class Scheduler::Obstacle {
     None,
     ClosedDomain, // by the operator
-    NotAccepting, // unreachable, draining, quarantined, or refused a run a moment ago
+    Unlisted, // gone from the registry, or its process has ended
+    Draining,
+    Unreachable, // no recent report
+    RefusedStart, // refused a run a moment ago
+    Quarantined,
+    OnTrial, // after its quarantine, while it runs one task that shows whether it works again
     OtherService,
     Memory,
     Accelerators,
@@ -68,6 +73,13 @@
     Count
 };
 
+/// By what scoreOf() compares the workers that can run a task.
+enum class Scheduler::PlacementRule {
+    BestFit, // the fullest worker, which keeps large gaps for large tasks
+    ServingImages, // of a serving task: beside serving tasks of the same image
+    BestEffortGain, // of a best-effort task: idle processors and little interference
+};
+
 /// A worker that can run the tasks of a step.
 struct Scheduler::Candidate
 {
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -494,6 +494,8 @@
 struct UnplacedRequest;
 struct CrashVerdict;
 struct CapacitySnapshot;
+struct PlacementExplanation;
+struct StepPlacement;
 
 class Scheduler
 {
@@ -591,6 +593,9 @@
     bool hasUrgentChanges() const { return urgentChanges_ > 0; }
     /// What the forecast of capacity needs to know (snapshot.cpp).
     CapacitySnapshot capacitySnapshot(Time now);
+    /// Where a new job would be placed now if it were next, and why (explain.cpp). Asking has no
+    /// effect on this object.
+    PlacementExplanation explainPlacement(const JobSpec &spec, Time now) const;
 
 private:
     ScheduledTask *findTask(const TaskRef &ref) const;
@@ -746,15 +751,27 @@
     void waitForRoom(ScheduledTask &task, Time now);
     bool isWorthAnotherTry(const UnplacedRequest &request, Time now) const;
     void assignGang(ScheduledJob &job, int occurrence, int step, Time now);
+    std::vector<ScheduledWorker *> reserveGang(const std::vector<ScheduledTask *> &members,
+                                               Time now);
     const UnplacedRequest *findUnplacedRequest(const ScheduledTask &task) const;
     bool isOfSameKind(const ScheduledTask &task, const UnplacedRequest &request) const;
     void recordUnplacedRequest(const ScheduledTask &task, Time now);
     void beginPass(Time now);
     enum class Obstacle;
     static const char *obstacleName(Obstacle obstacle);
+    Obstacle obstacleToAll(const ScheduledWorker &worker, Time now) const;
     Obstacle obstacleOn(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
     bool isInterrupted(const ScheduledTask &task) const;
+    std::vector<std::pair<const char *, int>> countObstacles(const ScheduledTask &task,
+                                                             Time now) const;
     void logWaiting(ScheduledTask &task, Time now);
+    enum class PlacementRule;
+    static PlacementRule placementRuleOf(const StepSpec &step);
+    static const char *placementRuleName(PlacementRule rule);
+    std::unique_ptr<Scheduler> copyForQuery(const JobSpec &spec, Time now) const;
+    StepPlacement placeStep(ScheduledJob &job, int step, int maxTasks, Time now);
+    void placeTasks(const std::vector<ScheduledTask *> &tasks, StepPlacement &result, Time now);
+    void placeGang(const std::vector<ScheduledTask *> &members, StepPlacement &result, Time now);
     std::optional<double> scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
                                   Time now) const;
     std::vector<Candidate> candidatesFor(const ScheduledTask &task, std::uint64_t sincePass,
