Admission: preview of a decision without an effect on later ones

decide() changes the hysteresis and the mean path of a queue. Its body now works on a given queue state; preview() passes a copy.

Measured: overload_test passes, with a new case in which a policy that is asked before each decision decides as one that is not.

--- a/src/overload/decision.cpp
+++ b/src/overload/decision.cpp
@@ -120,6 +120,26 @@
 
 AdmissionDecision AdmissionPolicy::decide(const JobSpec &job, const AdmissionReport *report,
                                           Duration reportAge, Time now)
+{
+    return decideWith(queues_[job.queue], job, report, reportAge, now);
+}
+
+AdmissionDecision AdmissionPolicy::preview(const JobSpec &job, const AdmissionReport *report,
+                                           Duration reportAge, Time now) const
+{
+    const auto found = queues_.find(job.queue);
+    QueueState state = found == queues_.end() ? QueueState() : found->second;
+    AdmissionDecision decision = decideWith(state, job, report, reportAge, now);
+    const bool isDecidedWithoutDelay = decision.reason == AdmissionReason::NeverRefused
+                                       || decision.reason == AdmissionReason::BelowShare;
+    if (isDecidedWithoutDelay)
+        decision.delay = delaysOf(*report->find(job.terms.service), job).onTime;
+    return decision;
+}
+
+AdmissionDecision AdmissionPolicy::decideWith(QueueState &state, const JobSpec &job,
+                                              const AdmissionReport *report, Duration reportAge,
+                                              Time now) const
 {
     AdmissionDecision decision;
     if (!report || reportAge > settings_.maxReportAge)
@@ -150,14 +170,15 @@
     const QueueLoad *queue = report->find(job.queue);
     if (queue && queue->isBelowShare)
         return admit(AdmissionReason::BelowShare);
-    return decideByDelay(job, *service, queue ? *queue : QueueLoad(), now);
+    return decideByDelay(state, job, *service, queue ? *queue : QueueLoad(), now);
 }
 
 /// Compares the time at which the job is expected to be done with the time after which its result
 /// is worthless. The number of its tasks does not matter, only its longest chain of steps, which
 /// the objective grows with: large jobs are refused no more often than small ones.
-AdmissionDecision AdmissionPolicy::decideByDelay(const JobSpec &job, const ServiceLoad &service,
-                                                 const QueueLoad &queue, Time now)
+AdmissionDecision AdmissionPolicy::decideByDelay(QueueState &state, const JobSpec &job,
+                                                 const ServiceLoad &service, const QueueLoad &queue,
+                                                 Time now) const
 {
     const double path = criticalPathSeconds(job) * queue.durationFactor;
     const double objective =
@@ -166,7 +187,6 @@
     const Delays delays = delaysOf(service, job);
     const double onTimeDelay = toMilliseconds(delays.onTime) / 1000;
     const double shareDelay = toMilliseconds(queue.shareDelay) / 1000;
-    QueueState &state = queues_[job.queue];
     const Duration measured = std::max(delays.onTime, queue.shareDelay);
     if (state.isRefusing
         && toMilliseconds(measured) <= toMilliseconds(state.beganAt) * settings_.endShare)
--- a/src/overload/overload.h
+++ b/src/overload/overload.h
@@ -277,6 +277,11 @@
     /// host is suspended. The terms of the job are those of its queue.
     AdmissionDecision decide(const JobSpec &job, const AdmissionReport *report, Duration reportAge,
                              Time now);
+    /// What decide() would return for a new job now, without any effect on later decisions. The
+    /// delay is also set for long-running jobs and those of a queue that is below its share. A job
+    /// without an id takes the place of one whose id is not known yet.
+    AdmissionDecision preview(const JobSpec &job, const AdmissionReport *report, Duration reportAge,
+                              Time now) const;
     /// The client was told that the job is refused.
     void recordRefusal(const JobSpec &job, const AdmissionDecision &decision, Time now);
     /// An attempt to store the job has begun, or was not answered.
@@ -306,8 +311,11 @@
     };
 
     bool isExcess(const JobId &job, double admitShare, bool hasWaited, Time now) const;
-    AdmissionDecision decideByDelay(const JobSpec &job, const ServiceLoad &service,
-                                    const QueueLoad &queue, Time now);
+    AdmissionDecision decideWith(QueueState &state, const JobSpec &job,
+                                 const AdmissionReport *report, Duration reportAge, Time now) const;
+    AdmissionDecision decideByDelay(QueueState &state, const JobSpec &job,
+                                    const ServiceLoad &service, const QueueLoad &queue,
+                                    Time now) const;
     Duration spreadRetryAfter(const JobId &job, Duration wait) const;
     Remembered &remember(const JobId &job, Time now);
 
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -180,6 +180,34 @@
     CHECK(policy.decide(job("d"), &report, Fresh, Start).isAdmitted);
 }
 
+// Guards against a question that begins or ends the refusal of a queue, or moves its mean path.
+TEST_CASE("a preview is the decision that would follow, and later ones are made as without it")
+{
+    AdmissionPolicy asked;
+    AdmissionPolicy other;
+    const JobSpec question = job("", 10, seconds(2));
+    int number = 0;
+    for (const int delayMs : {2400, 2600, 2400, 1800, 2400, 20000, 2400, 1000}) {
+        AdmissionReport report = reportWithDelay(milliseconds(delayMs));
+        report.queues[0].admitShare = 0.7;
+        asked.preview(question, &report, Fresh, Start);
+        for (const char *name : {"a", "b", "c"}) {
+            const JobSpec next = job(name + std::to_string(number++), 10, milliseconds(500));
+            const AdmissionDecision preview = asked.preview(next, &report, Fresh, Start);
+            const AdmissionDecision decision = asked.decide(next, &report, Fresh, Start);
+            CHECK(preview.reason == decision.reason);
+            CHECK(preview.retryAfter == decision.retryAfter);
+            CHECK(preview.delay == decision.delay);
+            CHECK(other.decide(next, &report, Fresh, Start).reason == decision.reason);
+        }
+    }
+    CHECK(asked.refusals().empty());
+    JobSpec serving = question;
+    serving.steps[0].longRunning = true;
+    const AdmissionReport report = reportWithDelay(seconds(4));
+    CHECK(asked.preview(serving, &report, Fresh, Start).delay == seconds(4));
+}
+
 TEST_CASE("without a recent report all jobs are admitted")
 {
     AdmissionPolicy policy;
