--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -46,6 +46,7 @@
 namespace monsoonledge {
 
 class Handover;
+struct SubmissionExplanation;
 class RelayPort;
 
 // [1] Store
@@ -611,6 +612,7 @@
     /// still answered.
     void drain();
 
+    const std::string &name() const { return settings_.name; }
     bool isReady(Time now) const;
     bool isCoordinator() const { return coordinator_ != nullptr; }
     /// Null unless this process is the coordinator.
@@ -631,6 +633,10 @@
     /// When the client of a job that was answered with Overloaded should repeat it.
     Duration retryAfter(const JobId &id) const { return admission_.retryAfter(id); }
     const AdmissionPolicy &admission() const { return admission_; }
+    /// What submit() would answer for a new job now, and where the job would be placed
+    /// (explain.cpp). Answers from the state in memory; asking has no effect on later submissions.
+    /// The id of the job is ignored.
+    SubmissionExplanation explainSubmission(const JobSpec &spec, Time now) const;
     void cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
     /// `state` is valid only if the answer is Accepted.
@@ -676,6 +682,7 @@
                Time now);
     void refuseUnlessStored(const JobSpec &job, Time deadline,
                             std::function<void(JobAnswer, Time)> done);
+    void explainAdmission(const JobSpec &job, SubmissionExplanation &explanation, Time now) const;
     Duration reportAge(Time now) const;
     void takeAdmissionReport(const std::string &bytes, bool isWatched, Time now);
     void onBacklogItem(const KeyValue &item, bool isWatched, Time now);
@@ -712,6 +719,7 @@
     bool isStoreReachable_ = true; // result of the last check whether the store is reachable
     bool isRecordPresent_ = false; // the coordinator record exists, so some process is coordinator
     double coordinatorCores_ = 0; // of the coordinator's host
+    std::string coordinatorName_; // process that the coordinator record names
     Time recordReceivedAt_{}; // when this process last received the coordinator record
     bool isCandidate_ = false; // this process is trying to become the coordinator
     bool isDraining_ = false;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -168,6 +168,8 @@
     isRecordPresent_ = !item.deleted;
     recordReceivedAt_ = now;
     coordinatorCores_ = std::strtod(item.value.c_str(), nullptr); // the name follows after a space
+    const std::size_t space = item.value.find(' ');
+    coordinatorName_ = space == std::string::npos ? std::string() : item.value.substr(space + 1);
 }
 
 void FleetNode::onBacklogItem(const KeyValue &item, bool isWatched, Time now)
--- a/src/scheduling/explain.cpp
+++ b/src/scheduling/explain.cpp
@@ -81,6 +81,7 @@
     // A part of a gang says nothing about the whole.
     result.examinedTasks = spec.gang && spec.count > maxTasks ? 0 : std::min(spec.count, maxTasks);
     std::vector<ScheduledTask *> tasks;
+    tasks.reserve(static_cast<std::size_t>(result.examinedTasks));
     for (int index = 0; index < result.examinedTasks; ++index)
         tasks.push_back(findTask({job.spec.id, 0, step, index}));
     if (spec.gang)
--- a/tests/unit/placement_explain_test.cpp
+++ b/tests/unit/placement_explain_test.cpp
@@ -294,13 +294,14 @@
                  step.bestEffort = true;
              }},
     };
-    for (const auto &[name, prepare] : cases) {
+    for (const auto &item : cases) {
+        const std::string &name = item.first;
         CAPTURE(name);
         SchedulingSettings settings;
         settings.warmupOverage = 2;
         SchedulerHarness harness(1, 16000, 64000, settings);
         StepSpec step = SchedulerHarness::step(1);
-        prepare(harness, step);
+        item.second(harness, step);
         harness.log.clear();
         const PlacementExplanation answer =
                 harness.scheduler.explainPlacement(jobOf({step}), harness.now);
