--- a/src/app/explainplacement.cpp
+++ b/src/app/explainplacement.cpp
@@ -210,8 +210,10 @@
     }
     try {
         answers.push_back(parseResponseBody(response.body));
-    } catch (const std::exception &error) {
-        context.err << "monsoonledge: " << address.str() << ": " << error.what() << '\n';
+    } catch (const std::exception &) {
+        context.err << "monsoonledge: " << address.str()
+                    << ": the answer is no JSON object; an entry process of an earlier version "
+                       "answers with its metrics\n";
         return ExitFailed;
     }
     bodies.push_back(response.body);
--- a/src/scheduling/explain.cpp
+++ b/src/scheduling/explain.cpp
@@ -6,6 +6,7 @@
 #include "scheduling/planpass_p.h"
 
 #include <algorithm>
+#include <array>
 
 namespace monsoonledge {
 
@@ -29,6 +30,38 @@
 
 } // namespace
 
+const char *Scheduler::placementRuleName(PlacementRule rule)
+{
+    switch (rule) {
+    case PlacementRule::BestFit:
+        return "bestFit";
+    case PlacementRule::ServingImages:
+        return "servingImages";
+    case PlacementRule::BestEffortGain:
+        return "bestEffortGain";
+    }
+    return "bestFit";
+}
+
+/// The number of workers by what keeps the task from running there.
+std::vector<std::pair<const char *, int>> Scheduler::countObstacles(const ScheduledTask &task,
+                                                                    Time now) const
+{
+    std::array<int, static_cast<std::size_t>(Obstacle::Count)> workers{};
+    for (const auto &[id, worker] : workers_) {
+        Obstacle obstacle = obstacleOn(*worker, task, now);
+        if (obstacle == Obstacle::None && !scoreOf(*worker, task, now))
+            obstacle = Obstacle::NoGain;
+        ++workers.at(static_cast<std::size_t>(obstacle));
+    }
+    std::vector<std::pair<const char *, int>> counts;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        if (workers.at(i) > 0)
+            counts.emplace_back(obstacleName(static_cast<Obstacle>(i)), workers.at(i));
+    }
+    return counts;
+}
+
 /// A scheduler with the given job and a copy of all workers. The runs on the workers are not
 /// copied: they belong to the jobs of this scheduler and must not be changed.
 std::unique_ptr<Scheduler> Scheduler::copyForQuery(const JobSpec &spec, Time now) const
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -419,25 +419,6 @@
     return Obstacle::None;
 }
 
-/// The number of workers by what keeps the task from running there.
-std::vector<std::pair<const char *, int>> Scheduler::countObstacles(const ScheduledTask &task,
-                                                                    Time now) const
-{
-    std::array<int, static_cast<std::size_t>(Obstacle::Count)> workers{};
-    for (const auto &[id, worker] : workers_) {
-        Obstacle obstacle = obstacleOn(*worker, task, now);
-        if (obstacle == Obstacle::None && !scoreOf(*worker, task, now))
-            obstacle = Obstacle::NoGain;
-        ++workers.at(static_cast<std::size_t>(obstacle));
-    }
-    std::vector<std::pair<const char *, int>> counts;
-    for (std::size_t i = 0; i < workers.size(); ++i) {
-        if (workers.at(i) > 0)
-            counts.emplace_back(obstacleName(static_cast<Obstacle>(i)), workers.at(i));
-    }
-    return counts;
-}
-
 /// Logs now and then why a task still waits: the number of workers by what keeps the task from
 /// running there. An interrupted long-running task is always logged, of the others only some.
 void Scheduler::logWaiting(ScheduledTask &task, Time now)
@@ -470,19 +451,6 @@
                                                      : PlacementRule::BestFit;
 }
 
-const char *Scheduler::placementRuleName(PlacementRule rule)
-{
-    switch (rule) {
-    case PlacementRule::BestFit:
-        return "bestFit";
-    case PlacementRule::ServingImages:
-        return "servingImages";
-    case PlacementRule::BestEffortGain:
-        return "bestEffortGain";
-    }
-    return "bestFit";
-}
-
 /// The score of a worker for the task; the worker with the highest score is chosen. Nothing if the
 /// task cannot run there.
 std::optional<double> Scheduler::scoreOf(const ScheduledWorker &worker, const ScheduledTask &task,
