--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -1,6 +1,7 @@
 """Guards the whole path on the platform with real processes: accepting, running, cancelling, wrong
 requests, a killed and a stopped coordinator, a store that is away, and a new configuration."""
 import copy
+import http.client
 import json
 import pathlib
 import signal
@@ -80,6 +81,10 @@
     line[3] = "nowhere"
     result = subprocess.run(line, input=json.dumps(job(3)), capture_output=True, text=True)
     assert result.returncode == 2 and "no such queue" in result.stderr, result
+    connection = http.client.HTTPConnection(bed.entries[0].ip, 9464, timeout=5)
+    connection.request("POST", "/explain?queue=renewal", b"x" * 300000)
+    assert connection.getresponse().status == 413
+    connection.close()
 
 
 def check_coordinator_change(bed, number, stop):
