Explain: which endpoint a request of the own interface would get

The choice became a const function that is given the random numbers; the query passes a copy. A request may still wait behind others or be passed to another process, which the answer leaves out.

--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -36,9 +36,11 @@
     bool severalEntries = false; // --entry may be repeated
 };
 
-/// The command explain has two forms.
-int runEitherExplain(const CommandContext &context)
+/// The command explain has three forms.
+int runAnyExplain(const CommandContext &context)
 {
+    if (!context.requestClass.empty())
+        return runExplainRequest(context);
     return context.queue.empty() ? runExplain(context) : runExplainPlacement(context);
 }
 
@@ -60,12 +62,14 @@
              {"file"},
              runPlatformCheck},
             {"explain",
-             "ID LOG... | --queue QUEUE --job FILE --at ADDRESS [--at ADDRESS...] [--json]",
+             "ID LOG... | --queue QUEUE --job FILE --at ADDRESS [--at ADDRESS...] [--json] | "
+             "--class "
+             "SERVICE/CLASS [--json]",
              "print the history of a job from the logs of all hosts, with the cause of its end; or "
-             "where a job would be placed now, and why, without submitting it",
-             {"id", "log", "queue", "job", "at", "json"},
+             "where a job would be placed now, or which endpoint a request would get, and why",
+             {"id", "log", "queue", "job", "at", "class", "json", "entry", "token"},
              {},
-             runEitherExplain},
+             runAnyExplain},
             {"sheet check", "FILE", "check a daily sheet", {"file"}, {"file"}, runSheetCheck},
             {"sheet diff",
              "FILE [--against FILE]",
@@ -131,6 +135,7 @@
         {"json", nullptr, "print the JSON of the entry process as it is; report burn: the sums"},
         {"queue", "QUEUE", "queue that the job would be submitted to"},
         {"job", "FILE", "body of a submission, as JSON; - reads standard input"},
+        {"class", "SERVICE/CLASS", "class of the request, as in the sheet in force"},
         {"at", "ADDRESS",
          "metrics address of an entry process on the users' platform, as IP or IP:PORT (default "
          "port: 9464); may be repeated"},
@@ -339,27 +344,37 @@
     return addresses;
 }
 
-/// Fills what the command explain takes, for the one or the other of its forms.
+/// Fills what the command explain takes, for one of its forms.
 void fillExplain(const Command &command, const po::variables_map &values, CommandContext &context)
 {
-    const auto isGiven = [&](const char *name) { return values.count(name) > 0; };
-    const bool isQuestion = isGiven("queue") || isGiven("job") || isGiven("at") || isGiven("json");
-    const bool isComplete = isQuestion ? isGiven("at") && !textOf(values, "queue", nullptr).empty()
-                                                 && !textOf(values, "job", nullptr).empty()
-                                       : isGiven("id") && isGiven("log");
+    const auto isGiven = [&](const char *name) {
+        return name == std::string("at") || name == std::string("log")
+                       ? values.count(name) > 0
+                       : !textOf(values, name, nullptr).empty();
+    };
+    const auto countGiven = [&](const std::vector<const char *> &names) {
+        return std::count_if(names.begin(), names.end(), isGiven);
+    };
+    const bool isOfRequest = values.count("class") > 0;
+    const bool isOfJob = !isOfRequest && countGiven({"queue", "job", "at"}) > 0;
+    const std::vector<const char *> form = isOfRequest ? std::vector<const char *>{"class"}
+                                           : isOfJob
+                                                   ? std::vector<const char *>{"queue", "job", "at"}
+                                                   : std::vector<const char *>{"id", "log"};
     const std::string usage = std::string("write ") + command.name + ' ' + command.arguments;
-    if (!isComplete)
+    if (countGiven(form) < static_cast<std::ptrdiff_t>(form.size()))
         throw UsageError("'explain': an argument is missing: " + usage);
-    if (isQuestion && (isGiven("id") || isGiven("log")))
+    if (countGiven({"id", "log", "queue", "job", "at", "class"})
+        > static_cast<std::ptrdiff_t>(form.size()))
         throw UsageError("'explain': too many arguments: " + usage);
+    context.requestClass = textOf(values, "class", nullptr);
     context.queue = textOf(values, "queue", nullptr);
-    if (isQuestion) {
-        context.file = textOf(values, "job", nullptr);
-        context.entries = parseMetricsAddresses(values["at"].as<std::vector<std::string>>());
-        return;
-    }
+    context.file = textOf(values, "job", nullptr);
     context.job = textOf(values, "id", nullptr);
-    context.logs = values["log"].as<std::vector<std::string>>();
+    if (isGiven("log"))
+        context.logs = values["log"].as<std::vector<std::string>>();
+    if (isGiven("at"))
+        context.entries = parseMetricsAddresses(values["at"].as<std::vector<std::string>>());
 }
 
 void fillContext(const Command &command, const po::variables_map &values, CommandContext &context)
@@ -389,14 +404,14 @@
     context.html = textOf(values, "html", nullptr);
     if (context.json && !context.html.empty())
         throw UsageError("--json and --html exclude each other: write one of them");
-    if (command.run == runEitherExplain)
-        fillExplain(command, values, context);
     if (values.count("entry") > 0) {
         context.entries = command.severalEntries
                                   ? parseEntries(values["entry"].as<std::vector<std::string>>())
                                   : parseEntries({values["entry"].as<std::string>()});
         context.entry = context.entries.front();
     }
+    if (command.run == runAnyExplain)
+        fillExplain(command, values, context);
 }
 
 // [4] Running
@@ -431,7 +446,7 @@
 int runCommandLine(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err)
 {
     const Address entry{"127.0.0.1", 8080};
-    CommandContext context{{}, {}, {}, {}, {}, {}, {}, {}, entry, {entry}, {}, false, out, err};
+    CommandContext context{{}, {}, {}, {}, {}, {}, {}, {}, {}, entry, {entry}, {}, false, out, err};
     try {
         return runArguments(arguments, context);
     } catch (const UsageError &error) {
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -18,6 +18,7 @@
 {
     std::string file; // or the name of a member, for member remove; explain: the job, "-": stdin
     std::string job; // explain: the job's id
+    std::string requestClass; // explain: ask for the endpoint of a request of this class
     std::string queue; // explain: ask for the placement of a job of this queue; empty: the history
     std::vector<std::string> logs; // explain: files
     std::string against; // sheet diff: compare with this file; empty: with the sheet in force
@@ -38,6 +39,7 @@
 int runPlatformCheck(const CommandContext &context);
 int runExplain(const CommandContext &context);
 int runExplainPlacement(const CommandContext &context);
+int runExplainRequest(const CommandContext &context);
 int runSheetCheck(const CommandContext &context);
 int runSheetDiff(const CommandContext &context);
 int runSheetPut(const CommandContext &context);
--- a/src/app/explainplacement.cpp
+++ b/src/app/explainplacement.cpp
@@ -1,4 +1,5 @@
-// Command: explain --queue, which asks running entry processes where a job would be placed now.
+// Commands: explain --queue, which asks running entry processes where a job would be placed now,
+// and explain --class, which asks one of the product's own interface for the endpoint of a request.
 #include "app/client.h"
 #include "app/commands.h"
 #include "app/exitcodes.h"
@@ -6,6 +7,7 @@
 #include "yaml/yaml.h"
 
 #include <algorithm>
+#include <iomanip>
 #include <iostream>
 #include <set>
 #include <sstream>
@@ -63,6 +65,14 @@
     return it != json.end() && it->is_array() ? it->get<std::vector<Json>>() : std::vector<Json>();
 }
 
+std::string formatRounded(double number)
+{
+    constexpr int digits = 4; // more say nothing about the next request
+    std::ostringstream out;
+    out << std::setprecision(digits) << number;
+    return out.str();
+}
+
 std::string formatCores(double milliCores)
 {
     std::ostringstream out;
@@ -115,11 +125,11 @@
            + " MiB; best of " + cellOf(placement, "Candidates");
 }
 
-std::string describeObstacles(const Json &step)
+std::string describeObstacles(const Json &json, const char *name)
 {
     std::string text;
-    const auto obstacles = step.find("Obstacles");
-    if (obstacles == step.end() || !obstacles->is_object())
+    const auto obstacles = json.find(name);
+    if (obstacles == json.end() || !obstacles->is_object())
         return text;
     for (const auto &item : obstacles->items())
         text += (text.empty() ? "" : ", ") + formatCell(item.key()) + ' '
@@ -138,7 +148,7 @@
     for (const Json &placement : listOf(step, "Placements"))
         out << name << " task " << cellOf(placement, "Task") << ": " << describePlacement(placement)
             << '\n';
-    const std::string obstacles = describeObstacles(step);
+    const std::string obstacles = describeObstacles(step, "Obstacles");
     if (obstacles.empty())
         return;
     if (isSet(step, "Gang"))
@@ -249,4 +259,36 @@
     return status;
 }
 
+int runExplainRequest(const CommandContext &context)
+{
+    const std::string body =
+            getFromEntry(context, "/v1/explain?class=" + percentEncode(context.requestClass));
+    const Json answer = parseResponseBody(body);
+    if (context.json) {
+        context.out << body << '\n';
+        return ExitSuccess;
+    }
+    const std::string place = context.entry.str() + " " + cellOf(answer, "entry") + ": ";
+    const auto endpoint = answer.find("endpoint");
+    context.out << place << "class " << cellOf(answer, "class") << ": " << cellOf(answer, "queued")
+                << " requests wait"
+                << (isSet(answer, "draining") ? "; this process is stopping" : "") << '\n'
+                << place;
+    if (endpoint == answer.end() || !endpoint->is_object())
+        context.out << "no endpoint can take a request now\n";
+    else
+        context.out << "endpoint " << cellOf(*endpoint, "host") << ", "
+                    << cellOf(*endpoint, "running") << " of " << cellOf(*endpoint, "ownSlots")
+                    << " own slots in use, latency "
+                    << formatRounded(numberOf(*endpoint, "latencyMs")) << " ms, error rate "
+                    << formatRounded(numberOf(*endpoint, "errorRate"))
+                    << (isSet(*endpoint, "ejected") ? "; as a probe of an ejected endpoint" : "")
+                    << "; the better of two drawn from " << cellOf(answer, "candidates") << '\n';
+    const std::string obstacles = describeObstacles(answer, "obstacles");
+    if (!obstacles.empty())
+        context.out << place << "endpoints by what keeps a request from them: " << obstacles
+                    << '\n';
+    return ExitSuccess;
+}
+
 } // namespace monsoonledge
--- a/src/app/httpapi.cpp
+++ b/src/app/httpapi.cpp
@@ -182,6 +182,28 @@
     return {{"leading", node.batch().leading()}, {"tasks", tasks}};
 }
 
+/// Which endpoint a request of the class would get from this process now, and why.
+Json explainClass(const Node &node, const RequestClass &requestClass, Time now)
+{
+    const EndpointExplanation explanation =
+            node.endpoints().explainChoice(requestClass.service, requestClass.idempotent, now);
+    Json obstacles = Json::object();
+    for (const auto &[obstacle, endpoints] : explanation.obstacles)
+        obstacles[endpointObstacleName(obstacle)] = endpoints;
+    Json answer{{"entry", node.self().entry.str()},
+                {"class", requestClass.id.str()},
+                {"draining", node.draining()},
+                {"queued", node.admission().queued(requestClass.id)},
+                {"endpoints", explanation.endpoints},
+                {"candidates", explanation.candidates},
+                {"obstacles", obstacles}};
+    const Endpoint *chosen =
+            explanation.endpoint ? node.endpoints().find(*explanation.endpoint) : nullptr;
+    if (chosen)
+        answer["endpoint"] = endpointStatus(*chosen);
+    return answer;
+}
+
 Json sheetStatus(const Node &node)
 {
     Json missing = Json::array();
@@ -279,6 +301,11 @@
             wrongMethod("GET");
         else if (authorize(request, Role::ReadOnly, respond))
             respond(jsonResponse(200, nodeStatus(node_)));
+    } else if (path == "/v1/explain") {
+        if (!get)
+            wrongMethod("GET");
+        else if (authorize(request, Role::ReadOnly, respond))
+            explain(request, respond, now);
     } else if (path == "/v1/tasks") {
         if (!get)
             wrongMethod("GET");
@@ -356,6 +383,15 @@
             call, [respond](const Answer &answer, Time) { respond(toHttp(answer)); }, now);
 }
 
+void HttpApi::explain(const HttpRequest &request, const HttpResponder &respond, Time now) const
+{
+    const auto name = request.query.find("class");
+    const RequestClass *requestClass =
+            name == request.query.end() ? nullptr : node_.sheet().findClass(ClassId(name->second));
+    respond(requestClass ? jsonResponse(200, explainClass(node_, *requestClass, now))
+                         : badInput(404, "class", "the sheet in force has no such class"));
+}
+
 void HttpApi::putSheet(const HttpRequest &request, const HttpResponder &respond, Time now)
 {
     if (!authorize(request, Role::Operator, respond))
--- a/src/app/httpapi.h
+++ b/src/app/httpapi.h
@@ -17,6 +17,7 @@
 
 private:
     void run(const HttpRequest &request, const HttpResponder &respond, Time now);
+    void explain(const HttpRequest &request, const HttpResponder &respond, Time now) const;
     void putSheet(const HttpRequest &request, const HttpResponder &respond, Time now);
     void removeMember(const HttpRequest &request, const HttpResponder &respond, Time now);
     /// Responds with an error and returns false if the request's token lacks the role.
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -146,12 +146,38 @@
     updateSlots(endpoint);
 }
 
-bool EndpointTable::isEligible(const Endpoint &endpoint, bool idempotent,
-                               const std::set<HostId> &exclude, Time now) const
+const char *endpointObstacleName(EndpointObstacle obstacle)
 {
-    if (endpoint.freeSlots() <= 0 || exclude.count(endpoint.host.id) > 0)
-        return false;
-    return !endpoint.ejected || (idempotent && now >= endpoint.nextProbe);
+    switch (obstacle) {
+    case EndpointObstacle::Tried:
+        return "tried";
+    case EndpointObstacle::Leaving:
+        return "leaving";
+    case EndpointObstacle::LostRequest:
+        return "lostRequest";
+    case EndpointObstacle::NoFreeSlot:
+        return "noFreeSlot";
+    case EndpointObstacle::Ejected:
+        return "ejected";
+    case EndpointObstacle::None:
+        break;
+    }
+    return "none";
+}
+
+EndpointObstacle EndpointTable::obstacleOn(const Endpoint &endpoint, bool idempotent,
+                                           const std::set<HostId> &exclude, Time now)
+{
+    if (exclude.count(endpoint.host.id) > 0)
+        return EndpointObstacle::Tried;
+    if (!endpoint.acceptsRequests())
+        return EndpointObstacle::Leaving;
+    if (endpoint.lostRequests > 0)
+        return EndpointObstacle::LostRequest;
+    if (endpoint.freeSlots() <= 0)
+        return EndpointObstacle::NoFreeSlot;
+    const bool isProbe = idempotent && now >= endpoint.nextProbe;
+    return endpoint.ejected && !isProbe ? EndpointObstacle::Ejected : EndpointObstacle::None;
 }
 
 double EndpointTable::loadScore(const Endpoint &endpoint) const
@@ -164,6 +190,33 @@
 
 std::optional<HostId> EndpointTable::chooseEndpoint(const ServiceId &service, bool idempotent,
                                                     const std::set<HostId> &exclude, Time now)
+{
+    return chooseWith(random_, service, idempotent, exclude, now);
+}
+
+EndpointExplanation EndpointTable::explainChoice(const ServiceId &service, bool idempotent,
+                                                 Time now) const
+{
+    EndpointExplanation explanation;
+    Random random = random_; // the next choice draws the same numbers
+    explanation.endpoint = chooseWith(random, service, idempotent, {}, now);
+    const auto indexed = hostsByService_.find(service);
+    if (indexed == hostsByService_.end())
+        return explanation;
+    explanation.endpoints = static_cast<int>(indexed->second.size());
+    for (const HostId &host : indexed->second) {
+        const EndpointObstacle obstacle = obstacleOn(endpoints_.at(host), idempotent, {}, now);
+        if (obstacle == EndpointObstacle::None)
+            ++explanation.candidates;
+        else
+            ++explanation.obstacles[obstacle];
+    }
+    return explanation;
+}
+
+std::optional<HostId> EndpointTable::chooseWith(Random &random, const ServiceId &service,
+                                                bool idempotent, const std::set<HostId> &exclude,
+                                                Time now) const
 {
     const auto indexed = hostsByService_.find(service);
     if (indexed == hostsByService_.end())
@@ -172,14 +225,15 @@
     const Endpoint *best = nullptr;
     int candidates = 0;
     const auto consider = [&](const Endpoint &endpoint) {
-        if (&endpoint == best || !isEligible(endpoint, idempotent, exclude, now))
+        if (&endpoint == best
+            || obstacleOn(endpoint, idempotent, exclude, now) != EndpointObstacle::None)
             return;
         ++candidates;
         if (!best || loadScore(endpoint) < loadScore(*best))
             best = &endpoint;
     };
     for (int draw = 0; draw < MaxRandomDraws && candidates < 2; ++draw)
-        consider(endpoints_.at(hosts[random_.below(hosts.size())]));
+        consider(endpoints_.at(hosts[random.below(hosts.size())]));
     for (std::size_t i = 0; i < hosts.size() && !best; ++i)
         consider(endpoints_.at(hosts[i]));
     if (!best)
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -64,6 +64,27 @@
     bool needsSample = false; // a new status sample may make more slots usable
 };
 
+/// What keeps a request from an endpoint now.
+enum class EndpointObstacle {
+    None,
+    Tried, // an attempt of the request was already sent there
+    Leaving, // by the host list or by its own report
+    LostRequest, // a request whose outcome is not known may still run there
+    NoFreeSlot, // of the slots of this process
+    Ejected, // and the request is no probe
+};
+/// Name in answers, such as "noFreeSlot".
+const char *endpointObstacleName(EndpointObstacle obstacle);
+
+/// Which endpoint a new request would get now, and why.
+struct EndpointExplanation
+{
+    std::optional<HostId> endpoint;
+    int endpoints = 0; // listed for the service
+    int candidates = 0; // that could take the request
+    std::map<EndpointObstacle, int> obstacles; // of the others, by what keeps the request from them
+};
+
 // [3] Endpoint table
 
 class EndpointTable
@@ -90,6 +111,9 @@
     /// endpoint is chosen only for an idempotent request, which serves as a probe.
     std::optional<HostId> chooseEndpoint(const ServiceId &service, bool idempotent,
                                          const std::set<HostId> &exclude, Time now);
+    /// Which endpoint chooseEndpoint() would choose for a new request. Asking has no effect on
+    /// later choices.
+    EndpointExplanation explainChoice(const ServiceId &service, bool idempotent, Time now) const;
     void recordStart(const HostId &host, Time now);
     void recordResult(const HostId &host, RunStatus status, int httpStatus, Duration latency,
                       Time now);
@@ -119,8 +143,10 @@
     UnitMask verifiedUnits(const Endpoint &endpoint, UnitMask units) const;
     void updateSlots(Endpoint &endpoint);
     void updateHealth(Endpoint &endpoint, bool failed, Time now);
-    bool isEligible(const Endpoint &endpoint, bool idempotent, const std::set<HostId> &exclude,
-                    Time now) const;
+    static EndpointObstacle obstacleOn(const Endpoint &endpoint, bool idempotent,
+                                       const std::set<HostId> &exclude, Time now);
+    std::optional<HostId> chooseWith(Random &random, const ServiceId &service, bool idempotent,
+                                     const std::set<HostId> &exclude, Time now) const;
     double loadScore(const Endpoint &endpoint) const;
     void indexServices();
 
--- a/tests/process/cli_test.py
+++ b/tests/process/cli_test.py
@@ -112,6 +112,7 @@
             "explain 5c0e7a21d94b36f8": "'explain': an argument is missing",
             "explain --queue short --job -": "'explain': an argument is missing",
             "explain id --queue short --job - --at 127.0.0.1": "'explain': too many arguments",
+            "explain --class desk/urgent --queue short": "'explain': too many arguments",
             "explain --queue short --job - --at localhost": "'localhost' is no IP address",
         }.items():
             with self.subTest(line):
@@ -303,6 +304,23 @@
         self.assertNotIn("may have been carried out", result.stderr)
         self.assertIn("edge-b: would accept", result.stdout)
 
+    def test_explain_of_a_request_names_the_endpoint_and_the_reasons(self):
+        endpoint = {"host": "w1", "ownSlots": 8, "running": 2, "latencyMs": 12.5, "errorRate": 0.0}
+        answer = {"entry": "a", "class": "desk/urgent", "queued": 3, "candidates": 4,
+                  "obstacles": {"leaving": 1}, "endpoint": endpoint}
+        self.entry.responses["GET /v1/explain"] = (200, answer)
+        result = self.call("explain", "--class", "desk/urgent")
+        place = f"{self.entry.address} a: "
+        self.expect(result, OK, place + "class desk/urgent: 3 requests wait\n" + place + "endpoint"
+                    " w1, 2 of 8 own slots in use, latency 12.5 ms, error rate 0; the better of"
+                    " two drawn from 4\n" + place + "endpoints by what keeps a request from them:"
+                    " leaving 1\n")
+        self.assertEqual(self.entry.requests[-1][1], "/v1/explain?class=desk%2Furgent")
+        del answer["endpoint"]
+        self.expect(self.call("explain", "--class", "desk/urgent"), OK, "no endpoint can take")
+        self.entry.responses["GET /v1/explain"] = (404, {"error": "no such class"})
+        self.expect(self.call("explain", "--class", "x"), FAILED, "no such class")
+
     def test_burn_report_adds_the_sums_of_all_entries_and_names_the_missing(self):
         second = self.start_entry()
         self.entry.responses["GET /v1/burn"] = (200, burn("a/1", 900, 10, "x"))
--- a/tests/process/path_test.py
+++ b/tests/process/path_test.py
@@ -1,5 +1,6 @@
 """Guards against requests that are lost, doubled or crossed, and against overloaded endpoints, when
 nothing fails: mixed traffic over all four entry processes, with duplicates sent to two at once."""
+import json
 import pathlib
 import sys
 
@@ -18,6 +19,12 @@
     items += testbed.Load(bed, again, callers=16).start().join()
     repeated = [item.attempts for item in again if item.outcome == "not-run"]
     assert not repeated, f"a duplicate of a finished request got not-run: {repeated[:10]}"
+    name = items[0].request_class.name
+    for entry in bed.entries:
+        status, _, body = testbed.call(entry.address, "GET", f"/v1/explain?class={name}")
+        answer = json.loads(body)
+        assert status == 200 and answer["candidates"] > 0, answer
+        assert answer["endpoint"]["service"] == name.split("/")[0], answer
     return items
 
 
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -181,3 +181,30 @@
         ejected += item.second.ejected ? 1 : 0;
     CHECK(ejected == 2);
 }
+
+// Guards against a question that draws from the random numbers of later choices.
+TEST_CASE("an explained choice is the next one, and asking does not change the choices that follow")
+{
+    EndpointTable asked = makeTable(6, AllUnits);
+    EndpointTable other = makeTable(6, AllUnits);
+    asked.markLeaving(HostId("w5"));
+    other.markLeaving(HostId("w5"));
+    for (int i = 0; i < 40; ++i) {
+        for (int k = 0; k < 3; ++k)
+            asked.explainChoice(Desk, k == 0, Start);
+        const EndpointExplanation explanation = asked.explainChoice(Desk, true, Start);
+        const std::optional<HostId> chosen = asked.chooseEndpoint(Desk, true, {}, Start);
+        CHECK(explanation.endpoint == chosen);
+        CHECK(chosen == other.chooseEndpoint(Desk, true, {}, Start));
+        asked.recordStart(*chosen, Start);
+        other.recordStart(*chosen, Start);
+    }
+    const EndpointExplanation full = asked.explainChoice(Desk, true, Start);
+    CHECK_FALSE(full.endpoint);
+    CHECK(full.endpoints == 6);
+    CHECK(full.candidates == 0);
+    const std::map<EndpointObstacle, int> expected{{EndpointObstacle::Leaving, 1},
+                                                   {EndpointObstacle::NoFreeSlot, 5}};
+    CHECK(full.obstacles == expected);
+    CHECK(asked.explainChoice(ServiceId("none"), true, Start).endpoints == 0);
+}
