--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -14,7 +14,6 @@
 #include "scheduling/planpass_p.h"
 
 #include <algorithm>
-#include <array>
 
 namespace monsoonledge {
 
