--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -47,6 +47,7 @@
 namespace monsoonledge {
 
 class Handover;
+struct SubmissionExplanation;
 class RelayPort;
 
 // [1] Store
@@ -646,6 +647,7 @@
     /// still answered.
     void drain();
 
+    const std::string &name() const { return settings_.name; }
     bool isReady(Time now) const;
     bool isCoordinator() const { return coordinator_ != nullptr; }
     /// Null unless this process is the coordinator.
@@ -672,6 +674,10 @@
         return monsoonledge::outageRetryAfter(now - lastStoreContact(), terms, id);
     }
     const AdmissionPolicy &admission() const { return admission_; }
+    /// What submit() would answer for a new job now, and where the job would be placed
+    /// (explain.cpp). Answers from the state in memory; asking has no effect on later submissions.
+    /// The id of the job is ignored.
+    SubmissionExplanation explainSubmission(const JobSpec &spec, Time now) const;
     void cancel(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                 Time now);
     /// `state` is valid only if the answer is Accepted.
@@ -719,6 +725,7 @@
                Time now);
     void refuseUnlessStored(const JobSpec &job, const AdmissionDecision &decision, Time deadline,
                             std::function<void(JobAnswer, Time)> done);
+    void explainAdmission(const JobSpec &job, SubmissionExplanation &explanation, Time now) const;
     Duration reportAge(Time now) const;
     void takeAdmissionReport(const std::string &bytes, bool isWatched);
     void onBacklogItem(const KeyValue &item, bool isWatched);
@@ -759,6 +766,7 @@
     bool isStoreReachable_ = true; // result of the last check whether the store is reachable
     bool isRecordPresent_ = false; // the coordinator record exists, so some process is coordinator
     double coordinatorCores_ = 0; // of the coordinator's host
+    std::string coordinatorName_; // process that the coordinator record names
     Time recordReceivedAt_{}; // when this process last received the coordinator record
     bool isCandidate_ = false; // this process is trying to become the coordinator
     bool isDraining_ = false;
