--- a/src/overload/outage.cpp
+++ b/src/overload/outage.cpp
@@ -23,16 +23,14 @@
 
 } // namespace
 
-OutageTerms outageTermsOf(const JobSpec &job, const QueueSpec &queue)
+OutageTerms outageTermsOf(const JobSpec &job, const QueueTerms &terms)
 {
-    OutageTerms terms;
     if (keepsItsValue(job))
-        return terms;
+        return {};
     const double path = toMilliseconds(criticalPath(job)) / 1000;
-    const double objective = queue.slackFactor * path + toMilliseconds(queue.targetLatency) / 1000;
+    const double objective = terms.slackFactor * path + toMilliseconds(terms.targetLatency) / 1000;
     const double useful = std::clamp(WorthlessFactor * objective - path, 0.0, MaxUsefulSeconds);
-    terms.usefulFor = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(useful));
-    return terms;
+    return {std::chrono::duration_cast<Duration>(std::chrono::duration<double>(useful))};
 }
 
 int outageRetryAfter(Duration outage, const OutageTerms &terms, const JobId &job)
--- a/src/overload/outage.h
+++ b/src/overload/outage.h
@@ -15,7 +15,7 @@
 };
 
 /// The terms of a job in a queue. Long-running and repeated jobs do not lose their value.
-OutageTerms outageTermsOf(const JobSpec &job, const QueueSpec &queue);
+OutageTerms outageTermsOf(const JobSpec &job, const QueueTerms &terms);
 
 /// The wait in whole seconds, from 1 to 30. `outage`: since the store's last answer. An outage is
 /// expected to last about as long again. The wait is at most a quarter of the time for which the
