Review of the whole change: leases after an outage, forwarding while the store is down, wording

A worker that answered again during an outage, while its record as unreachable still waited to be written, got no lease at the end of the outage: the record now has a state for that. A lease is no longer renewed for a worker that refuses connections. A queued removal of such a record is kept when the worker is gone. A link between entry processes that falls silent after one answer is closed while requests wait on it.

The rest are names, comments and pages.

--- a/src/adapters/relaylinks.cpp
+++ b/src/adapters/relaylinks.cpp
@@ -351,10 +351,18 @@
     const auto found = findLink(channel);
     if (!answer || found == links_.end())
         return;
-    stop(found->second.silenceTimer);
-    if (found->second.pending.count(answer->correlation) > 0) // otherwise it is late
-        finish(found->second, answer->correlation, {RelayDelivery::Answered, answer->body, {}},
-               Address(found->first), now);
+    Link &link = found->second;
+    const Address address = found->first;
+    stop(link.silenceTimer);
+    const bool awaitsMore =
+            std::any_of(link.pending.begin(), link.pending.end(), [&answer](const auto &entry) {
+                return entry.second.isSent && entry.first != answer->correlation;
+            });
+    if (awaitsMore)
+        closeAfter(link.silenceTimer, settings_.silenceTimeout, address, "no answer");
+    if (link.pending.count(answer->correlation) > 0) // otherwise it is late
+        finish(link, answer->correlation, {RelayDelivery::Answered, answer->body, {}}, address,
+               now);
 }
 
 } // namespace
--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -63,8 +63,7 @@
              runPlatformCheck},
             {"explain",
              "ID LOG... | --queue QUEUE --job FILE --at ADDRESS [--at ADDRESS...] [--json] | "
-             "--class "
-             "SERVICE/CLASS [--json]",
+             "--class SERVICE/CLASS [--entry ADDRESS] [--token TOKEN] [--json]",
              "print the history of a job from the logs of all hosts, with the cause of its end; or "
              "where a job would be placed now, or which endpoint a request would get, and why",
              {"id", "log", "queue", "job", "at", "class", "json", "entry", "token"},
--- a/src/fleet/admit.cpp
+++ b/src/fleet/admit.cpp
@@ -56,7 +56,7 @@
     if (bytes.empty() || !isWatched)
         return;
     admissionReport_ = decodeAdmissionReport(bytes);
-    admissionReportSince_ = coordinatorWatch_->lastAnswer().askedSince;
+    admissionReportSince_ = coordinatorWatch_->lastAnswer().firstCallSentAt;
     if (!admissionReport_)
         log(LogLevel::Error, "record-unreadable",
             "the report for admission is malformed; all jobs are admitted until the next one",
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -269,8 +269,10 @@
     scheduler_->setWorkers(entries, now);
     nextLinkCheckAt_ = now;
     for (auto it = links_.begin(); it != links_.end();) {
-        const bool isGone =
-                scheduler_->workers().count(it->first) == 0 && !it->second.isRenewalInFlight;
+        // The removal of a record may still wait for the store.
+        const bool isGone = scheduler_->workers().count(it->first) == 0
+                            && !it->second.isRenewalInFlight
+                            && it->second.unreachableRecord != UnreachableRecord::Removing;
         if (isGone)
             logCallsEnded(it->first, it->second, false, now);
         it = isGone ? links_.erase(it) : std::next(it);
@@ -332,7 +334,7 @@
 void Coordinator::writeChanges(WriteScope records, Time now)
 {
     if (!isWithinRenewalGrace(now))
-        return; // until the lease of the coordinator record has been renewed
+        return; // until the coordinator record has been seen in the store again
     if (records == WriteScope::Urgent && !scheduler_->hasUrgentChanges()) {
         scheduleDeferredWrite();
         return;
@@ -397,8 +399,8 @@
                         });
 }
 
-/// Repeats a write whose outcome is unknown. During an outage it waits until the lease of the
-/// coordinator record has been renewed.
+/// Repeats a write whose outcome is unknown. During an outage it waits until the coordinator record
+/// has been seen in the store again.
 void Coordinator::scheduleRepetition(const std::shared_ptr<ProgressWrite> &write)
 {
     ports_.timers.after(WriteRetryDelay,
@@ -458,7 +460,7 @@
     };
     const auto record = find(keys::Coordinator);
     if (record == result.items.end() || record->revision != recordRevision_) {
-        depose("the coordinator record has changed; another process may hold it");
+        deposeByConflict();
         return;
     }
     for (const JobChange &change : write->changes) {
@@ -494,6 +496,8 @@
     commit(
             transaction,
             [this, ids](const KeyValueResult &result, Time) {
+                if (result.status == KeyValueStatus::Conflict)
+                    deposeByConflict();
                 if (result.status != KeyValueStatus::Ok)
                     return; // the next cleanup tries again
                 for (const JobId &id : ids) {
@@ -546,11 +550,16 @@
             transaction,
             [this](const KeyValueResult &result, Time) {
                 if (result.status == KeyValueStatus::Conflict)
-                    depose("the coordinator record has changed; another process may hold it");
+                    deposeByConflict();
             },
             now);
 }
 
+void Coordinator::deposeByConflict()
+{
+    depose("the coordinator record has changed; another process may hold it");
+}
+
 void Coordinator::depose(const std::string &reason)
 {
     if (isDeposed_)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -222,9 +222,9 @@
     Duration watchWait = seconds(1);
     // The same for the configuration; shorter, because a new one must be in force within 2 seconds.
     Duration configWatchWait = milliseconds(600);
-    // After an outage of up to this length, the coordinator repeats its watches only when the lease
-    // of its record has been renewed. After a longer one it repeats them in any case, since the
-    // store may answer only reads.
+    // After an outage of up to this length, the coordinator repeats its watches only when its
+    // record has been seen in the store again. After a longer one it repeats them in any case,
+    // since the store may answer only reads.
     Duration maxWatchHold = seconds(15);
     Duration planDelay = milliseconds(10); // to handle events that arrive together in one pass
     Duration finishedJobRetention = seconds(125); // then the records of an ended job are removed
@@ -291,7 +291,7 @@
     /// A successful answer of the store.
     struct Answer
     {
-        Time askedSince{}; // when the first call after the previous answer was sent
+        Time firstCallSentAt{}; // when the first call after the previous answer was sent
         Duration took{}; // since the call; of a watch, including the wait for an event
         std::size_t items = 0; // keys, or events of a watch
         std::size_t bytes = 0; // of their values
@@ -500,7 +500,7 @@
 
 private:
     /// State of the stored record that a worker is unreachable and its leases are not renewed.
-    enum class UnreachableRecord { Absent, Writing, Stored, Removing };
+    enum class UnreachableRecord { Absent, Queued, Writing, Stored, Removing };
     /// State of the communication with one worker: its clock and the renewal in flight.
     struct WorkerLink
     {
@@ -578,6 +578,7 @@
         return now - lastStoreContact_ < settings_.renewalGrace;
     }
     void depose(const std::string &reason);
+    void deposeByConflict(); // of a transaction that requires the coordinator record
 
     FleetSettings settings_;
     FleetPorts ports_;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -25,6 +25,12 @@
     return ports;
 }
 
+const char *removalReason(bool isReplaced)
+{
+    return isReplaced ? "another process has written the coordinator record"
+                      : "the coordinator record was removed";
+}
+
 } // namespace
 
 FleetNode::FleetNode(const FleetSettings &settings, const FleetPorts &ports, std::uint64_t seed,
@@ -177,7 +183,7 @@
         return;
     isRecordPresent_ = !item.deleted;
     if (coordinator_ && item.revision > coordinator_->recordRevision())
-        onRecordGone("the coordinator record was removed", isRecordPresent_);
+        onRecordGone(removalReason(isRecordPresent_), isRecordPresent_);
     recordReceivedAt_ = now;
     coordinatorCores_ = std::strtod(item.value.c_str(), nullptr); // the name follows after a space
     const std::size_t space = item.value.find(' ');
@@ -383,7 +389,7 @@
                 if (isRead && result.items.front().revision == coordinator_->recordRevision())
                     coordinator_->onStoreContact(sentAt, now);
                 else if (isRead || result.status == KeyValueStatus::NotFound)
-                    onRecordGone("the coordinator record was removed", isRead);
+                    onRecordGone(removalReason(isRead), isRead);
             });
 }
 
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -156,7 +156,7 @@
 
 // [2] Worker leases
 
-/// True if the worker counts as unreachable.
+/// True if the last report is so old that the worker gets no lease.
 bool Coordinator::isSilent(const ScheduledWorker &worker, Time now) const
 {
     return now - worker.lastReport > MaxWorkerSilence + settings_.renewWait;
@@ -245,8 +245,10 @@
     const bool mayBeRenewed = !worker.hasReported && now - startedAt_ <= settings_.renewalGrace;
     if (link.unreachableRecord == UnreachableRecord::Absent && silent && !mayBeRenewed
         && !worker.tasks.empty()) {
-        link.unreachableRecord = UnreachableRecord::Writing;
+        link.unreachableRecord = UnreachableRecord::Queued;
         unreachableToWrite_.push_back(worker.entry.id);
+    } else if (link.unreachableRecord == UnreachableRecord::Queued && !silent) {
+        link.unreachableRecord = UnreachableRecord::Absent; // nothing was sent yet
     } else if (link.unreachableRecord == UnreachableRecord::Stored && !silent) {
         link.unreachableRecord = UnreachableRecord::Removing;
         unreachableToWrite_.push_back(worker.entry.id);
@@ -266,7 +268,8 @@
     std::size_t taken = 0;
     while (taken < unreachableToWrite_.size() && ids.size() + 1 < MaxTransactionEntries) {
         const WorkerId id = unreachableToWrite_[taken++];
-        if (addUnreachableRecord(id, transaction, now))
+        const bool isRepeated = std::find(ids.begin(), ids.end(), id) != ids.end();
+        if (!isRepeated && addUnreachableRecord(id, transaction, now))
             ids.push_back(id);
     }
     unreachableToWrite_.erase(unreachableToWrite_.begin(),
@@ -289,15 +292,18 @@
     if (found == links_.end())
         return false;
     WorkerLink &link = found->second;
-    if (link.unreachableRecord != UnreachableRecord::Writing) {
+    if (link.unreachableRecord == UnreachableRecord::Removing) {
         transaction.removals.push_back(keys::unreached(id));
         return true;
     }
+    if (link.unreachableRecord != UnreachableRecord::Queued)
+        return false;
     const auto worker = scheduler_->workers().find(id);
     if (worker == scheduler_->workers().end() || !isSilent(*worker->second, now)) {
         link.unreachableRecord = UnreachableRecord::Absent;
         return false;
     }
+    link.unreachableRecord = UnreachableRecord::Writing;
     const std::string value = std::to_string(worker->second->entry.incarnation.value);
     transaction.puts.push_back({keys::unreached(id), value, LeaseId{}});
     return true;
@@ -308,7 +314,7 @@
 {
     isUnreachableWriteInFlight_ = false;
     if (status == KeyValueStatus::Conflict) {
-        depose("the coordinator record has changed; another process may hold it");
+        deposeByConflict();
         return;
     }
     if (status != KeyValueStatus::Ok)
@@ -369,7 +375,8 @@
     if (worker == scheduler_->workers().end() || link == links_.end() || !link->second.isConfirmed)
         return;
     const WorkerEntry &entry = worker->second->entry;
-    const std::uint64_t leaseEnd = lease == LeaseUse::Renew ? grantWorkerLease(id, now) : 0;
+    const bool isRenewed = lease == LeaseUse::Renew && !link->second.isRefusing;
+    const std::uint64_t leaseEnd = isRenewed ? grantWorkerLease(id, now) : 0;
     ports_.workers.renew(
             entry, token_, leaseEnd, 0, Duration::zero(),
             onAnswer(entry,
--- a/src/fleet/prefixwatch.cpp
+++ b/src/fleet/prefixwatch.cpp
@@ -118,8 +118,8 @@
 void PrefixWatch::onCallAnswered(const KeyValueResult &result, Time now)
 {
     lastStoreContact_ = now;
-    const Time askedSince = failuresInARow_ > 0 ? failingSince_ : callSentAt_;
-    lastAnswer_ = {askedSince, now - callSentAt_, result.items.size(), 0};
+    const Time firstCallSentAt = failuresInARow_ > 0 ? failingSince_ : callSentAt_;
+    lastAnswer_ = {firstCallSentAt, now - callSentAt_, result.items.size(), 0};
     for (const KeyValue &item : result.items)
         lastAnswer_.bytes += item.value.size();
     if (failuresInARow_ == 0)
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -142,8 +142,10 @@
                     Time now)
 {
     const bool isProbe = request.kind == RelayRequest::Kind::Probe;
-    const bool isStoreDown = !isProbe && failuresInARow_ >= MaxFailuresInARow
-                             && now - lastFailedAt_ < StoreDownRetryInterval;
+    const bool isLimited = !isProbe && failuresInARow_ >= MaxFailuresInARow;
+    const bool isStoreDown = isLimited && now < nextTrialAt_;
+    if (isLimited && !isStoreDown)
+        nextTrialAt_ = now + StoreDownRetryInterval;
     if (inFlight_ >= MaxInFlight || isStoreDown) {
         count(request, isStoreDown ? "store_down" : "over_limit");
         done({maybeStored ? RelayAnswer::Kind::Unknown : RelayAnswer::Kind::NotStored}, now);
@@ -206,7 +208,7 @@
     const bool isCutShort =
             timeout < PeerTimeout && (result.delivery == RelayDelivery::Lost || result.isTimedOut);
     ++failuresInARow_;
-    lastFailedAt_ = now;
+    nextTrialAt_ = now + StoreDownRetryInterval;
     if (!isCutShort)
         noteFailure(peer, isAnswered ? answerName(kind) : result.detail, now);
     attempt(pending, now);
--- a/src/fleet/relay.h
+++ b/src/fleet/relay.h
@@ -186,7 +186,7 @@
     LogHook log_;
     int inFlight_ = 0;
     int failuresInARow_ = 0; // attempts since a peer last proved that it reaches the store
-    Time lastFailedAt_{}; // the last of them
+    Time nextTrialAt_{}; // of a request, while there are many of them
     std::optional<Time> lastReachedAt_; // when a peer last proved that it reaches the store
     std::map<std::string, std::uint64_t> counts_;
     std::shared_ptr<int> alive_ = std::make_shared<int>();
--- a/src/scheduling/explain.cpp
+++ b/src/scheduling/explain.cpp
@@ -1,6 +1,6 @@
 // Answers where a new job would be placed now. The placement functions run on a copy of the
 // workers, in a scheduler of its own that is discarded afterwards: placing a task changes its
-// worker, the caches of the planning pass and the table of images, none of which a question may
+// worker, the caches of the planning pass and the table of images, none of which a query may
 // change.
 #include "scheduling/explanation.h"
 #include "scheduling/planpass_p.h"
@@ -87,10 +87,10 @@
     PlacementExplanation explanation;
     explanation.areStartsPaused = areStartsPaused_;
     explanation.workers = static_cast<int>(workers_.size());
-    JobSpec question = spec;
-    question.id = JobId(); // no job has this id, so that its tasks are never taken for others
-    const std::unique_ptr<Scheduler> copy = copyForQuery(question, now);
-    ScheduledJob &job = *copy->jobs_.at(question.id);
+    JobSpec queriedJob = spec;
+    queriedJob.id = JobId(); // no job has this id, so that its tasks are never taken for others
+    const std::unique_ptr<Scheduler> copy = copyForQuery(queriedJob, now);
+    ScheduledJob &job = *copy->jobs_.at(queriedJob.id);
     if (job.tasks.empty()) // the first occurrence is not due yet; it is placed as if it were
         copy->addOccurrence(job, now);
     int budget = MaxExaminedTasks;
@@ -132,8 +132,11 @@
         return;
     std::vector<Candidate> candidates = candidatesFor(*tasks.front(), 0, now);
     for (ScheduledTask *task : tasks) {
-        const auto candidateCount = static_cast<int>(candidates.size());
-        if (!assignToBest(*task, candidates, now) && !assignToSlow(*task, candidates, now)) {
+        auto candidateCount = static_cast<int>(candidates.size());
+        const bool isPlaced = assignToBest(*task, candidates, now);
+        if (!isPlaced && assignToSlow(*task, candidates, now)) {
+            candidateCount = static_cast<int>(candidates.size()) + 1; // the chosen one was removed
+        } else if (!isPlaced) {
             for (const auto &[name, count] : countObstacles(*task, now))
                 result.obstacles[name] = count;
             return;
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -206,7 +206,7 @@
 {
     if (stepOf(task).bestEffort && startStarvedTask(task, now))
         return;
-    bookFasterRoom(task, now);
+    reserveExpectedCapacity(task, now);
     logWaiting(task, now);
     if (!isInterrupted(task))
         return;
@@ -287,7 +287,7 @@
 void Scheduler::beginPass(Time now)
 {
     ++planCache_->passNumber;
-    planCache_->vainSlowScans = 0;
+    planCache_->failedSlowScans = 0;
     planCache_->bestSlowSpeed.reset();
     if (now - planCache_->clearedAt < UnplacedRequestLifetime)
         return;
@@ -590,7 +590,7 @@
     noteAssigned(task, worker);
     countWaiting(task, -1);
     reserve(worker, task);
-    noteRoomUse(task);
+    noteCapacityUse(task);
     markChanged(job);
     task.assignedInVersion = job.version;
 }
--- a/src/scheduling/planpass_p.h
+++ b/src/scheduling/planpass_p.h
@@ -102,12 +102,12 @@
 
 /// When runs on workers that are not slow are expected to end, of one service and either of
 /// best-effort tasks or of others.
-struct Scheduler::RoomTimes
+struct Scheduler::ExpectedReleases
 {
     std::optional<Time> builtAt;
     std::vector<std::pair<Time, std::int64_t>> ends; // with the CPU in millicores, by time
-    std::int64_t booked = 0; // millicores that tasks of jobs before will take
-    std::uint64_t bookedInPass = 0; // planning pass of `booked`
+    std::int64_t reserved = 0; // millicores that tasks of jobs before will take
+    std::uint64_t reservedInPass = 0; // planning pass of `reserved`
     // The first `covered` ends free `freed` millicores. Kept from one look-up to the next, as the
     // tasks of a pass want later and later ones.
     std::size_t covered = 0;
@@ -121,8 +121,9 @@
     Time clearedAt{};
     std::vector<UnplacedRequest> unplacedRequests;
     std::unordered_map<const ScheduledWorker *, BestEffortOutlook> outlooks;
-    std::map<std::pair<ServiceId, bool>, RoomTimes> roomTimes; // true: of best-effort tasks
-    int vainSlowScans = 0; // of this pass, for a slow worker with room
+    std::map<std::pair<ServiceId, bool>, ExpectedReleases>
+            expectedReleases; // true: of best-effort tasks
+    int failedSlowScans = 0; // of this pass, for a slow worker with room
     std::optional<double> bestSlowSpeed; // in this pass, of the slow workers; empty: not known
 };
 
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -754,11 +754,11 @@
     bool mayRunAt(double speedFactor, const ScheduledTask &task, Time now) const;
     bool isTooSlowFor(const ScheduledWorker &worker, const ScheduledTask &task, Time now) const;
     bool isBetterElsewhere(double speedFactor, const ScheduledTask &task, Time now) const;
-    struct RoomTimes;
-    RoomTimes &roomTimesFor(const ScheduledTask &task, Time now) const;
+    struct ExpectedReleases;
+    ExpectedReleases &expectedReleasesFor(const ScheduledTask &task, Time now) const;
     Duration waitForFasterWorker(const ScheduledTask &task, Time now) const;
-    void bookFasterRoom(const ScheduledTask &task, Time now);
-    void noteRoomUse(const ScheduledTask &task);
+    void reserveExpectedCapacity(const ScheduledTask &task, Time now);
+    void noteCapacityUse(const ScheduledTask &task);
     bool assignToSlow(ScheduledTask &task, std::vector<Candidate> &candidates, Time now);
     void planMoves(Time now);
     bool isToBeMoved(const ScheduledTask &task, Time now) const;
--- a/src/scheduling/slowworkers.cpp
+++ b/src/scheduling/slowworkers.cpp
@@ -1,5 +1,5 @@
 // Slow workers: what their reports say about their speed, and which tasks they still get. How the
-// speed is measured is the matter of workerspeed.h. All of it is off unless
+// speed is measured is described in workerspeed.h. All of it is off unless
 // SchedulingSettings::avoidsSlowWorkers is set: no worker is then classified as slow.
 //
 // A task is started on a slow worker only if its job is on time all the same, or if it is done
@@ -17,14 +17,14 @@
 
 /// The time of a report lies within its call. Longer calls make progress rates too uncertain.
 constexpr Duration MaxReportCall = milliseconds(300);
-constexpr Duration RoomTimesLifetime = milliseconds(100);
+constexpr Duration ExpectedReleasesLifetime = milliseconds(100);
 /// Expected remaining time of a run that takes longer than estimated.
 constexpr Duration OverdueRemaining = milliseconds(100);
 /// A task that has waited longer than this for another worker takes any: labels, memory and
 /// failures may keep it from the room that is expected elsewhere.
 constexpr Duration MaxWaitForFaster = milliseconds(1500);
 /// Bounds the cost of a pass in which thousands of tasks wait.
-constexpr int MaxVainSlowScans = 8;
+constexpr int MaxFailedSlowScans = 8;
 
 /// Best-effort tasks share what others leave of the processors.
 double shareOfProcessors(const ScheduledWorker &worker, double demand, double idleServingShare)
@@ -107,7 +107,7 @@
         worker.slowAt = now;
     slowWorkers_ += (isSlow ? 1 : 0) - (wasSlow ? 1 : 0);
     if (wasSlow != isSlow)
-        planCache_->roomTimes.clear();
+        planCache_->expectedReleases.clear();
     if ((wasSlow && !isSlow) || (wasOnTrial && !worker.isOnSpeedTrial))
         markWorkerChanged(worker);
     if (change)
@@ -202,14 +202,15 @@
 }
 
 /// The expected ends of runs on workers that are not slow and that take tasks like this one.
-Scheduler::RoomTimes &Scheduler::roomTimesFor(const ScheduledTask &task, Time now) const
+Scheduler::ExpectedReleases &Scheduler::expectedReleasesFor(const ScheduledTask &task,
+                                                            Time now) const
 {
     const ServiceId &service = task.job->queue.service;
     const bool isBestEffort = stepOf(task).bestEffort;
-    RoomTimes &times = planCache_->roomTimes[{service, isBestEffort}];
-    if (std::exchange(times.bookedInPass, planCache_->passNumber) != planCache_->passNumber)
-        times.booked = 0;
-    if (times.builtAt && now - *times.builtAt < RoomTimesLifetime)
+    ExpectedReleases &times = planCache_->expectedReleases[{service, isBestEffort}];
+    if (std::exchange(times.reservedInPass, planCache_->passNumber) != planCache_->passNumber)
+        times.reserved = 0;
+    if (times.builtAt && now - *times.builtAt < ExpectedReleasesLifetime)
         return times;
     times.builtAt = now;
     times.ends.clear();
@@ -237,10 +238,10 @@
 /// How long the last waiting task of the step is expected to wait for a worker that is not slow.
 Duration Scheduler::waitForFasterWorker(const ScheduledTask &task, Time now) const
 {
-    RoomTimes &times = roomTimesFor(task, now);
+    ExpectedReleases &times = expectedReleasesFor(task, now);
     const int waiting = task.job->waitingTaskCounts[task.job->stepIndex(task.ref)];
     const std::int64_t wanted =
-            times.booked + waiting * static_cast<std::int64_t>(stepOf(task).cpu.value);
+            times.reserved + waiting * static_cast<std::int64_t>(stepOf(task).cpu.value);
     const auto &ends = times.ends;
     while (times.freed < wanted && times.covered < ends.size())
         times.freed += ends[times.covered++].second;
@@ -252,28 +253,29 @@
 }
 
 /// The waiting tasks of the step will take the next room, before those of later jobs.
-void Scheduler::bookFasterRoom(const ScheduledTask &task, Time now)
+void Scheduler::reserveExpectedCapacity(const ScheduledTask &task, Time now)
 {
     if (slowWorkers_ == 0)
         return;
     const int waiting = task.job->waitingTaskCounts[task.job->stepIndex(task.ref)];
-    roomTimesFor(task, now).booked += waiting * static_cast<std::int64_t>(stepOf(task).cpu.value);
+    expectedReleasesFor(task, now).reserved +=
+            waiting * static_cast<std::int64_t>(stepOf(task).cpu.value);
 }
 
 /// Adds the end of a run that was assigned in this pass to the expected ones.
-void Scheduler::noteRoomUse(const ScheduledTask &task)
+void Scheduler::noteCapacityUse(const ScheduledTask &task)
 {
     const StepSpec &step = stepOf(task);
     if (slowWorkers_ == 0 || step.longRunning || task.worker->speedFactor < 1)
         return;
-    const auto it = planCache_->roomTimes.find({task.job->queue.service, step.bestEffort});
-    if (it == planCache_->roomTimes.end() || !it->second.builtAt)
+    const auto it = planCache_->expectedReleases.find({task.job->queue.service, step.bestEffort});
+    if (it == planCache_->expectedReleases.end() || !it->second.builtAt)
         return;
     const auto runTime =
             std::chrono::duration_cast<Duration>(step.estimate * durationFactor(*task.job));
     const std::pair<Time, std::int64_t> end{planCache_->startedAt + runTime,
                                             static_cast<std::int64_t>(step.cpu.value)};
-    RoomTimes &times = it->second;
+    ExpectedReleases &times = it->second;
     const auto position = std::upper_bound(times.ends.begin(), times.ends.end(), end);
     if (static_cast<std::size_t>(position - times.ends.begin()) < times.covered) {
         ++times.covered;
@@ -287,7 +289,7 @@
 bool Scheduler::assignToSlow(ScheduledTask &task, std::vector<Candidate> &candidates, Time now)
 {
     if (slowWorkers_ == 0 || stepOf(task).longRunning
-        || planCache_->vainSlowScans >= MaxVainSlowScans)
+        || planCache_->failedSlowScans >= MaxFailedSlowScans)
         return false;
     std::optional<double> &bestSpeed = planCache_->bestSlowSpeed;
     if (!bestSpeed) {
@@ -306,7 +308,7 @@
     }
     if (assignToBest(task, candidates, now))
         return true;
-    ++planCache_->vainSlowScans;
+    ++planCache_->failedSlowScans;
     return false;
 }
 
--- a/src/scheduling/workerspeed.cpp
+++ b/src/scheduling/workerspeed.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t MaxSamples = 32; // of a step or queue
 constexpr Duration MaxSampleAge = seconds(5);
 constexpr std::size_t MinSamples = 3; // on other workers
-constexpr std::size_t MaxMinWorkers = 5;
+constexpr std::size_t MaxRequiredWorkers = 5;
 /// Ratio of the median to the lower quantile above which runs differ too much among themselves.
 constexpr double MaxSpread = 1.6;
 /// Share of the step's rate in that of the queue from which on the two agree.
@@ -79,11 +79,11 @@
 
 std::optional<double> WorkerSpeeds::RateSamples::typicalRate(int exceptWorker,
                                                              const std::vector<bool> &slowWorkers,
-                                                             const SampleDemand &demand,
+                                                             const SampleRequirement &demand,
                                                              Time now) const
 {
     std::array<double, MaxSamples> rates{};
-    std::array<int, MaxMinWorkers> sampledWorkers{};
+    std::array<int, MaxRequiredWorkers> sampledWorkers{};
     std::size_t count = 0;
     std::size_t workerCount = 0;
     for (const Sample &sample : samples_) {
@@ -127,9 +127,9 @@
     return groups.steps[step];
 }
 
-const WorkerSpeeds::SampleDemand WorkerSpeeds::OfStep{3, 4};
-const WorkerSpeeds::SampleDemand WorkerSpeeds::OfNarrowStep{1, 4};
-const WorkerSpeeds::SampleDemand WorkerSpeeds::OfQueue{MaxMinWorkers, 5};
+const WorkerSpeeds::SampleRequirement WorkerSpeeds::OfStep{3, 4};
+const WorkerSpeeds::SampleRequirement WorkerSpeeds::OfNarrowStep{1, 4};
+const WorkerSpeeds::SampleRequirement WorkerSpeeds::OfQueue{MaxRequiredWorkers, 5};
 
 /// What the progress of a run is compared with; workers that are known to be slow are left out. A
 /// step whose other runs are on one or two workers counts only if the queue does not contradict it,
@@ -138,7 +138,7 @@
 WorkerSpeeds::Baseline WorkerSpeeds::baselineFor(int worker, const Group &step, const Group &queue,
                                                  Duration estimate, Time now) const
 {
-    const auto rateOf = [&](const RateSamples &samples, const SampleDemand &demand) {
+    const auto rateOf = [&](const RateSamples &samples, const SampleRequirement &demand) {
         return samples.typicalRate(worker, isSlow_, demand, now).value_or(0);
     };
     if (const double rate = rateOf(step.progress, OfStep); rate > 0)
--- a/src/scheduling/workerspeed.h
+++ b/src/scheduling/workerspeed.h
@@ -69,14 +69,14 @@
 private:
     /// What is required of rates to compare with. The part of the runs that may be on slow workers
     /// is smaller than 1 / `quantile`, and so is the part that may be long.
-    struct SampleDemand
+    struct SampleRequirement
     {
         std::size_t workers = 1; // at least
         std::size_t quantile = 4; // of the lowest rates, which must be near the median
     };
-    static const SampleDemand OfStep;
-    static const SampleDemand OfNarrowStep;
-    static const SampleDemand OfQueue;
+    static const SampleRequirement OfStep;
+    static const SampleRequirement OfNarrowStep;
+    static const SampleRequirement OfQueue;
 
     /// Progress rates of different runs; the oldest is replaced.
     class RateSamples
@@ -86,7 +86,7 @@
         /// The median of the rates on other workers. Nothing if there are too few or if they
         /// differ too much.
         std::optional<double> typicalRate(int exceptWorker, const std::vector<bool> &slowWorkers,
-                                          const SampleDemand &demand, Time now) const;
+                                          const SampleRequirement &demand, Time now) const;
 
     private:
         struct Sample
