--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -138,15 +138,15 @@
 // repeated.
 TEST_CASE("while no process reaches the store, submissions are refused without asking others")
 {
-    constexpr int ProcessCount = 12;
-    RelayWorld world(ProcessCount);
+    constexpr int processCount = 12;
+    RelayWorld world(processCount);
     const auto received = [&world] {
         int count = 0;
-        for (int i = 0; i < ProcessCount; ++i)
+        for (int i = 0; i < processCount; ++i)
             count += world.relayOf(i).requestsReceived;
         return count;
     };
-    for (int i = 0; i < ProcessCount; ++i)
+    for (int i = 0; i < processCount; ++i)
         world.storeOf(i).refusing = true;
     for (int i = 0; i < 3; ++i)
         CHECK(world.submit(0, FleetWorld::job("a" + std::to_string(i))) == JobAnswer::NotAccepted);
@@ -154,7 +154,7 @@
     CHECK(before == 6);
     CHECK(world.submit(0, FleetWorld::job("b")) == JobAnswer::NotAccepted);
     CHECK(received() == before);
-    for (int i = 1; i < ProcessCount; ++i)
+    for (int i = 1; i < processCount; ++i)
         world.storeOf(i).refusing = false;
     world.clock.advance(seconds(3));
     CHECK(world.submit(0, FleetWorld::job("c")) == JobAnswer::Accepted);
