--- a/tests/unit/storeoutage_test.cpp
+++ b/tests/unit/storeoutage_test.cpp
@@ -110,6 +110,32 @@
     }
 }
 
+// Guards against a worker that gets no lease at the end of an outage because its record as
+// unreachable was queued before it answered again.
+TEST_CASE("a worker that answers again during an outage keeps its runs")
+{
+    for (int phase = 0; phase < 10; ++phase) {
+        CAPTURE(phase);
+        FleetWorld world(4, 4);
+        startLastingJob(world, 4);
+        world.clock.advance(seconds(2) + milliseconds(130 * phase));
+        world.store.pauseLeases();
+        setOutage(world, Fault::Refusing, true);
+        world.clock.advance(milliseconds(300));
+        for (FleetWorld::Process &process : world.processes)
+            process.workers->cutFrom.insert(WorkerId("w0"));
+        world.clock.advance(milliseconds(2900));
+        for (FleetWorld::Process &process : world.processes)
+            process.workers->cutFrom.clear();
+        world.clock.advance(seconds(1));
+        setOutage(world, Fault::Refusing, false);
+        world.store.resumeLeases();
+        world.clock.advance(seconds(5));
+        CHECK(world.runners.findings.empty());
+        CHECK(world.runners.lapsedRuns == 0);
+    }
+}
+
 /// The calls of all processes to the store in the first second after an outage.
 struct Recovery
 {
