--- a/review/bed2.py
+++ b/review/bed2.py
@@ -300,6 +300,13 @@
         self.began = time.monotonic()
         self.born = int(time.time() * 1000)
 
+    def crash(self):
+        """Ends all runs at once. The machine answers nothing from then on."""
+        with self.lock:
+            self.up = False
+            for task in list(self.running):
+                self.finish(task, "crashed")
+
     def register(self):
         self.store.put("servers/" + self.name, dict(self.entry, born=self.born, ClockMs=self.clock()))
 
@@ -326,6 +333,8 @@
         self.lock.notify_all()
 
     def serve(self, method, path, query, body, headers):
+        if not self.up:
+            return None
         if headers.get("Expect-Instance") not in (None, self.name):
             return 421, {}
         action = self.hook(path, body) if self.hook else None
