--- a/review/bed2.py
+++ b/review/bed2.py
@@ -19,6 +19,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -541,6 +542,7 @@
         self.record = Record(folder)
         self.entries = []
         atexit.register(self.close)
+        sys.excepthook = self.on_error
         signal.signal(signal.SIGTERM, lambda *arguments: self.stop(2, "ended by a signal"))
         self.store = Store()
         self.config = {
@@ -581,6 +583,11 @@
         sys.stdout.flush()
         os._exit(status)
 
+    def on_error(self, kind, error, trace):
+        """An error of the script itself is no broken rule."""
+        traceback.print_exception(kind, error, trace)
+        self.stop(2, f"the script has failed: {error}")
+
     def close(self):
         for entry in self.entries:
             if entry.process.poll() is None:
