--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,7 +13,7 @@
 CLIENTS = 10
 LEAVES_EVERY = 4  # each fourth client, 3 of 10, has no patience; the site file lets 0.35 of them leave
 LEAVES_AFTER_S = 0.15  # half the objective; such a client then cancels its job elsewhere, answered or not
-CUT_S = 4.0
+CUT_S = 4.5
 CANCEL_S = 3.0  # cancel_ms
 STEPS = 4
 STEP_MS = 2500
@@ -46,6 +46,7 @@
 
 
 time.sleep(4)
+cut_at = seconds()
 if bed2.TROUBLE:
     bed.record.write(cut.name, "is cut off from the store")
     bed.gates[cut.index].is_cut.set()
@@ -55,7 +56,7 @@
     time.sleep(0.02)
 for thread in threads:
     thread.join()
-time.sleep(CUT_S)
+time.sleep(max(0, cut_at + CUT_S - seconds()))
 bed.gates[cut.index].is_cut.clear()
 bed.record.write(cut.name, "reaches the store again")
 time.sleep(STEPS * STEP_MS / 1000 + 2)
