Keep the wait for leases of a lost worker across changes of the coordinator

Cause: each successor counted the leases that a former coordinator may have granted from its own election on (7.3 s), and declared nothing lost when it was replaced earlier. The records unreached/ID could not shorten that: they held no time, and were written 3 s after an election at the earliest.

Change: coordinator/unreachable replaces unreached/ID. It lists the workers with runs that get no lease here, each with the time at which its last lease has expired. A worker that a new coordinator has not heard is listed 0.2 s after its first failed call. The times are on the writer's clock. Each process notes when it receives a version, which is later than it was written, and so has an upper bound on its own clock, whenever it is elected. worker-unreachable says how long the runs of the worker still wait.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -9,6 +9,7 @@
 
 #include "fleet/coordinator_p.h"
 #include "fleet/keys_p.h"
+#include "fleet/unreachable_p.h"
 
 #include <algorithm>
 #include <cassert>
@@ -39,12 +40,17 @@
 // [1] Loading
 
 Coordinator::Coordinator(const FleetSettings &settings, const FleetPorts &ports, JobView &jobView,
-                         StoreRevision recordRevision, Hooks hooks, Time storeContact, Time now)
-    : settings_(settings), ports_(ports), jobView_(jobView),
+                         UnreachableView &unreachable, StoreRevision recordRevision, Hooks hooks,
+                         Time storeContact, Time now)
+    : settings_(settings), ports_(ports), jobView_(jobView), unreachable_(unreachable),
       recordRevision_(recordRevision), token_{recordRevision.value}, hooks_(std::move(hooks)),
       startedAt_(now), lastStoreContact_(storeContact), lastCleanup_(now)
 {
     assert(settings_.renewalGrace < settings_.maxLeaseWithoutStore);
+    unreachableWriter_ = std::make_unique<UnreachableWriter>(
+            token_, [this](const Transaction &transaction, KeyValueCallback done, Time sentAt) {
+                commitUnreachable(transaction, std::move(done), sentAt);
+            });
     jobsLoader_ = std::make_unique<PrefixWatch>(
             ports_, keys::JobsPrefix, settings_.watchWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
@@ -60,7 +66,7 @@
                                    onWorkerEvents(events, eventTime);
                                }});
     unreachableLoader_ = std::make_unique<PrefixWatch>(
-            ports_, keys::UnreachedPrefix, settings_.watchWait, Duration::zero(),
+            ports_, keys::Unreachable, settings_.watchWait, Duration::zero(),
             PrefixWatch::Hooks{[this](const std::vector<KeyValue> &items, Time eventTime) {
                                    onUnreachableLoaded(items, eventTime);
                                },
@@ -102,19 +108,14 @@
 void Coordinator::onUnreachableLoaded(const std::vector<KeyValue> &items, Time now)
 {
     for (const KeyValue &item : items) {
-        const WorkerId id(item.key.substr(keys::UnreachedPrefix.size()));
-        const std::optional<std::uint64_t> incarnation = parseNumber(item.value);
-        if (incarnation)
-            recordedUnreachable_[id].value = *incarnation;
-        else
-            ports_.log(
-                    {LogLevel::Error,
-                     "record-unreadable",
-                     "the record of an unreachable worker is not a number; its runs count as lost "
-                     "only when all possible leases of a former coordinator have expired",
-                     {{"key", item.key}}});
-        links_[id].unreachableRecord = UnreachableRecord::Stored;
+        if (!unreachable_.receive(item, now))
+            ports_.log({LogLevel::Error,
+                        "record-unreadable",
+                        "the record of unreachable workers is malformed; their runs count as lost "
+                        "only when all possible leases of a former coordinator have expired",
+                        {{"key", item.key}}});
     }
+    unreachableWriter_->start(unreachable_);
     areUnreachableLoaded_ = true;
     startScheduling(now);
     // The loader may be destroyed here: calling this function is the last thing that it does.
@@ -161,8 +162,8 @@
         if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key))
             scheduler_->cancelJob(*id, now);
     }
-    for (const auto &[id, incarnation] : recordedUnreachable_)
-        scheduler_->onLeaseNotRenewed(id, incarnation, now);
+    for (const auto &[id, worker] : unreachable_.workers())
+        scheduler_->limitLeaseExpiry(id, worker.incarnation, worker.leaseExpiry);
     ports_.log({LogLevel::Info,
                 "coordinator-ready",
                 "jobs and workers are loaded; scheduling starts",
@@ -269,10 +270,8 @@
     scheduler_->setWorkers(entries, now);
     nextLinkCheckAt_ = now;
     for (auto it = links_.begin(); it != links_.end();) {
-        // The removal of a record may still wait for the store.
-        const bool isGone = scheduler_->workers().count(it->first) == 0
-                            && !it->second.isRenewalInFlight
-                            && it->second.unreachableRecord != UnreachableRecord::Removing;
+        const bool isGone =
+                scheduler_->workers().count(it->first) == 0 && !it->second.isRenewalInFlight;
         if (isGone)
             logCallsEnded(it->first, it->second, false, now);
         it = isGone ? links_.erase(it) : std::next(it);
@@ -458,8 +457,7 @@
         return std::find_if(result.items.begin(), result.items.end(),
                             [&](const KeyValue &item) { return item.key == key; });
     };
-    const auto record = find(keys::Coordinator);
-    if (record == result.items.end() || record->revision != recordRevision_) {
+    if (!isRecordCurrent(result)) {
         deposeByConflict();
         return;
     }
@@ -477,6 +475,14 @@
     }
 }
 
+/// True if the result of a failed transaction shows that this process is still the coordinator.
+bool Coordinator::isRecordCurrent(const KeyValueResult &result) const
+{
+    return std::any_of(result.items.begin(), result.items.end(), [this](const KeyValue &item) {
+        return item.key == keys::Coordinator && item.revision == recordRevision_;
+    });
+}
+
 void Coordinator::removeFinishedJobs(Time now)
 {
     if (!scheduler_ || now - lastCleanup_ < CleanupInterval || !isWithinRenewalGrace(now))
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -17,8 +17,9 @@
 //   jobs/in/spec/ID        specification of a job; written once, by the process that accepts it
 //   jobs/in/cancel/ID      cancellation of a job; written once
 //   jobs/progress/ID       progress of a job; written by the coordinator
-//   unreached/ID           the coordinator does not renew the leases of this worker, so a
-//                          successor has to wait for a single lease to expire
+//   coordinator/unreachable
+//                          workers that get no leases because they do not answer, and when the
+//                          last ones expire; written by the coordinator
 //   entry/NAME             relay address and failure domain of an entry process
 //
 // Sections:
@@ -47,6 +48,8 @@
 namespace monsoonledge {
 
 class Handover;
+class UnreachableView;
+class UnreachableWriter;
 struct SubmissionExplanation;
 class RelayPort;
 
@@ -475,8 +478,10 @@
 
     /// `recordRevision`: revision of the coordinator record, which is also the fencing token.
     /// `storeContact`: when the call was sent that granted the lease of the record.
+    /// `unreachable`: what this process has received of the record of unreachable workers.
     Coordinator(const FleetSettings &settings, const FleetPorts &ports, JobView &jobView,
-                StoreRevision recordRevision, Hooks hooks, Time storeContact, Time now);
+                UnreachableView &unreachable, StoreRevision recordRevision, Hooks hooks,
+                Time storeContact, Time now);
     ~Coordinator();
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
@@ -499,8 +504,6 @@
     const CapacityForecast &forecast() const { return forecast_; }
 
 private:
-    /// State of the stored record that a worker is unreachable and its leases are not renewed.
-    enum class UnreachableRecord { Absent, Queued, Writing, Stored, Removing };
     /// State of the communication with one worker: its clock and the renewal in flight.
     struct WorkerLink
     {
@@ -511,7 +514,6 @@
         WorkerIncarnation incarnation; // that `clock` belongs to
         std::uint64_t clock = 0; // last reading of the worker's clock in ms; 0: not known
         Time clockReceivedAt{};
-        UnreachableRecord unreachableRecord = UnreachableRecord::Absent;
         bool isConfirmed = false; // `incarnation` has answered the last renewal
         bool isRefusing = false; // the last renewal was not sent for lack of a connection
         bool awaitsStoredEnds = false; // the next renewal is delayed until ended runs are stored,
@@ -550,6 +552,7 @@
     void onWriteConflict(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
                          Time now);
     void removeFinishedJobs(Time now);
+    bool isRecordCurrent(const KeyValueResult &result) const;
     bool knowsCapacity(Time now) const;
     void publishBacklog(Time now);
     void sendOrders(Time now);
@@ -560,11 +563,10 @@
     enum class LeaseUse { None, Renew };
     void requestReport(const WorkerId &id, Time now, LeaseUse lease = LeaseUse::None);
     WorkerCallback onAnswer(const WorkerEntry &worker, WorkerCallback handle);
-    void updateUnreachableRecord(const ScheduledWorker &worker, WorkerLink &link, Time now);
     bool isSilent(const ScheduledWorker &worker, Time now) const;
-    void writeUnreachableRecords(Time now);
-    bool addUnreachableRecord(const WorkerId &id, Transaction &transaction, Time now);
-    void onUnreachableWritten(const std::vector<WorkerId> &ids, KeyValueStatus status, Time now);
+    bool isUnreachable(const ScheduledWorker &worker, Time now) const;
+    void updateUnreachable(Time now);
+    void commitUnreachable(const Transaction &transaction, KeyValueCallback done, Time sentAt);
     void onUnreachableLoaded(const std::vector<KeyValue> &items, Time now);
     void onRenewed(const WorkerId &id, Time sentAt, const WorkerCallResult &callResult, Time now);
     bool isPresentIncarnation(const WorkerId &id, WorkerIncarnation incarnation) const;
@@ -583,6 +585,8 @@
     FleetSettings settings_;
     FleetPorts ports_;
     JobView &jobView_;
+    UnreachableView &unreachable_;
+    std::unique_ptr<UnreachableWriter> unreachableWriter_;
     StoreRevision recordRevision_;
     FencingToken token_;
     Hooks hooks_;
@@ -594,7 +598,6 @@
     std::unique_ptr<PrefixWatch> jobInputWatch_;
     std::unique_ptr<PrefixWatch> registryWatch_;
     std::unique_ptr<PrefixWatch> unreachableLoader_;
-    std::map<WorkerId, WorkerIncarnation> recordedUnreachable_; // by former coordinators
     std::map<std::string, WorkerEntry> registryEntries_; // by key in the store
     std::unordered_map<JobId, StoreRevision> progressRevisions_; // of the records in the store
     // With an unreadable record. Which of their tasks have run is not known, so none is started,
@@ -612,9 +615,6 @@
     bool isDeposed_ = false;
     int writesInFlight_ = 0;
     Time writeNotBefore_{};
-    std::vector<WorkerId> unreachableToWrite_; // records that are to be stored or removed
-    bool isUnreachableWriteInFlight_ = false;
-    Time unreachableNotBefore_{}; // of the next write of such records
     bool isDeferredWriteScheduled_ = false;
     Time lastCleanup_{};
     Time nextBacklogAt_{};
@@ -730,6 +730,7 @@
     Duration reportAge(Time now) const;
     void takeAdmissionReport(const std::string &bytes, bool isWatched);
     void onBacklogItem(const KeyValue &item, bool isWatched);
+    void onUnreachableItem(const KeyValue &item, Time now);
     void onCoordinatorItem(const KeyValue &item, bool isWatched, Time now);
     void challengeIfStronger(Time now);
     void onChallenge(double cores);
@@ -761,6 +762,7 @@
     std::unique_ptr<PrefixWatch> configWatch_;
     std::unique_ptr<PrefixWatch> coordinatorWatch_;
     std::unique_ptr<PrefixWatch> jobsWatch_;
+    std::unique_ptr<UnreachableView> unreachable_;
     std::unique_ptr<Coordinator> coordinator_;
     std::unique_ptr<Handover> handover_; // null: no request is forwarded
     LeaseId lease_;
--- a/src/fleet/fleetnode.cpp
+++ b/src/fleet/fleetnode.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/handover_p.h"
 #include "fleet/keys_p.h"
+#include "fleet/unreachable_p.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -37,7 +38,8 @@
                      Time now)
     : settings_(settings), ports_(withSpreadSeed(ports, seed)), random_(seed),
       closedDomains_(ports.log), admission_(settings.admission), writer_(ports_),
-      lastStoreContact_(now), storeContactSince_(now)
+      unreachable_(std::make_unique<UnreachableView>()), lastStoreContact_(now),
+      storeContactSince_(now)
 {
     ports_.holdsWatches = [this](Time when) {
         return coordinator_ && coordinator_->awaitsStore(when);
@@ -179,6 +181,8 @@
         onChallenge(std::strtod(item.value.c_str(), nullptr));
     if (item.key == keys::Backlog && !item.deleted)
         onBacklogItem(item, isWatched);
+    if (item.key == keys::Unreachable)
+        onUnreachableItem(item, now);
     if (item.key != keys::Coordinator)
         return;
     isRecordPresent_ = !item.deleted;
@@ -203,6 +207,13 @@
     takeAdmissionReport(report->admission, isWatched);
 }
 
+void FleetNode::onUnreachableItem(const KeyValue &item, Time now)
+{
+    if (!unreachable_->receive(item, now))
+        log(LogLevel::Error, "record-unreadable",
+            "the record of unreachable workers is malformed; it is ignored", {{"key", item.key}});
+}
+
 /// Asks the coordinator to resign if this host has many more cores. After outages a weak host may
 /// have become the coordinator, and with hundreds of workers it cannot keep up.
 void FleetNode::challengeIfStronger(Time now)
@@ -317,7 +328,7 @@
     isRecordPresent_ = true;
     jobsWatch_.reset(); // the coordinator updates the view of the jobs from now on
     coordinator_ = std::make_unique<Coordinator>(
-            settings_, ports_, jobView_, recordRevision,
+            settings_, ports_, jobView_, *unreachable_, recordRevision,
             Coordinator::Hooks{[this] { stepDown(); }, [this] { return config_; },
                                [this] { return closedDomains_.domains(); },
                                [this](Time when) { return knowsClosedDomains(when); }},
--- a/src/fleet/keys_p.h
+++ b/src/fleet/keys_p.h
@@ -11,20 +11,13 @@
 inline const std::string Coordinator = "coordinator";
 inline const std::string Challenge = "coordinator/challenge";
 inline const std::string Backlog = "coordinator/backlog";
+inline const std::string Unreachable = "coordinator/unreachable"; // workers without a lease
 inline const std::string JobsPrefix = "jobs/"; // covers all records of jobs
 inline const std::string JobInputPrefix = "jobs/in/"; // submissions and cancellations by clients
 inline const std::string SpecPrefix = "jobs/in/spec/";
 inline const std::string CancelPrefix = "jobs/in/cancel/";
 inline const std::string ProgressPrefix = "jobs/progress/";
 
-/// Records of unreachable workers, whose leases the coordinator does not renew.
-inline const std::string UnreachedPrefix = "unreached/";
-
-inline std::string unreached(const WorkerId &id)
-{
-    return UnreachedPrefix + id.str();
-}
-
 /// Addresses at which the entry processes answer requests of each other.
 inline const std::string EntryPrefix = "entry/";
 
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -7,6 +7,7 @@
 
 #include "fleet/coordinator_p.h"
 #include "fleet/keys_p.h"
+#include "fleet/unreachable_p.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,7 +17,6 @@
 namespace {
 
 constexpr Duration RenewRetryDelay = milliseconds(250); // from the second failure in a row on
-constexpr Duration UnreachableRetryDelay = milliseconds(250); // after a failed write of records
 constexpr Duration LinkCheckInterval = milliseconds(100); // between two checks of all workers
 constexpr Duration MaxStoredEndsWait = milliseconds(400); // that a renewal waits for stored records
 // Long-poll waits of renewals, instead of the one in the settings: for a worker with interference
@@ -171,7 +171,7 @@
     if (worker == scheduler_->workers().end() || link == links_.end() || !isWithinRenewalGrace(now))
         return 0;
     const WorkerLink &workerLink = link->second;
-    if (workerLink.unreachableRecord != UnreachableRecord::Absent)
+    if (unreachableWriter_->mayList(id))
         return 0;
     if (workerLink.clock == 0 || workerLink.incarnation != worker->second->entry.incarnation
         || isSilent(*worker->second, now))
@@ -200,7 +200,7 @@
     nextLinkCheckAt_ = now + LinkCheckInterval;
     for (const auto &[id, worker] : scheduler_->workers())
         checkLink(id, now);
-    writeUnreachableRecords(now);
+    updateUnreachable(now);
 }
 
 /// Renews the leases of all workers in parallel to the renewals that wait there for news. Used when
@@ -225,7 +225,6 @@
         link.awaitsStoredEnds = false;
         link.nextRenewalAt = now;
     }
-    updateUnreachableRecord(*worker->second, link, now);
     // A renewal that waits on a connection to a former incarnation is not waited for.
     const bool isAwaited =
             link.isRenewalInFlight && link.renewedIncarnation == worker->second->entry.incarnation;
@@ -235,103 +234,47 @@
         linksToCheck_.push_back(id);
 }
 
-/// Stores a record that a worker is unreachable and its leases are not renewed, and removes the
-/// record before they are renewed again. Without the record, a successor has to assume that this
-/// coordinator renewed them until its end.
-void Coordinator::updateUnreachableRecord(const ScheduledWorker &worker, WorkerLink &link, Time now)
+/// True if the worker has runs and gets no lease here, so that a successor should know until when
+/// its leases may last. Before the worker's first report here, a failed call is needed: a new
+/// coordinator has heard of no worker yet.
+bool Coordinator::isUnreachable(const ScheduledWorker &worker, Time now) const
 {
-    const bool silent = isSilent(worker, now);
-    // Until the worker's first report here, a former coordinator may still renew its leases.
-    const bool mayBeRenewed = !worker.hasReported && now - startedAt_ <= settings_.renewalGrace;
-    if (link.unreachableRecord == UnreachableRecord::Absent && silent && !mayBeRenewed
-        && !worker.tasks.empty()) {
-        link.unreachableRecord = UnreachableRecord::Queued;
-        unreachableToWrite_.push_back(worker.entry.id);
-    } else if (link.unreachableRecord == UnreachableRecord::Queued && !silent) {
-        link.unreachableRecord = UnreachableRecord::Absent; // nothing was sent yet
-    } else if (link.unreachableRecord == UnreachableRecord::Stored && !silent) {
-        link.unreachableRecord = UnreachableRecord::Removing;
-        unreachableToWrite_.push_back(worker.entry.id);
-    }
+    const bool isKnownSilent = worker.hasReported || worker.lastCallFailed
+                               || unreachableWriter_->mayList(worker.entry.id);
+    return isKnownSilent && isSilent(worker, now) && !worker.hasEnded && !worker.tasks.empty();
 }
 
-/// Writes the records of unreachable workers that are due, one transaction at a time. When a
-/// failure domain is cut off, there are many of them at once.
-void Coordinator::writeUnreachableRecords(Time now)
+/// Has unreachable workers listed in the store, and those that answer again removed, because they
+/// get no lease before.
+void Coordinator::updateUnreachable(Time now)
 {
-    if (unreachableToWrite_.empty() || isUnreachableWriteInFlight_ || now < unreachableNotBefore_
-        || !isWithinRenewalGrace(now))
-        return;
-    Transaction transaction;
-    transaction.conditions.push_back({keys::Coordinator, recordRevision_});
-    std::vector<WorkerId> ids;
-    std::size_t taken = 0;
-    while (taken < unreachableToWrite_.size() && ids.size() + 1 < MaxTransactionEntries) {
-        const WorkerId id = unreachableToWrite_[taken++];
-        const bool isRepeated = std::find(ids.begin(), ids.end(), id) != ids.end();
-        if (!isRepeated && addUnreachableRecord(id, transaction, now))
-            ids.push_back(id);
-    }
-    unreachableToWrite_.erase(unreachableToWrite_.begin(),
-                              unreachableToWrite_.begin() + static_cast<std::ptrdiff_t>(taken));
-    if (ids.empty())
+    if (!isWithinRenewalGrace(now))
         return;
-    isUnreachableWriteInFlight_ = true;
-    commit(
-            transaction,
-            [this, ids](const KeyValueResult &result, Time eventTime) {
-                onUnreachableWritten(ids, result.status, eventTime);
-            },
-            now);
-}
-
-/// Adds the change of a worker's record. Returns false if it is not needed any more.
-bool Coordinator::addUnreachableRecord(const WorkerId &id, Transaction &transaction, Time now)
-{
-    const auto found = links_.find(id);
-    if (found == links_.end())
-        return false;
-    WorkerLink &link = found->second;
-    if (link.unreachableRecord == UnreachableRecord::Removing) {
-        transaction.removals.push_back(keys::unreached(id));
-        return true;
-    }
-    if (link.unreachableRecord != UnreachableRecord::Queued)
-        return false;
-    const auto worker = scheduler_->workers().find(id);
-    if (worker == scheduler_->workers().end() || !isSilent(*worker->second, now)) {
-        link.unreachableRecord = UnreachableRecord::Absent;
-        return false;
+    std::map<WorkerId, UnreachableWorker> unreachable;
+    bool awaitsLease = false;
+    for (const auto &[id, worker] : scheduler_->workers()) {
+        if (isUnreachable(*worker, now))
+            unreachable[id] = {worker->entry.incarnation, worker->leaseExpiry};
+        else if (unreachableWriter_->mayList(id) && !isSilent(*worker, now))
+            awaitsLease = true;
     }
-    link.unreachableRecord = UnreachableRecord::Writing;
-    const std::string value = std::to_string(worker->second->entry.incarnation.value);
-    transaction.puts.push_back({keys::unreached(id), value, LeaseId{}});
-    return true;
+    unreachableWriter_->update(std::move(unreachable), awaitsLease, now);
 }
 
-void Coordinator::onUnreachableWritten(const std::vector<WorkerId> &ids, KeyValueStatus status,
-                                       Time now)
+void Coordinator::commitUnreachable(const Transaction &transaction, KeyValueCallback done,
+                                    Time sentAt)
 {
-    isUnreachableWriteInFlight_ = false;
-    if (status == KeyValueStatus::Conflict) {
-        deposeByConflict();
-        return;
-    }
-    if (status != KeyValueStatus::Ok)
-        unreachableNotBefore_ = now + UnreachableRetryDelay;
-    for (const WorkerId &id : ids) {
-        const auto found = links_.find(id);
-        if (found == links_.end())
-            continue;
-        UnreachableRecord &record = found->second.unreachableRecord;
-        const bool wasRemoved =
-                status == KeyValueStatus::Ok && record == UnreachableRecord::Removing;
-        const bool wasNeverStored =
-                status == KeyValueStatus::NotApplied && record == UnreachableRecord::Writing;
-        // If the outcome is unknown, the record is assumed to be stored, and is removed later.
-        record = wasRemoved || wasNeverStored ? UnreachableRecord::Absent
-                                              : UnreachableRecord::Stored;
-    }
+    Transaction conditional = transaction;
+    conditional.conditions.push_back({keys::Coordinator, recordRevision_});
+    commit(
+            conditional,
+            [this, done = std::move(done)](const KeyValueResult &result, Time now) {
+                if (result.status == KeyValueStatus::Conflict && !isRecordCurrent(result))
+                    deposeByConflict();
+                else
+                    done(result, now);
+            },
+            sentAt);
 }
 
 void Coordinator::sendRenewal(const WorkerEntry &worker, WorkerLink &link, Time now)
@@ -435,6 +378,9 @@
         if (worker->second->hasReported)
             fields.emplace_back("lastReportMs", std::to_string(wholeMilliseconds(
                                                         now - worker->second->lastReport)));
+        if (!worker->second->tasks.empty()) // which wait for this before they start elsewhere
+            fields.emplace_back("leaseLeftMs", std::to_string(wholeMilliseconds(
+                                                       worker->second->leaseExpiry - now)));
     }
     ports_.log({LogLevel::Info, "worker-unreachable", "a call to the worker failed; it is repeated",
                 std::move(fields)});
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -548,9 +548,9 @@
     /// This incarnation of the worker has certainly ended, and its runs with it, because another
     /// worker answers at its address.
     void onWorkerEnded(const WorkerId &id, WorkerIncarnation incarnation, Time now);
-    /// The leases of this incarnation of the worker have not been renewed since before this
-    /// coordinator started.
-    void onLeaseNotRenewed(const WorkerId &id, WorkerIncarnation incarnation, Time now);
+    /// All leases that former coordinators granted to this incarnation of the worker expire at
+    /// `leaseExpiry` at the latest.
+    void limitLeaseExpiry(const WorkerId &id, WorkerIncarnation incarnation, Time leaseExpiry);
     /// A lease was granted to the worker; it expires at `leaseExpiry` at the latest.
     void onLeaseGranted(const WorkerId &id, Time leaseExpiry);
     /// The incarnation of the worker that has answered is not known: a report shows whether the run
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -152,12 +152,12 @@
         --entryFor(worker->servingTasksByImage, task.image);
 }
 
-void Scheduler::onLeaseNotRenewed(const WorkerId &id, WorkerIncarnation incarnation, Time now)
+void Scheduler::limitLeaseExpiry(const WorkerId &id, WorkerIncarnation incarnation,
+                                 Time leaseExpiry)
 {
     const auto it = workers_.find(id);
     if (it != workers_.end() && it->second->entry.incarnation == incarnation)
-        it->second->leaseExpiry =
-                std::min(it->second->leaseExpiry, now + settings_.maxLeaseDuration);
+        it->second->leaseExpiry = std::min(it->second->leaseExpiry, leaseExpiry);
 }
 
 void Scheduler::onLeaseGranted(const WorkerId &id, Time leaseExpiry)
