Keep a job from running whose cancellation overtakes its submission

Cause: cancelHere() wrote nothing for a job that the store did not have. A process that was cut off from the store noticed after 0.9 s and had the submission stored by another process. A write that the store carries out late, and one that is in flight in the process that cancels, lead to the same end.

Change: the cancellation of an unknown job is stored before 410 is answered. The coordinator looks for a cancellation of each job that it adds, from memory, after a hand-over and after a reload, so no condition on the submission is needed. Such a job is accepted, shown as cancelled and never started. Cancellations without a job are removed after the time for which ended jobs are shown, under the condition that the job is absent; at most 10,000 are stored, then an unknown job's DELETE is answered 503. The removal of old records has moved to cleanup.cpp.

What excludes a start: the cancellation is stored before the answer, and for 125 s after it; the coordinator receives both records in the order of their revisions, or loads cancellations first.

Cost: one write for each DELETE of an unknown job, in a batch with others.

--- a/src/fleet/clients.cpp
+++ b/src/fleet/clients.cpp
@@ -73,7 +73,7 @@
                            std::function<void(JobAnswer, Time)> done, Time now)
 {
     if (jobView_.isCancelled(id)) {
-        done(JobAnswer::Accepted, now);
+        done(jobView_.contains(id) ? JobAnswer::Accepted : JobAnswer::NotFound, now);
         return;
     }
     if (!jobView_.contains(id)) { // accepted just now by another process, or unknown
@@ -82,24 +82,49 @@
                                                  const KeyValueResult &result, Time eventTime) {
             if (alive.expired())
                 return;
-            if (result.status != KeyValueStatus::Ok) {
-                done(result.status == KeyValueStatus::NotFound ? JobAnswer::NotFound
-                                                               : JobAnswer::Unknown,
-                     eventTime);
-                return;
+            if (result.status == KeyValueStatus::Ok) {
+                learnSpec(id, result.items.front());
+                cancelHere(id, deadline, done, eventTime);
+            } else if (result.status == KeyValueStatus::NotFound) {
+                cancelUnknownJob(id, deadline, done, eventTime);
+            } else {
+                done(JobAnswer::Unknown, eventTime);
             }
-            learnSpec(id, result.items.front());
-            cancelHere(id, deadline, done, eventTime);
         });
         return;
     }
-    const auto onCreateDone = [this, id, done = std::move(done)](CreateOutcome outcome,
-                                                                 Time eventTime) {
+    storeCancellation(id, JobAnswer::Accepted, deadline, std::move(done), now);
+}
+
+/// Stores the cancellation of a job that the store does not have. Its submission may still be on
+/// its way, through another process or in a write that the store carries out late; the coordinator
+/// then finds the cancellation and starts nothing.
+void FleetNode::cancelUnknownJob(const JobId &id, Time deadline,
+                                 std::function<void(JobAnswer, Time)> done, Time now)
+{
+    if (jobView_.unknownCancellations() >= settings_.maxUnknownCancellations) {
+        log(LogLevel::Warning, "cancellation-refused",
+            "too many cancellations of unknown jobs are stored", {{"job", id.str()}});
+        done(JobAnswer::Overloaded, now);
+        return;
+    }
+    log(LogLevel::Info, "unknown-job-cancelled",
+        "the job is not stored; it does not run if its submission arrives later",
+        {{"job", id.str()}});
+    storeCancellation(id, JobAnswer::NotFound, deadline, std::move(done), now);
+}
+
+/// Answers with `answer` once the cancellation is stored.
+void FleetNode::storeCancellation(const JobId &id, JobAnswer answer, Time deadline,
+                                  std::function<void(JobAnswer, Time)> done, Time now)
+{
+    const auto onCreateDone = [this, id, answer, done = std::move(done)](CreateOutcome outcome,
+                                                                         Time eventTime) {
         const bool isWritten =
                 outcome == CreateOutcome::Created || outcome == CreateOutcome::Exists;
         if (isWritten)
             jobView_.setCancelled(id);
-        done(isWritten ? JobAnswer::Accepted : JobAnswer::Unknown, eventTime);
+        done(isWritten ? answer : JobAnswer::Unknown, eventTime);
     };
     writer_.create(keys::cancel(id), settings_.name, deadline, onCreateDone, now);
 }
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -1,5 +1,6 @@
 // The coordinator's use of the store: loads the records of jobs and workers, watches what clients
-// and workers write, and writes the progress of jobs. Its calls to workers are in orders.cpp.
+// and workers write, and writes the progress of jobs. Its calls to workers are in orders.cpp, the
+// removal of old records is in cleanup.cpp.
 //
 // Sections:
 //   [1] Loading
@@ -20,9 +21,7 @@
 
 constexpr Duration TickInterval = milliseconds(100); // for decisions that depend on time alone
 constexpr Duration WriteRetryDelay = milliseconds(60);
-constexpr Duration CleanupInterval = seconds(2);
 constexpr std::size_t ChangesPerWrite = (MaxTransactionEntries - 1) / 2;
-constexpr std::size_t RemovalsPerWrite = (MaxTransactionEntries - 1) / 3; // jobs, of 3 keys each
 constexpr Duration MaxJobAge = seconds(600); // older submissions count as this old
 
 /// True if the record has all tasks of each occurrence that it begins, as records are written.
@@ -160,7 +159,7 @@
     }
     for (const KeyValue &item : loadedJobItems_) {
         if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key))
-            scheduler_->cancelJob(*id, now);
+            applyCancellation(*id, now);
     }
     for (const auto &[id, worker] : unreachable_.workers())
         scheduler_->limitLeaseExpiry(id, worker.incarnation, worker.leaseExpiry);
@@ -207,11 +206,20 @@
         return;
     scheduler_->addJob(*spec, progress, scheduler_->toSteadyTime(spec->submitted, MaxJobAge, now),
                        now);
-    // Reloaded keys arrive in alphabetical order, so cancellations come before the jobs.
+    // A cancellation may be stored before the job. Reloaded keys arrive in alphabetical order, so
+    // cancellations always come first then.
+    unknownCancellations_.erase(spec->id);
     if (jobView_.isCancelled(spec->id))
         scheduler_->cancelJob(spec->id, now);
 }
 
+void Coordinator::applyCancellation(const JobId &id, Time now)
+{
+    if (scheduler_->jobs().count(id) == 0)
+        noteUnknownCancellation(id, now);
+    scheduler_->cancelJob(id, now);
+}
+
 void Coordinator::onJobInput(const std::vector<KeyValue> &events, Time now)
 {
     for (const KeyValue &item : events) {
@@ -220,7 +228,7 @@
         if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key)) {
             jobView_.setCancelled(*id);
             if (scheduler_)
-                scheduler_->cancelJob(*id, now);
+                applyCancellation(*id, now);
             else
                 loadedJobItems_.push_back(item);
         } else if (scheduler_) {
@@ -309,6 +317,7 @@
         scheduler_->setWallClock(ports_.wallNow(), now);
         runPass(now);
         removeFinishedJobs(now);
+        removeUnknownCancellations(now);
         publishBacklog(now);
         scheduleTick();
     });
@@ -483,38 +492,6 @@
     });
 }
 
-void Coordinator::removeFinishedJobs(Time now)
-{
-    if (!scheduler_ || now - lastCleanup_ < CleanupInterval || !isWithinRenewalGrace(now))
-        return;
-    lastCleanup_ = now;
-    std::vector<JobId> ids = scheduler_->jobsEndedBefore(now - settings_.finishedJobRetention);
-    if (ids.empty())
-        return;
-    ids.resize(std::min(ids.size(), RemovalsPerWrite));
-    Transaction transaction;
-    transaction.conditions.push_back({keys::Coordinator, recordRevision_});
-    for (const JobId &id : ids) {
-        transaction.removals.push_back(keys::spec(id));
-        transaction.removals.push_back(keys::cancel(id));
-        transaction.removals.push_back(keys::progress(id));
-    }
-    commit(
-            transaction,
-            [this, ids](const KeyValueResult &result, Time) {
-                if (result.status == KeyValueStatus::Conflict)
-                    deposeByConflict();
-                if (result.status != KeyValueStatus::Ok)
-                    return; // the next cleanup tries again
-                for (const JobId &id : ids) {
-                    scheduler_->removeJob(id);
-                    progressRevisions_.erase(id);
-                    jobView_.remove(id);
-                }
-            },
-            now);
-}
-
 /// True once each registered worker has answered this coordinator or has had the time to. Before,
 /// workers that are not heard from yet would be missing from the capacity, and jobs be refused that
 /// there is capacity for.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -15,7 +15,7 @@
 //   coordinator/backlog    number of jobs of each queue that have not started; written by the
 //                          coordinator each second
 //   jobs/in/spec/ID        specification of a job; written once, by the process that accepts it
-//   jobs/in/cancel/ID      cancellation of a job; written once
+//   jobs/in/cancel/ID      cancellation of a job; written once, also if there is no such job yet
 //   jobs/progress/ID       progress of a job; written by the coordinator
 //   coordinator/unreachable
 //                          workers that get no leases because they do not answer, and when the
@@ -230,7 +230,11 @@
     // since the store may answer only reads.
     Duration maxWatchHold = seconds(15);
     Duration planDelay = milliseconds(10); // to handle events that arrive together in one pass
-    Duration finishedJobRetention = seconds(125); // then the records of an ended job are removed
+    // After which the records of an ended job are removed, and cancellations of unknown jobs: their
+    // submissions may be held up in a suspended process or be written late by the store.
+    Duration finishedJobRetention = seconds(125);
+    // Cancellations of unknown jobs that may be stored at the same time; more are refused.
+    std::size_t maxUnknownCancellations = 10000;
     // Where this process answers requests of others (relay.h). Port 0: none are answered or
     // forwarded.
     Address relayAddress;
@@ -435,6 +439,8 @@
 
     bool contains(const JobId &id) const;
     bool isCancelled(const JobId &id) const;
+    /// Number of cancelled ids without a job.
+    std::size_t unknownCancellations() const { return unknownCancellations_; }
     /// The state to report to clients, or nothing if the job is not known.
     std::optional<JobState> state(const JobId &id) const;
     /// Number of accepted jobs of each queue of which no task has been started. Valid only if the
@@ -454,11 +460,13 @@
         JobState state = JobState::Pending;
     };
     static bool isInBacklog(const Entry &entry);
+    static bool isUnknownCancellation(const Entry &entry);
     template<typename Change> void updateEntry(const JobId &id, Change apply);
 
     std::unordered_map<JobId, Entry> entries_;
     std::unordered_map<QueueId, int> backlogs_;
     std::unordered_map<JobId, StoreRevision> submissions_; // watched and not forgotten yet
+    std::size_t unknownCancellations_ = 0;
 };
 
 // [7] Coordinator
@@ -533,6 +541,7 @@
     void onWorkerEvents(const std::vector<KeyValue> &events, Time now);
     void startScheduling(Time now);
     void addJobFromSpec(const KeyValue &item, const std::optional<JobProgress> &progress, Time now);
+    void applyCancellation(const JobId &id, Time now);
     void setAside(const JobId &id);
     void updateSchedulerWorkers(Time now);
     void updateStartsPaused(Time now);
@@ -552,6 +561,10 @@
     void onWriteConflict(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
                          Time now);
     void removeFinishedJobs(Time now);
+    void noteUnknownCancellation(const JobId &id, Time now);
+    void removeUnknownCancellations(Time now);
+    void onCancellationsRemoved(const std::vector<JobId> &ids, const KeyValueResult &result,
+                                Time now);
     bool isRecordCurrent(const KeyValueResult &result) const;
     bool knowsCapacity(Time now) const;
     void publishBacklog(Time now);
@@ -617,6 +630,8 @@
     Time writeNotBefore_{};
     bool isDeferredWriteScheduled_ = false;
     Time lastCleanup_{};
+    std::map<JobId, Time> unknownCancellations_; // stored ones, and when they were first seen here
+    Time nextCancellationCleanupAt_{};
     Time nextBacklogAt_{};
     CapacityForecast forecast_;
     std::shared_ptr<int> alive_ = std::make_shared<int>();
@@ -628,7 +643,8 @@
 enum class JobAnswer {
     Accepted, // stored
     NotAccepted, // not stored, and will not be; the client can repeat the request later
-    Overloaded, // the same, for lack of capacity; retryAfter() says when to repeat it
+    // The same, for lack of capacity; retryAfter() says when to repeat a submission.
+    Overloaded,
     Unknown, // may be stored
     NotFound, // only for cancel() and state(): no such job
 };
@@ -698,6 +714,10 @@
                     Time now);
     void cancelHere(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
                     Time now);
+    void cancelUnknownJob(const JobId &id, Time deadline, std::function<void(JobAnswer, Time)> done,
+                          Time now);
+    void storeCancellation(const JobId &id, JobAnswer answer, Time deadline,
+                           std::function<void(JobAnswer, Time)> done, Time now);
     void stateHere(const JobId &id, StateCallback done, Time now);
     void repeatSubmission(const JobSpec &spec, Time deadline,
                           std::function<void(JobAnswer, Time)> done, Time now);
--- a/src/fleet/jobview.cpp
+++ b/src/fleet/jobview.cpp
@@ -11,15 +11,23 @@
     return entry.hasSpec && !entry.cancelled && entry.state == JobState::Pending;
 }
 
-/// Changes an entry and updates the backlog of its queue.
+bool JobView::isUnknownCancellation(const Entry &entry)
+{
+    return entry.cancelled && !entry.hasSpec;
+}
+
+/// Changes an entry, and updates the backlog of its queue and the number of cancellations without
+/// a job.
 template<typename Change> void JobView::updateEntry(const JobId &id, Change apply)
 {
     Entry &entry = entries_[id];
     if (isInBacklog(entry))
         --backlogs_[entry.queue];
+    unknownCancellations_ -= isUnknownCancellation(entry) ? 1 : 0;
     apply(entry);
     if (isInBacklog(entry))
         ++backlogs_[entry.queue];
+    unknownCancellations_ += isUnknownCancellation(entry) ? 1 : 0;
 }
 
 void JobView::setSpec(const JobId &id, const QueueId &queue)
@@ -42,7 +50,7 @@
 
 void JobView::remove(const JobId &id)
 {
-    updateEntry(id, [](Entry &entry) { entry.hasSpec = false; });
+    updateEntry(id, [](Entry &entry) { entry = {}; });
     entries_.erase(id);
 }
 
@@ -63,6 +71,8 @@
     if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key)) {
         if (!item.deleted)
             setCancelled(*id);
+        else if (!contains(*id)) // a job's entry is removed with its specification
+            remove(*id);
         return true;
     }
     if (const std::optional<JobId> id = keys::parse(keys::ProgressPrefix, item.key)) {
@@ -84,6 +94,7 @@
     entries_.clear();
     backlogs_.clear();
     submissions_.clear();
+    unknownCancellations_ = 0;
     for (const KeyValue &item : items)
         apply(item);
 }
--- a/tests/fakes/fleetworld.h
+++ b/tests/fakes/fleetworld.h
@@ -119,6 +119,8 @@
         settings.scheduling.warmupOverage = warmupOverage;
         settings.admitsUnderShortage = admitsUnderShortage;
         settings.admission = admission;
+        if (maxUnknownCancellations > 0)
+            settings.maxUnknownCancellations = maxUnknownCancellations;
         const FleetPorts ports{*process.store,
                                *process.workers,
                                *process.timers,
@@ -245,6 +247,7 @@
     double warmupOverage = 0; // as in SchedulingSettings; taken at the start of a process
     bool admitsUnderShortage = false; // taken at the start of a process
     AdmissionSettings admission;
+    std::size_t maxUnknownCancellations = 0; // 0: the default; taken at the start of a process
     std::map<int, double> cpuShares; // cores of a process's host, if not 1; taken at its start
     Duration orderDuration{}; // of workers; taken at the start of a process
     double lostAnswerShare = 0; // of answers to orders; taken at the start of a process
