Call a lost worker at the address that the registry no longer has

Cause: a successor cannot ask at the address of a worker that the registry has removed, since no record has it.

Change: coordinator/unreachable names the address of each listed worker. The successor calls it there; the answer of another worker ends the run at once, and with more evidence than silence.

Test: "a successor calls a lost worker at the address that the registry no longer has", which fails if the address is not used. What excludes a second run is as before: an answer of another worker (421) shows that the one that was called has ended.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -161,8 +161,10 @@
         if (const std::optional<JobId> id = keys::parse(keys::CancelPrefix, item.key))
             applyCancellation(*id, now);
     }
-    for (const auto &[id, worker] : unreachable_.workers())
+    for (const auto &[id, worker] : unreachable_.workers()) {
         scheduler_->limitLeaseExpiry(id, worker.incarnation, worker.leaseExpiry);
+        scheduler_->setFormerAddress(id, worker.incarnation, worker.address);
+    }
     ports_.log({LogLevel::Info,
                 "coordinator-ready",
                 "jobs and workers are loaded; scheduling starts",
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -254,7 +254,8 @@
     bool awaitsLease = false;
     for (const auto &[id, worker] : scheduler_->workers()) {
         if (isUnreachable(*worker, now))
-            unreachable[id] = {worker->entry.incarnation, worker->leaseExpiry};
+            unreachable[id] = {worker->entry.incarnation, worker->entry.address,
+                               worker->leaseExpiry};
         else if (unreachableWriter_->mayList(id) && !isSilent(*worker, now))
             awaitsLease = true;
     }
--- a/src/fleet/unreachable.cpp
+++ b/src/fleet/unreachable.cpp
@@ -42,7 +42,8 @@
     Json rows = Json::array();
     for (const auto &[id, worker] : record.workers)
         rows.push_back({id.str(), worker.incarnation.value,
-                        millisecondsOf(worker.leaseExpiry) + 1}); // rounded up
+                        millisecondsOf(worker.leaseExpiry) + 1, // rounded up
+                        worker.address.ip, worker.address.port});
     const Json json = Json::array(
             {RecordFormat, record.writer.value, millisecondsOf(record.writtenAt), rows});
     std::string bytes;
@@ -64,6 +65,7 @@
             UnreachableWorker &worker = record.workers[WorkerId(row.at(0).get<std::string>())];
             worker.incarnation.value = row.at(1).get<std::uint64_t>();
             worker.leaseExpiry = decodeTime(row.at(2));
+            worker.address = {row.at(3).get<std::string>(), row.at(4).get<std::uint16_t>()};
         }
         return record;
     } catch (const std::exception &) { // the caller logs the key of the record
--- a/src/fleet/unreachable_p.h
+++ b/src/fleet/unreachable_p.h
@@ -23,6 +23,7 @@
 struct UnreachableWorker
 {
     WorkerIncarnation incarnation; // whose leases are meant
+    Address address; // where it was last registered; without an IP address: not known
     Time leaseExpiry{}; // all leases granted to it have expired by then
 };
 
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -551,6 +551,10 @@
     /// All leases that former coordinators granted to this incarnation of the worker expire at
     /// `leaseExpiry` at the latest.
     void limitLeaseExpiry(const WorkerId &id, WorkerIncarnation incarnation, Time leaseExpiry);
+    /// Where this incarnation of the worker was registered when a former coordinator lost contact
+    /// with it. Whatever answers there shows whether it has ended. Ignored if it is registered.
+    void setFormerAddress(const WorkerId &id, WorkerIncarnation incarnation,
+                          const Address &address);
     /// A lease was granted to the worker; it expires at `leaseExpiry` at the latest.
     void onLeaseGranted(const WorkerId &id, Time leaseExpiry);
     /// The incarnation of the worker that has answered is not known: a report shows whether the run
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -160,6 +160,16 @@
         it->second->leaseExpiry = std::min(it->second->leaseExpiry, leaseExpiry);
 }
 
+void Scheduler::setFormerAddress(const WorkerId &id, WorkerIncarnation incarnation,
+                                 const Address &address)
+{
+    const auto it = workers_.find(id);
+    const bool isMissing = it != workers_.end() && !it->second->listed
+                           && it->second->entry.incarnation == incarnation;
+    if (isMissing && !address.ip.empty())
+        it->second->entry.address = address;
+}
+
 void Scheduler::onLeaseGranted(const WorkerId &id, Time leaseExpiry)
 {
     const auto it = workers_.find(id);
--- a/tests/unit/invariant_handover_test.cpp
+++ b/tests/unit/invariant_handover_test.cpp
@@ -256,6 +256,23 @@
     }
 }
 
+// Guards against a wait for the lease of a worker whose end another worker proves, although the
+// registry has removed its entry before the successor has loaded it.
+TEST_CASE("a successor calls a lost worker at the address that the registry no longer has")
+{
+    LostWorker lost;
+    FleetWorld &world = lost.world;
+    world.clock.advance(seconds(2));
+    lost.lose();
+    world.clock.advance(seconds(3)); // the coordinator has listed it as unreachable
+    world.store.remove("servers/w0");
+    lost.replaceCoordinator(true);
+    world.runners.replace("w0", "w9");
+    REQUIRE(world.wait([&] { return world.coordinator() >= 0; }));
+    CHECK(world.wait([&] { return world.runners.runningCount() == 4; }, milliseconds(700)));
+    CHECK(world.runners.findings == std::vector<std::string>());
+}
+
 // Guards against TWICE: a version of the record that the store writes late lists a worker that has
 // been granted a lease since, so that a successor does not wait for that lease.
 TEST_CASE("a late write of the record of unreachable workers does not undo a later one")
