Simulated workers do not answer at an unknown address

Now a call to an entry without an address is answered as not sent, as on the platform, and the test fails without setFormerAddress().

--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -428,9 +428,15 @@
         return isThere && !isCutFrom(worker) ? &it->second : nullptr;
     }
 
-    /// Answers a call if another worker, or nothing, listens at the address.
+    /// Answers a call if another worker, or nothing, listens at the address, or if there is none.
     bool answersInstead(const WorkerEntry &worker, const WorkerCallback &done)
     {
+        if (worker.address.ip.empty()) {
+            WorkerCallResult call;
+            call.status = WorkerCallStatus::NotSent;
+            answer(call, done);
+            return true;
+        }
         const auto it = runners_.all().find(worker.id);
         if (isCutFrom(worker) || it == runners_.all().end() || !it->second.reachable)
             return false;
