--- a/src/fleet/cleanup.cpp
+++ b/src/fleet/cleanup.cpp
@@ -49,12 +49,6 @@
             now);
 }
 
-/// Notes that the cancellation of a job is stored and the job is not.
-void Coordinator::noteUnknownCancellation(const JobId &id, Time now)
-{
-    unknownCancellations_.emplace(id, now);
-}
-
 /// Removes old cancellations of unknown jobs, unless the job has been stored meanwhile: then the
 /// cancellation stays as long as the job.
 void Coordinator::removeUnknownCancellations(Time now)
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -218,7 +218,7 @@
 void Coordinator::applyCancellation(const JobId &id, Time now)
 {
     if (scheduler_->jobs().count(id) == 0)
-        noteUnknownCancellation(id, now);
+        unknownCancellations_.emplace(id, now);
     scheduler_->cancelJob(id, now);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -561,7 +561,6 @@
     void onWriteConflict(const std::shared_ptr<ProgressWrite> &write, const KeyValueResult &result,
                          Time now);
     void removeFinishedJobs(Time now);
-    void noteUnknownCancellation(const JobId &id, Time now);
     void removeUnknownCancellations(Time now);
     void onCancellationsRemoved(const std::vector<JobId> &ids, const KeyValueResult &result,
                                 Time now);
--- a/src/fleet/unreachable.cpp
+++ b/src/fleet/unreachable.cpp
@@ -1,3 +1,7 @@
+// Sections:
+//   [1] Record
+//   [2] View
+//   [3] Writer
 #include "fleet/unreachable_p.h"
 
 #include "fleet/keys_p.h"
@@ -6,6 +10,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <limits>
 #include <utility>
 
 namespace monsoonledge {
--- a/src/fleet/unreachable_p.h
+++ b/src/fleet/unreachable_p.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace monsoonledge {
