--- a/tests/unit/invariant_handover_test.cpp
+++ b/tests/unit/invariant_handover_test.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int HandoverCount = 16;
+constexpr Duration RestartDuration = milliseconds(600); // of processes that are started again
 constexpr Duration EntryLifetime = milliseconds(4500); // three heartbeats
 // LOST: a long-running task counts from 6 s after its last run, if it has no run for 3 s and the
 // 4 s before them were calm.
@@ -71,13 +72,12 @@
     /// Planned restarts of one coordinator after the other, until all tasks have a run again.
     void replaceCoordinators(Duration interval, bool isUnlisted)
     {
-        constexpr Duration Restart = milliseconds(600); // from the start of the ended processes on
         world.clock.advance(milliseconds(500));
         for (int i = 0; i < HandoverCount && world.runners.runningCount() < 4; ++i) {
             replaceCoordinator(true);
-            world.clock.advance(interval - Restart);
+            world.clock.advance(interval - RestartDuration);
             startEnded();
-            world.clock.advance(Restart);
+            world.clock.advance(RestartDuration);
             if (isUnlisted && world.clock.now() - lostAt > EntryLifetime)
                 world.store.remove("servers/w0");
         }
