Let simulated workers without an address be reached

The former commit on simulated workers answered each call without an address as not sent; the workers of the platform's stand-in have none, so that all of them counted as unreachable. Now such a call is not sent only if the worker has an address.

--- a/tests/fakes/fakerunners.h
+++ b/tests/fakes/fakerunners.h
@@ -428,23 +428,19 @@
         return isThere && !isCutFrom(worker) ? &it->second : nullptr;
     }
 
-    /// Answers a call if another worker, or nothing, listens at the address, or if there is none.
+    /// Answers a call if another worker, or nothing, listens at the address, or if the caller does
+    /// not know the address of a worker that has one.
     bool answersInstead(const WorkerEntry &worker, const WorkerCallback &done)
     {
-        if (worker.address.ip.empty()) {
-            WorkerCallResult call;
-            call.status = WorkerCallStatus::NotSent;
-            answer(call, done);
-            return true;
-        }
         const auto it = runners_.all().find(worker.id);
         if (isCutFrom(worker) || it == runners_.all().end() || !it->second.reachable)
             return false;
-        if (!it->second.replaced && !it->second.refuses)
+        const bool isElsewhere = worker.address.ip.empty() && !it->second.entry.address.ip.empty();
+        if (!it->second.replaced && !it->second.refuses && !isElsewhere)
             return false;
         WorkerCallResult call;
-        call.status = it->second.replaced ? WorkerCallStatus::OtherIncarnation
-                                          : WorkerCallStatus::NotSent;
+        call.status = it->second.replaced && !isElsewhere ? WorkerCallStatus::OtherIncarnation
+                                                          : WorkerCallStatus::NotSent;
         answer(call, done);
         return true;
     }
