--- a/review/bed3.py
+++ b/review/bed3.py
@@ -19,7 +19,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -351,10 +350,11 @@
         self.log = folder / (name + ".log")
         settings = folder / (name + ".yaml")
         settings.write_text(SETTINGS.format(name=name, ip=ip, store=store.address))
-        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
-        self.command = role["run"].split()
-        self.environment = {**role.get("env", {}), "MONSOONLEDGE_SETTINGS": str(settings),
-                            "PATH": os.environ["PATH"]}
+        deploy = (ROOT / "deploy/system.toml").read_text()
+        self.command = re.search(r'^run = "([^"]+)"', deploy, re.MULTILINE).group(1).split()
+        environment = re.search(r"^env = {(.*)}", deploy, re.MULTILINE)
+        self.environment = dict(re.findall(r'(\w+) = "([^"]*)"', environment.group(1))) if environment else {}
+        self.environment.update(MONSOONLEDGE_SETTINGS=str(settings), PATH=os.environ["PATH"])
         self.start()
 
     def start(self):
@@ -502,7 +502,8 @@
 
 
 def run(main):
-    """Runs a case. An error of the case itself is no finding."""
+    """Runs a case. An error of the case itself is no finding, and neither is its end by SIGTERM."""
+    signal.signal(signal.SIGTERM, lambda *arguments: sys.exit(FAILED))
     try:
         return main()
     except Exception as error:  # noqa: BLE001
