--- a/review/bed3.py
+++ b/review/bed3.py
@@ -487,7 +487,7 @@
     def __exit__(self, *arguments):
         for entry in self.entries:
             entry.end()
-        self.record.write(self.folder / "record.txt")
+        self.record.write(self.folder / (sys.argv[1] if len(sys.argv) > 1 else "record.txt"))
         if os.environ.get("KEEP_LOGS"):
             shutil.copytree(self.temporary, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
         shutil.rmtree(self.temporary, ignore_errors=True)
